--- /dev/null
+++ b/crates/portfield-net/src/dial.rs
@@ -0,0 +1,63 @@
+//! Opening connections, by way of a relay where the settings name one.
+
+use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
+
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+
+use crate::clock;
+
+/// Time in which a connection is open or is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest answer of a relay to CONNECT, in bytes.
+const MAX_ANSWER: usize = 1024;
+
+/// Relays towards other data centres, by the data centre's name.
+///
+/// A relay takes `CONNECT address` (RFC 9110, section 9.3.6) and passes bytes on.
+#[derive(Debug, Clone, Default)]
+pub struct Links {
+    relays: HashMap<String, SocketAddr>,
+}
+
+impl Links {
+    /// Builds the table.
+    pub fn new(relays: HashMap<String, SocketAddr>) -> Self {
+        Self { relays }
+    }
+
+    /// Opens a connection to an address in a data centre.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the socket says, or a time-out after a second. Nothing of a request was
+    /// sent then.
+    pub async fn connect(&self, data_centre: &str, address: SocketAddr) -> io::Result<TcpStream> {
+        let relay = self.relays.get(data_centre).copied();
+        let open = async {
+            let mut stream = TcpStream::connect(relay.unwrap_or(address)).await?;
+            stream.set_nodelay(true)?;
+            if relay.is_some() {
+                ask_relay(&mut stream, address).await?;
+            }
+            Ok(stream)
+        };
+        let late = || Err(io::Error::new(io::ErrorKind::TimedOut, "no connection in time"));
+        clock::timeout(CONNECT_TIMEOUT, open).await.unwrap_or_else(late)
+    }
+}
+
+async fn ask_relay(stream: &mut TcpStream, address: SocketAddr) -> io::Result<()> {
+    let head = format!("CONNECT {address} HTTP/1.1\r\nhost: {address}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = Vec::new();
+    let mut byte = [0];
+    while !answer.ends_with(b"\r\n\r\n") && answer.len() < MAX_ANSWER {
+        stream.read_exact(&mut byte).await?;
+        answer.push(byte[0]);
+    }
+    if answer.starts_with(b"HTTP/1.1 200") {
+        return Ok(());
+    }
+    Err(io::Error::new(io::ErrorKind::ConnectionRefused, "the relay refused"))
+}
--- /dev/null
+++ b/crates/portfield-net/src/http1.rs
@@ -0,0 +1,179 @@
+//! Small HTTP/1.1 exchanges over `async-h1`: admin ports, the platform, load reports.
+//!
+//! Callers' requests and upstreams' answers do not go through here; docs/design/http.md
+//! says why.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use async_net::{TcpListener, TcpStream};
+use http_types::{Method, Request, Response, StatusCode, Url};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{clock, dial::Links, rt::Runtime};
+
+/// Why an exchange failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// No connection could be opened: the request did not run.
+    Unsent(String),
+    /// The connection broke or took too long: the request may have run.
+    Unclear(String),
+    /// The answer's status is not 200; with its body.
+    Status(u16, String),
+    /// The answer's body is not what it should be.
+    Body(String),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unsent(it) => write!(f, "not sent: {it}"),
+            Self::Unclear(it) => write!(f, "sent, but the answer was lost: {it}"),
+            Self::Status(status, body) => write!(f, "answered {status}: {body}"),
+            Self::Body(it) => write!(f, "answered something else: {it}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Where to send a request, and how long to wait for its answer.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Its data centre, empty where no relay is needed.
+    pub data_centre: String,
+    /// Relays.
+    pub links: Links,
+    /// Longest time for the whole exchange.
+    pub timeout: Duration,
+}
+
+impl Target {
+    /// Builds a target that is reached directly, within two seconds.
+    pub fn direct(address: SocketAddr) -> Self {
+        Self {
+            address,
+            data_centre: String::new(),
+            links: Links::default(),
+            timeout: Duration::from_secs(2),
+        }
+    }
+
+    /// Reads a JSON value.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let text = self.send(Method::Get, path, Vec::new()).await?;
+        parse(&text)
+    }
+
+    /// Sends a JSON value and reads one.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, Error> {
+        let body = serde_json::to_vec(body).map_err(|err| Error::Body(err.to_string()))?;
+        let text = self.send(Method::Post, path, body).await?;
+        parse(&text)
+    }
+
+    /// Sends a request and returns the body of its answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn send(&self, method: Method, path: &str, body: Vec<u8>) -> Result<String, Error> {
+        let url = Url::parse(&format!("http://{}{path}", self.address))
+            .map_err(|err| Error::Unsent(err.to_string()))?;
+        let mut request = Request::new(method, url);
+        request.insert_header("connection", "close");
+        request.set_body(body);
+        let connect = self.links.connect(&self.data_centre, self.address);
+        let stream = connect.await.map_err(|err| Error::Unsent(err.to_string()))?;
+        let late = || Err(Error::Unclear("no answer in time".to_owned()));
+        clock::timeout(self.timeout, exchange(stream, request)).await.unwrap_or_else(late)
+    }
+}
+
+async fn exchange(stream: TcpStream, request: Request) -> Result<String, Error> {
+    let unclear = |err: http_types::Error| Error::Unclear(err.to_string());
+    let mut response = async_h1::connect(stream, request).await.map_err(unclear)?;
+    let length = response.header("content-length").map(|it| it.as_str().to_owned());
+    let text = response.body_string().await.map_err(unclear)?;
+    // The library hands over a body cut short as if it were whole.
+    if length.is_some_and(|it| it.parse() != Ok(text.len())) {
+        return Err(Error::Unclear("the answer was cut short".to_owned()));
+    }
+    if response.status() == StatusCode::Ok {
+        return Ok(text);
+    }
+    Err(Error::Status(response.status().into(), text))
+}
+
+fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
+    serde_json::from_str(text).map_err(|err| Error::Body(err.to_string()))
+}
+
+/// Serves requests on a listener until the process ends.
+pub async fn serve<F, Fut>(rt: Runtime, listener: TcpListener, handler: F)
+where
+    F: Fn(Request) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            clock::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let handler = handler.clone();
+        rt.spawn(async move {
+            let _ = stream.set_nodelay(true);
+            let answer = |request| {
+                let res = handler(request);
+                async { Ok(res.await) }
+            };
+            if let Err(err) = async_h1::accept(stream, answer).await {
+                log::debug!("connection ended: {err}");
+            }
+        });
+    }
+}
+
+/// Builds a JSON answer.
+pub fn json(status: u16, value: &impl Serialize) -> Response {
+    let mut res = Response::new(status);
+    res.set_content_type(http_types::mime::JSON);
+    res.set_body(serde_json::to_vec(value).unwrap_or_default());
+    res
+}
+
+/// Reads the JSON body of a request.
+///
+/// # Errors
+///
+/// The answer to give where the body is something else.
+pub async fn read<T: DeserializeOwned>(request: &mut Request) -> Result<T, Response> {
+    let text = request.body_string().await.unwrap_or_default();
+    serde_json::from_str(&text)
+        .map_err(|err| json(400, &serde_json::json!({ "error": err.to_string() })))
+}
+
+/// Binds a listener; port 0 takes any free port.
+///
+/// # Errors
+///
+/// Whatever the socket says.
+pub async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    Ok((listener, bound))
+}
--- /dev/null
+++ b/crates/portfield-net/src/metrics.rs
@@ -0,0 +1,41 @@
+//! Metrics over UDP in the StatsD format.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::{Counted, Gauged, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
+
+/// Sends a process's metrics; without an address it sends nothing.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Builds the sender; `prefix` is the process's name.
+    pub fn new(prefix: &str, address: Option<SocketAddr>) -> Self {
+        let client = address
+            .and_then(|it| {
+                let socket = UdpSocket::bind("0.0.0.0:0").ok()?;
+                socket.set_nonblocking(true).ok()?;
+                let sink = UdpMetricSink::from(it, socket).ok()?;
+                Some(StatsdClient::from_sink(prefix, sink))
+            })
+            .unwrap_or_else(|| StatsdClient::from_sink(prefix, NopMetricSink));
+        Self { client }
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, key: &str, n: i64) {
+        let _ = self.client.count(key, n);
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, key: &str, value: u64) {
+        let _ = self.client.gauge(key, value);
+    }
+
+    /// Records a time in milliseconds.
+    pub fn time(&self, key: &str, millis: u64) {
+        let _ = self.client.time(key, millis);
+    }
+}
--- /dev/null
+++ b/crates/portfield-net/src/rpc.rs
@@ -0,0 +1,215 @@
+//! gRPC between portfield's processes over `async-io`, without a tokio runtime.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::atomic::{AtomicU64, Ordering},
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncRead, AsyncWrite};
+use http::uri::{Authority, Scheme, Uri};
+use hyper::{
+    body::Incoming,
+    client::conn::http2::{self as client, SendRequest},
+    server::conn::http2 as server,
+};
+use smol_hyper::rt::FuturesIo;
+use tonic::body::Body;
+use tower_service::Service;
+
+use crate::{
+    clock,
+    rt::Runtime,
+    wire::{scheduler_client::SchedulerClient, scheduler_server},
+};
+
+/// Time between two pings of an idle connection.
+const PING_PERIOD: Duration = Duration::from_secs(3);
+/// Time in which a ping is answered.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
+static SENT: AtomicU64 = AtomicU64::new(0);
+static RECEIVED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the bytes of control traffic that this process sent and received so far,
+/// framing included.
+pub fn traffic() -> (u64, u64) {
+    (SENT.load(Ordering::Relaxed), RECEIVED.load(Ordering::Relaxed))
+}
+
+/// One connection to a scheduler.
+#[derive(Debug, Clone)]
+pub struct Channel {
+    sender: SendRequest<Body>,
+    authority: Authority,
+}
+
+impl Channel {
+    /// Starts HTTP/2 on an open connection.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the socket or the handshake says.
+    pub async fn open(rt: &Runtime, stream: TcpStream) -> io::Result<Self> {
+        let authority = stream.peer_addr()?.to_string().parse().map_err(io::Error::other)?;
+        let (sender, connection) = client::Builder::new(rt.clone())
+            .timer(HyperTimer)
+            .keep_alive_interval(PING_PERIOD)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .handshake(FuturesIo::new(Counted { stream }))
+            .await
+            .map_err(io::Error::other)?;
+        rt.spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Self { sender, authority })
+    }
+
+    /// Returns a client of the scheduler at the other end.
+    pub fn scheduler(&self) -> SchedulerClient<Self> {
+        SchedulerClient::new(self.clone()).max_decoding_message_size(MAX_MESSAGE)
+    }
+
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+/// Largest message: a whole fleet configuration.
+const MAX_MESSAGE: usize = 16 << 20;
+
+impl Service<http::Request<Body>> for Channel {
+    type Response = http::Response<Incoming>;
+    type Error = hyper::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.sender.poll_ready(cx)
+    }
+
+    fn call(&mut self, mut request: http::Request<Body>) -> Self::Future {
+        let mut parts = std::mem::take(request.uri_mut()).into_parts();
+        parts.scheme = Some(Scheme::HTTP);
+        parts.authority = Some(self.authority.clone());
+        *request.uri_mut() = Uri::from_parts(parts).unwrap_or_default();
+        Box::pin(self.sender.send_request(request))
+    }
+}
+
+/// Serves a scheduler on a listener until the process ends.
+pub async fn serve<T>(rt: Runtime, listener: TcpListener, scheduler: T)
+where
+    T: scheduler_server::Scheduler + Clone,
+{
+    let service = scheduler_server::SchedulerServer::new(scheduler);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            clock::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let adapter = Adapter { service: service.clone() };
+        let connection = server::Builder::new(rt.clone())
+            .timer(HyperTimer)
+            .keep_alive_interval(PING_PERIOD)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .serve_connection(FuturesIo::new(Counted { stream }), adapter);
+        rt.spawn(async move {
+            let _ = connection.await;
+        });
+    }
+}
+
+/// Gives hyper a tonic service.
+struct Adapter<T> {
+    service: T,
+}
+
+impl<T, F> hyper::service::Service<http::Request<Incoming>> for Adapter<T>
+where
+    T: Service<http::Request<Body>, Response = http::Response<Body>, Future = F> + Clone,
+    F: Future<Output = Result<http::Response<Body>, T::Error>> + Send + 'static,
+{
+    type Response = http::Response<Body>;
+    type Error = T::Error;
+    type Future = F;
+
+    fn call(&self, request: http::Request<Incoming>) -> Self::Future {
+        self.service.clone().call(request.map(Body::new))
+    }
+}
+
+/// Gives hyper the timers of `async-io`.
+#[derive(Debug, Clone, Copy)]
+pub struct HyperTimer;
+
+impl hyper::rt::Timer for HyperTimer {
+    fn sleep(&self, time: Duration) -> Pin<Box<dyn hyper::rt::Sleep>> {
+        Box::pin(Sleep { timer: async_io::Timer::after(time) })
+    }
+
+    fn sleep_until(&self, at: Instant) -> Pin<Box<dyn hyper::rt::Sleep>> {
+        Box::pin(Sleep { timer: async_io::Timer::at(at) })
+    }
+}
+
+struct Sleep {
+    timer: async_io::Timer,
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        Pin::new(&mut self.timer).poll(cx).map(|_| ())
+    }
+}
+
+impl hyper::rt::Sleep for Sleep {}
+
+/// A stream whose bytes are counted as control traffic.
+struct Counted {
+    stream: TcpStream,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let res = Pin::new(&mut self.stream).poll_read(cx, buf);
+        count(&RECEIVED, &res);
+        res
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let res = Pin::new(&mut self.stream).poll_write(cx, buf);
+        count(&SENT, &res);
+        res
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+fn count(counter: &AtomicU64, res: &Poll<io::Result<usize>>) {
+    if let Poll::Ready(Ok(n)) = res {
+        counter.fetch_add(*n as u64, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/portfield-net/src/rt.rs
@@ -0,0 +1,48 @@
+//! The executor that a process runs on.
+
+use std::{sync::Arc, thread};
+
+use async_executor::{Executor, Task};
+use futures_lite::future;
+
+/// A handle on the process's executor.
+#[derive(Debug, Clone, Default)]
+pub struct Runtime {
+    executor: Arc<Executor<'static>>,
+}
+
+impl Runtime {
+    /// Runs a future to its end, with `n_threads` more threads for what it spawns.
+    pub fn block_on<T>(&self, n_threads: usize, f: impl Future<Output = T>) -> T {
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        thread::scope(|scope| {
+            for _ in 0..n_threads {
+                let (executor, stopped) = (self.executor.clone(), stopped.clone());
+                scope.spawn(move || future::block_on(executor.run(stopped.recv())));
+            }
+            let res = future::block_on(self.executor.run(f));
+            drop(stop);
+            res
+        })
+    }
+
+    /// Starts a task that runs on its own.
+    pub fn spawn(&self, f: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(f).detach();
+    }
+
+    /// Starts a task that ends when the handle is dropped.
+    pub fn task<T: Send + 'static>(&self, f: impl Future<Output = T> + Send + 'static) -> Task<T> {
+        self.executor.spawn(f)
+    }
+}
+
+impl<F> hyper::rt::Executor<F> for Runtime
+where
+    F: Future + Send + 'static,
+    F::Output: Send + 'static,
+{
+    fn execute(&self, f: F) {
+        self.executor.spawn(f).detach();
+    }
+}
--- /dev/null
+++ b/crates/portfield-router/src/admin.rs
@@ -0,0 +1,65 @@
+//! The admin port: readiness, counters, records of requests.
+
+use std::{
+    pin::Pin,
+    sync::{Arc, atomic::Ordering},
+};
+
+use http_types::{Request, Response};
+use portfield_net::{http1::json, rpc};
+use serde_json::json;
+
+use crate::shell::Shell;
+
+type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
+
+/// Returns the handler of the admin port.
+pub(crate) fn handler(shell: Arc<Shell>) -> impl Fn(Request) -> Answer + Clone + Send + Sync {
+    move |request| {
+        let res = answer(&shell, &request);
+        Box::pin(async { res })
+    }
+}
+
+fn answer(shell: &Shell, request: &Request) -> Response {
+    match request.url().path() {
+        "/ready" => {
+            let status = if shell.is_ready() { 200 } else { 503 };
+            json(status, &json!({ "revision": shell.fleet().revision }))
+        }
+        "/status" => status(shell),
+        "/records" => {
+            let id = request.url().query().unwrap_or_default();
+            json(200, &shell.records(id))
+        }
+        _ => json(404, &json!({ "error": "try /ready, /status or /records?REQUEST-ID" })),
+    }
+}
+
+fn status(shell: &Shell) -> Response {
+    let (sent, received) = rpc::traffic();
+    let (waiting, running) = shell.load();
+    let counts = &shell.counts;
+    let count = |it: &std::sync::atomic::AtomicU64| it.load(Ordering::Relaxed);
+    json(
+        200,
+        &json!({
+            "host": shell.address.ip(),
+            "revision": shell.fleet().revision,
+            "ready": shell.is_ready(),
+            "waiting": waiting,
+            "running": running,
+            "accepted": count(&counts.accepted),
+            "answered": count(&counts.answered),
+            "not_run": count(&counts.not_run),
+            "unknown": count(&counts.unknown),
+            "rejected": count(&counts.rejected),
+            "hung_up": count(&counts.hung_up),
+            "retries": count(&counts.retries),
+            "resumed": count(&counts.resumed),
+            "connections": count(&counts.connections),
+            "control_sent": sent,
+            "control_received": received,
+        }),
+    )
+}
--- /dev/null
+++ b/crates/portfield-router/src/answer.rs
@@ -0,0 +1,81 @@
+//! Answers that the router gives by itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use portfield::route::Outcome;
+use serde_json::json;
+
+/// Body of an answer to a caller.
+pub(crate) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Header with the request's id.
+pub(crate) const REQUEST_ID: &str = "x-portfield-request-id";
+/// Header that says whether a refused request ran.
+pub(crate) const OUTCOME: &str = "x-portfield-outcome";
+
+/// A request that the router doesn't pass on, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Rejection {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// The header, path segment or body that is wrong; empty if none is.
+    pub field: &'static str,
+    /// What is wrong and what to do.
+    pub text: String,
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// When to come back.
+    pub retry: Option<Duration>,
+}
+
+impl Rejection {
+    /// Builds the rejection of a bad request.
+    pub(crate) fn bad(status: StatusCode, field: &'static str, text: impl Into<String>) -> Self {
+        Self { status, field, text: text.into(), outcome: Outcome::NotRun, retry: None }
+    }
+
+    /// Builds the final answer of a request that is given up on.
+    pub(crate) fn gave_up(
+        status: StatusCode,
+        outcome: Outcome,
+        text: impl Into<String>,
+        retry: Option<Duration>,
+    ) -> Self {
+        Self { status, field: "", text: text.into(), outcome, retry }
+    }
+
+    /// Returns the JSON body.
+    pub(crate) fn body(&self, id: &str) -> Vec<u8> {
+        let value = json!({
+            "error": self.text,
+            "field": self.field,
+            "outcome": self.outcome.to_string(),
+            "request_id": id,
+        });
+        serde_json::to_vec(&value).unwrap_or_default()
+    }
+
+    /// Builds the answer.
+    pub(crate) fn answer(&self, id: &str) -> Response<Body> {
+        let body = Full::new(Bytes::from(self.body(id)));
+        let mut res = Response::new(body.map_err(|it| match it {}).boxed_unsync());
+        *res.status_mut() = self.status;
+        let headers = res.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(REQUEST_ID, text_header(id));
+        headers.insert(OUTCOME, text_header(&self.outcome.to_string()));
+        if let Some(it) = self.retry {
+            let secs = it.as_secs() + u64::from(0 < it.subsec_nanos());
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(secs.max(1)));
+        }
+        res
+    }
+}
+
+/// Builds a header value; what can't stand in one is left out.
+pub(crate) fn text_header(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or(HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/crates/portfield-router/src/call.rs
@@ -0,0 +1,175 @@
+//! A caller's request, checked.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, header, request::Parts};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use portfield::fleet::{Fleet, Kind, Service, Workspace};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::answer::Rejection;
+
+/// Header with the expected cost in tokens.
+const HINT: &str = "x-portfield-hint";
+/// Header that says `interactive` or `batch`.
+const CLASS: &str = "x-portfield-class";
+/// Header with the longest wait in milliseconds.
+const WAIT: &str = "x-portfield-wait-ms";
+/// Header that says `never` if the request must not be repeated.
+const REPEAT: &str = "x-portfield-repeat";
+/// Header that names a request for at-most-once execution.
+const KEY: &str = "idempotency-key";
+/// Largest hint in tokens.
+const MAX_HINT: u32 = 1 << 20;
+/// Longest idempotency key in bytes.
+const MAX_KEY: usize = 200;
+/// Bytes of a prompt that make its prefix.
+const PREFIX_LEN: usize = 256;
+/// Bytes of a prompt that cost as much as one token that is generated.
+const BYTES_PER_TOKEN: usize = 64;
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub id: String,
+    pub workspace: Workspace,
+    pub service: Service,
+    pub method: Method,
+    /// Path and query that the upstream sees.
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub hint: u32,
+    pub batch: bool,
+    pub wait: Duration,
+    pub repeatable: bool,
+    pub key: Option<String>,
+}
+
+impl Call {
+    /// Checks a request's head.
+    ///
+    /// # Errors
+    ///
+    /// The answer that says which field is wrong.
+    pub(crate) fn parse(id: &str, fleet: &Fleet, parts: Parts) -> Result<Self, Rejection> {
+        check_framing(&parts.headers)?;
+        let workspace = find_workspace(fleet, &parts.headers)?;
+        let (service, path) = find_service(fleet, &parts.uri)?;
+        let repeat = one_of(&parts.headers, REPEAT, ["never", "allowed"])?;
+        let longest = service.wait_limit();
+        let wait = number(&parts.headers, WAIT, 1, longest.as_millis() as u32)?;
+        Ok(Self {
+            id: id.to_owned(),
+            hint: number(&parts.headers, HINT, 1, MAX_HINT)?.unwrap_or(0),
+            batch: one_of(&parts.headers, CLASS, ["batch", "interactive"])? == Some(0),
+            wait: wait.map_or(longest, |it| Duration::from_millis(u64::from(it))),
+            repeatable: service.repeatable && repeat != Some(0),
+            key: key(&parts.headers)?,
+            workspace: workspace.clone(),
+            service: service.clone(),
+            method: parts.method,
+            path,
+            headers: parts.headers,
+            body: Bytes::new(),
+        })
+    }
+
+    /// Returns the hash of the prompt's prefix, zero for none.
+    pub(crate) fn prefix(&self) -> u32 {
+        if self.service.kind == Kind::Plain || self.body.is_empty() {
+            return 0;
+        }
+        let len = self.body.len().min(PREFIX_LEN);
+        (xxh3_64(&self.body[..len]) as u32).max(1)
+    }
+
+    /// Returns what the prompt costs, in tokens.
+    pub(crate) fn prompt_cost(&self) -> u32 {
+        1 + (self.body.len() / BYTES_PER_TOKEN) as u32
+    }
+}
+
+/// Reads a body up to a limit.
+///
+/// # Errors
+///
+/// The answer where it is too long or is cut short.
+pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
+    let res = Limited::new(body, limit).collect().await;
+    res.map(|it| it.to_bytes()).map_err(|err| {
+        if err.is::<http_body_util::LengthLimitError>() {
+            let text = format!("the body is longer than {limit} bytes");
+            return Rejection::bad(StatusCode::PAYLOAD_TOO_LARGE, "body", text);
+        }
+        Rejection::bad(StatusCode::BAD_REQUEST, "body", "the body is cut short or malformed")
+    })
+}
+
+fn check_framing(headers: &HeaderMap) -> Result<(), Rejection> {
+    let both = headers.contains_key(header::CONTENT_LENGTH)
+        && headers.contains_key(header::TRANSFER_ENCODING);
+    if both {
+        let text = "send Content-Length or Transfer-Encoding, not both";
+        return Err(Rejection::bad(StatusCode::BAD_REQUEST, "transfer-encoding", text));
+    }
+    Ok(())
+}
+
+fn find_workspace<'a>(fleet: &'a Fleet, headers: &HeaderMap) -> Result<&'a Workspace, Rejection> {
+    let bad = |text: &str| Rejection::bad(StatusCode::UNAUTHORIZED, "authorization", text);
+    let value = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
+    let token = value.and_then(|it| it.strip_prefix("Bearer "));
+    let token = token.ok_or_else(|| bad("send `Authorization: Bearer TOKEN`"))?;
+    fleet.workspace_by_token(token).ok_or_else(|| bad("no workspace has this token"))
+}
+
+fn find_service<'a>(fleet: &'a Fleet, uri: &http::Uri) -> Result<(&'a Service, String), Rejection> {
+    let path = uri.path().strip_prefix('/').unwrap_or_default();
+    let (name, rest) = path.split_once('/').unwrap_or((path, ""));
+    let service = fleet.service_named(name).ok_or_else(|| {
+        let text = format!("no service is named `{name}`");
+        Rejection::bad(StatusCode::NOT_FOUND, "path", text)
+    })?;
+    let query = uri.query().map(|it| format!("?{it}")).unwrap_or_default();
+    Ok((service, format!("/{rest}{query}")))
+}
+
+fn number(
+    headers: &HeaderMap,
+    name: &'static str,
+    min: u32,
+    max: u32,
+) -> Result<Option<u32>, Rejection> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let res = value.to_str().ok().and_then(|it| it.parse().ok());
+    res.filter(|it| (min..=max).contains(it)).map(Some).ok_or_else(|| {
+        let text = format!("must be a number from {min} to {max}");
+        Rejection::bad(StatusCode::BAD_REQUEST, name, text)
+    })
+}
+
+/// Returns which of the words a header has.
+fn one_of(
+    headers: &HeaderMap,
+    name: &'static str,
+    words: [&str; 2],
+) -> Result<Option<usize>, Rejection> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let res = words.iter().position(|it| value.as_bytes() == it.as_bytes());
+    res.map(Some).ok_or_else(|| {
+        let text = format!("must be `{}` or `{}`", words[0], words[1]);
+        Rejection::bad(StatusCode::BAD_REQUEST, name, text)
+    })
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<String>, Rejection> {
+    let Some(value) = headers.get(KEY) else { return Ok(None) };
+    let text = value.to_str().ok().filter(|it| (1..=MAX_KEY).contains(&it.len()));
+    text.map(|it| Some(it.to_owned())).ok_or_else(|| {
+        let text = format!("must have 1 to {MAX_KEY} visible characters");
+        Rejection::bad(StatusCode::BAD_REQUEST, KEY, text)
+    })
+}
--- /dev/null
+++ b/crates/portfield-router/src/exchange.rs
@@ -0,0 +1,125 @@
+//! The way of one request: ticket, grant, upstream, answer; again where that is allowed.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use http::{Response, StatusCode};
+use portfield::route::{Outcome, Phase, Reason, Request, backoff, outcome_of};
+use portfield_net::clock;
+
+use crate::{
+    answer::{Body, Rejection},
+    call::Call,
+    relay,
+    shell::{Shell, Verdict},
+    ticket::Ticket,
+    upstream::{self, Broken, Place},
+};
+
+/// Most attempts at one request.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Serves a call to its end.
+pub(crate) async fn run(shell: Arc<Shell>, call: Call) -> Response<Body> {
+    shell.counts.accepted.fetch_add(1, Ordering::Relaxed);
+    shell.earn_retry();
+    let name = format!("workspace {}, service {}", call.workspace.name, call.service.name);
+    shell.record(&call.id, 0, format!("accepted: {name}, hint {}", call.hint));
+    let id = call.id.clone();
+    match attempts(&shell, call).await {
+        Ok(res) => res,
+        Err(it) => {
+            let counter = match it.outcome {
+                Outcome::NotRun => &shell.counts.not_run,
+                Outcome::Unknown => &shell.counts.unknown,
+            };
+            counter.fetch_add(1, Ordering::Relaxed);
+            shell.record(&id, 0, format!("given up: {}, outcome {}", it.text, it.outcome));
+            log::info!(request = id, outcome:% = it.outcome; "given up: {}", it.text);
+            it.answer(&id)
+        }
+    }
+}
+
+async fn attempts(shell: &Arc<Shell>, call: Call) -> Result<Response<Body>, Rejection> {
+    let deadline = clock::now() + call.wait;
+    let mut n_ambiguous = 0;
+    for n in 0..MAX_ATTEMPTS {
+        let ticket = register(shell, &call, deadline, n_ambiguous)?;
+        let broken = match attempt(shell, &call, ticket, n_ambiguous).await? {
+            Ok(res) => return Ok(res),
+            Err(it) => it,
+        };
+        shell.record(&call.id, 0, format!("attempt broke: {}", broken.text));
+        let certain = broken.phase <= Phase::Declined;
+        n_ambiguous += u32::from(!certain);
+        let allowed = certain || call.repeatable;
+        if !allowed || n + 1 == MAX_ATTEMPTS || !shell.spend_retry() {
+            let outcome = outcome_of(broken.phase, n_ambiguous);
+            let retry = (outcome == Outcome::NotRun).then_some(backoff(5, 1.0));
+            return Err(Rejection::gave_up(StatusCode::BAD_GATEWAY, outcome, broken.text, retry));
+        }
+        shell.counts.retries.fetch_add(1, Ordering::Relaxed);
+        clock::sleep(backoff(n, fastrand::f64())).await;
+    }
+    unreachable!("the last attempt returns")
+}
+
+fn register(
+    shell: &Arc<Shell>,
+    call: &Call,
+    deadline: std::time::Duration,
+    n_ambiguous: u32,
+) -> Result<Ticket, Rejection> {
+    let request = Request {
+        workspace: call.workspace.clone(),
+        service: call.service.id,
+        hint: call.hint,
+        batch: call.batch,
+        prefix: call.prefix(),
+        bytes: call.body.len(),
+        deadline,
+    };
+    let ticket = shell.submit(request).map_err(|_| {
+        let retry = std::time::Duration::from_secs(1);
+        refused(Reason::QueueFull, retry, n_ambiguous)
+    })?;
+    shell.record(&call.id, ticket.id(), "waits for a grant");
+    Ok(ticket)
+}
+
+async fn attempt(
+    shell: &Arc<Shell>,
+    call: &Call,
+    mut ticket: Ticket,
+    n_ambiguous: u32,
+) -> Result<Result<Response<Body>, Broken>, Rejection> {
+    let upstream = match ticket.wait().await {
+        Some(Verdict::Start(it)) => it,
+        Some(Verdict::Refuse(reason, retry)) => return Err(refused(reason, retry, n_ambiguous)),
+        None => return Err(refused(Reason::Timeout, backoff(5, 1.0), n_ambiguous)),
+    };
+    let Some(place) = Place::find(&shell.fleet(), upstream) else {
+        let text = "the upstream is gone".to_owned();
+        return Ok(Err(Broken { phase: Phase::Unsent, text }));
+    };
+    shell.record(&call.id, ticket.id(), format!("granted: upstream {}", place.address));
+    let sent = clock::now();
+    match upstream::send(shell, &place, call).await {
+        Ok(response) => Ok(Ok(relay::start(shell, call, ticket, place, sent, response))),
+        Err(broken) => {
+            ticket.fail(0);
+            Ok(Err(broken))
+        }
+    }
+}
+
+fn refused(reason: Reason, retry: std::time::Duration, n_ambiguous: u32) -> Rejection {
+    let (status, text) = match reason {
+        Reason::QueueFull => {
+            (StatusCode::TOO_MANY_REQUESTS, "the workspace has too much waiting already")
+        }
+        Reason::Timeout => (StatusCode::SERVICE_UNAVAILABLE, "no upstream was free in time"),
+    };
+    let outcome = outcome_of(Phase::Unsent, n_ambiguous);
+    Rejection::gave_up(status, outcome, text, Some(retry))
+}
--- /dev/null
+++ b/crates/portfield-router/src/front.rs
@@ -0,0 +1,189 @@
+//! The side towards callers: HTTP/1.1 over hyper.
+//!
+//! NOTE: the house style names `async-h1`; docs/design/http.md says what it lets through
+//! that breaks a promise, and why its nearest kin stands here.
+
+use std::{
+    convert::Infallible,
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use async_channel::Receiver;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
+use http::{Request, Response, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use portfield_net::rpc::HyperTimer;
+use smol_hyper::rt::FuturesIo;
+
+use crate::{
+    answer::{Body, REQUEST_ID, Rejection},
+    call::{Call, read_body},
+    exchange,
+    shell::Shell,
+};
+
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// Most bytes of a request's head.
+const MAX_HEAD: usize = 16 << 10;
+/// Start of an answer that hyper gives by itself to a malformed head.
+const AUTOMATIC: &[u8] = b"HTTP/1.1 4";
+
+/// Serves callers until `stop` closes, then until every connection has ended.
+pub(crate) async fn serve(shell: Arc<Shell>, listener: TcpListener, stop: Receiver<()>) {
+    let (open, all_closed) = async_channel::bounded::<()>(1);
+    loop {
+        let accept = async { Some(listener.accept().await) };
+        let stopped = async {
+            let _ = stop.recv().await;
+            None
+        };
+        match future::or(stopped, accept).await {
+            None => break,
+            Some(Err(err)) => log::warn!(err:%; "accept"),
+            Some(Ok((stream, _))) => {
+                let (shell, stop, open) = (shell.clone(), stop.clone(), open.clone());
+                shell.clone().rt.spawn(async move {
+                    connection(shell, stream, stop).await;
+                    drop(open);
+                });
+            }
+        }
+    }
+    drop((listener, open));
+    let _ = all_closed.recv().await;
+}
+
+async fn connection(shell: Arc<Shell>, stream: TcpStream, stop: Receiver<()>) {
+    shell.counts.connections.fetch_add(1, Ordering::Relaxed);
+    let _ = stream.set_nodelay(true);
+    let automatic = Arc::new(AtomicBool::new(false));
+    let guard = Guard { stream: stream.clone(), automatic: automatic.clone() };
+    let service = service_fn(|request| {
+        let shell = shell.clone();
+        async move { Ok::<_, Infallible>(answer(shell, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(HyperTimer)
+        .header_read_timeout(shell.settings.head_timeout)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(FuturesIo::new(guard), service);
+    let mut connection = std::pin::pin!(connection);
+    let stopped = async {
+        let _ = stop.recv().await;
+        None
+    };
+    let ended = async { Some(connection.as_mut().await) };
+    let res = match future::or(ended, stopped).await {
+        Some(res) => res,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    shell.counts.connections.fetch_sub(1, Ordering::Relaxed);
+    if let Err(err) = res {
+        explain(&shell, stream, &err, automatic.load(Ordering::Relaxed)).await;
+    }
+}
+
+async fn answer(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
+    let id = shell.next_id();
+    match accept(&shell, &id, request).await {
+        Ok(call) => exchange::run(shell, call).await,
+        Err(it) => {
+            shell.counts.rejected.fetch_add(1, Ordering::Relaxed);
+            shell.record(&id, 0, format!("rejected: {} {}", it.field, it.text));
+            it.answer(&id)
+        }
+    }
+}
+
+async fn accept(shell: &Shell, id: &str, request: Request<Incoming>) -> Result<Call, Rejection> {
+    let fleet = shell.fleet();
+    if fleet.revision == 0 {
+        let text = "no configuration is in force yet";
+        return Err(Rejection::bad(StatusCode::SERVICE_UNAVAILABLE, "", text));
+    }
+    let (parts, body) = request.into_parts();
+    let mut call = Call::parse(id, &fleet, parts)?;
+    call.body = read_body(body, shell.settings.body_limit).await?;
+    Ok(call)
+}
+
+/// Answers a malformed head with what is wrong with it.
+async fn explain(shell: &Shell, mut stream: TcpStream, err: &hyper::Error, automatic: bool) {
+    let status = if err.is_parse_too_large() {
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+    } else if err.is_timeout() {
+        StatusCode::REQUEST_TIMEOUT
+    } else if automatic {
+        StatusCode::BAD_REQUEST
+    } else {
+        return;
+    };
+    let id = shell.next_id();
+    shell.counts.rejected.fetch_add(1, Ordering::Relaxed);
+    let rejection = Rejection::bad(status, "head", err.to_string());
+    let body = rejection.body(&id);
+    let reason = status.canonical_reason().unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 {} {reason}\r\n{REQUEST_ID}: {id}\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n",
+        status.as_u16(),
+        body.len()
+    );
+    let _ = stream.write_all(head.as_bytes()).await;
+    let _ = stream.write_all(&body).await;
+}
+
+/// Holds back the bare answer that hyper gives by itself to a malformed head, so that
+/// [`explain`] can give one with a body.
+struct Guard {
+    stream: TcpStream,
+    automatic: Arc<AtomicBool>,
+}
+
+impl AsyncRead for Guard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Guard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let marker = REQUEST_ID.as_bytes();
+        if buf.starts_with(AUTOMATIC) && !buf.windows(marker.len()).any(|it| it == marker) {
+            self.automatic.store(true, Ordering::Relaxed);
+            return Poll::Ready(Ok(buf.len()));
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.automatic.load(Ordering::Relaxed) {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/portfield-router/src/relay.rs
@@ -0,0 +1,206 @@
+//! An upstream's answer on its way to the caller, counted as it passes.
+
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use futures_lite::stream;
+use http::{Response, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use portfield::{fleet::Kind, route::backoff};
+use portfield_net::clock;
+
+use crate::{
+    answer::{Body, REQUEST_ID, text_header},
+    call::Call,
+    shell::Shell,
+    ticket::Ticket,
+    upstream::{self, Place},
+};
+
+/// Header by which an engine names a stream that can be resumed.
+const STREAM_ID: &str = "x-stream-id";
+/// Most attempts to resume one stream in a row.
+const MAX_RESUMES: u32 = 5;
+/// End of a server-sent event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Starts to relay an answer.
+pub(crate) fn start(
+    shell: &Arc<Shell>,
+    call: &Call,
+    ticket: Ticket,
+    place: Place,
+    sent: Duration,
+    response: Response<Incoming>,
+) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    let is_events = header_is(&parts.headers, header::CONTENT_TYPE.as_str(), "text/event-stream");
+    let stream = parts.headers.get(STREAM_ID).and_then(|it| it.to_str().ok()).map(str::to_owned);
+    let length = parts.headers.get(header::CONTENT_LENGTH).cloned();
+    parts.headers = upstream::forwarded(&parts.headers);
+    if let Some(it) = length {
+        parts.headers.insert(header::CONTENT_LENGTH, it);
+    }
+    parts.headers.insert(REQUEST_ID, text_header(&call.id));
+    let relay = Relay {
+        shell: shell.clone(),
+        id: call.id.clone(),
+        is_engine: call.service.kind == Kind::Engine,
+        cost: call.prompt_cost(),
+        ticket: Some(ticket),
+        place,
+        stream: stream.filter(|_| is_events),
+        last: String::new(),
+        partial: BytesMut::new(),
+        is_events,
+        n_events: 0,
+        sent,
+        first: None,
+        body: Some(body),
+    };
+    let body = stream::try_unfold(relay, |mut it| async move {
+        Ok(it.next().await?.map(|bytes| (Frame::data(bytes), it)))
+    });
+    Response::from_parts(parts, StreamBody::new(body).boxed_unsync())
+}
+
+fn header_is(headers: &http::HeaderMap, name: &str, prefix: &str) -> bool {
+    let value = headers.get(name).and_then(|it| it.to_str().ok());
+    value.is_some_and(|it| it.starts_with(prefix))
+}
+
+struct Relay {
+    shell: Arc<Shell>,
+    id: String,
+    is_engine: bool,
+    /// Cost so far in tokens, the prompt's included.
+    cost: u32,
+    ticket: Option<Ticket>,
+    place: Place,
+    /// Name of a stream that can be resumed, and its last event that was relayed.
+    stream: Option<String>,
+    last: String,
+    /// Bytes of an event that has not arrived whole.
+    partial: BytesMut,
+    is_events: bool,
+    n_events: u32,
+    sent: Duration,
+    first: Option<Duration>,
+    body: Option<Incoming>,
+}
+
+impl Relay {
+    /// Returns the next piece of the answer, `None` at its end.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            let Some(body) = &mut self.body else { return Ok(None) };
+            let frame = clock::timeout(self.shell.settings.stall_timeout, body.frame()).await;
+            match frame {
+                Some(None) => return Ok(self.end()),
+                Some(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    let whole = if self.is_events { self.whole_events(&data) } else { data };
+                    if whole.is_empty() {
+                        continue;
+                    }
+                    self.count(&whole);
+                    return Ok(Some(whole));
+                }
+                Some(Some(Err(err))) => self.mend(&err.to_string()).await?,
+                None => self.mend("the upstream stalled").await?,
+            }
+        }
+    }
+
+    /// Takes what completes events and keeps the rest.
+    fn whole_events(&mut self, data: &[u8]) -> Bytes {
+        self.partial.extend_from_slice(data);
+        let end = self.partial.windows(EVENT_END.len()).rposition(|it| it == EVENT_END);
+        let Some(end) = end else { return Bytes::new() };
+        let whole = self.partial.split_to(end + EVENT_END.len()).freeze();
+        if let Some(it) = last_event_id(&whole) {
+            self.last = it;
+        }
+        whole
+    }
+
+    fn count(&mut self, bytes: &[u8]) {
+        self.first.get_or_insert_with(clock::now);
+        if !self.is_engine || !self.is_events {
+            return;
+        }
+        let n = bytes.windows(EVENT_END.len()).filter(|it| *it == EVENT_END).count() as u32;
+        self.n_events += n;
+        self.cost += n;
+        if let Some(it) = &self.ticket {
+            it.progress(self.cost);
+        }
+    }
+
+    fn end(&mut self) -> Option<Bytes> {
+        self.body = None;
+        let now = clock::now();
+        let first = self.first.unwrap_or(now);
+        let pace = (now - first) / self.n_events.max(1);
+        if let Some(mut it) = self.ticket.take() {
+            self.shell.record(&self.id, it.id(), format!("answered, cost {}", self.cost));
+            it.finish(self.cost, pace);
+        }
+        self.shell.counts.answered.fetch_add(1, Ordering::Relaxed);
+        let first_ms = (first - self.sent).as_millis() as u64;
+        self.shell.metrics.time("first_byte_ms", first_ms);
+        // An event that came without its end is passed on: the answer was whole.
+        let rest = self.partial.split().freeze();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// Goes on with a stream that broke, after the last event that was relayed.
+    async fn mend(&mut self, cause: &str) -> io::Result<()> {
+        self.partial.clear();
+        self.shell.record(&self.id, 0, format!("answer broke: {cause}"));
+        for n in 0..MAX_RESUMES {
+            let Some(stream) = &self.stream else { break };
+            let res = upstream::resume(&self.shell, &self.place, stream, &self.last).await;
+            match res {
+                Ok(res) if res.status().is_success() => {
+                    self.shell.counts.resumed.fetch_add(1, Ordering::Relaxed);
+                    self.shell.record(&self.id, 0, format!("resumed after event {}", self.last));
+                    self.body = Some(res.into_body());
+                    return Ok(());
+                }
+                Ok(_) => break,
+                Err(_) => clock::sleep(backoff(n + 2, fastrand::f64())).await,
+            }
+        }
+        self.body = None;
+        if let Some(mut it) = self.ticket.take() {
+            it.fail(self.cost);
+        }
+        self.shell.counts.unknown.fetch_add(1, Ordering::Relaxed);
+        self.shell.record(&self.id, 0, "answer cut short: outcome unknown");
+        log::warn!(request = self.id; "answer cut short: {cause}");
+        Err(io::Error::other("the upstream's answer was cut short"))
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.body.is_some() {
+            self.shell.counts.hung_up.fetch_add(1, Ordering::Relaxed);
+            self.shell.record(&self.id, 0, "the caller hung up");
+        }
+    }
+}
+
+/// Returns the id of the last event that has one.
+fn last_event_id(events: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(events).ok()?;
+    let ids = text.lines().filter_map(|it| it.strip_prefix("id:"));
+    ids.last().map(|it| it.trim().to_owned())
+}
--- /dev/null
+++ b/crates/portfield-scheduler/src/admin.rs
@@ -0,0 +1,95 @@
+//! The admin port: readiness, status, decisions.
+
+use std::{pin::Pin, sync::Arc};
+
+use http_types::{Request, Response};
+use portfield::{member::State, schedule::Scheduler};
+use portfield_net::{http1::json, rpc};
+use serde_json::{Value, json};
+
+use crate::shell::Shell;
+
+type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
+
+/// Returns the handler of the admin port.
+pub(crate) fn handler(shell: Arc<Shell>) -> impl Fn(Request) -> Answer + Clone + Send + Sync {
+    move |request| {
+        let res = answer(&shell, &request);
+        Box::pin(async { res })
+    }
+}
+
+fn answer(shell: &Shell, request: &Request) -> Response {
+    match request.url().path() {
+        "/ready" => ready(shell),
+        "/status" => json(200, &shell.read(|it| status(it))),
+        "/decisions" => decisions(shell, request),
+        _ => json(404, &json!({ "error": "try /ready, /status or /decisions" })),
+    }
+}
+
+fn ready(shell: &Shell) -> Response {
+    let revision = shell.read(|it| it.fleet().revision);
+    let status = if 0 < revision { 200 } else { 503 };
+    json(status, &json!({ "revision": revision }))
+}
+
+fn status(core: &Scheduler) -> Value {
+    let (sent, received) = rpc::traffic();
+    let members: Vec<_> = core
+        .view()
+        .iter()
+        .map(|(host, it)| {
+            let state = match it.state {
+                State::Alive => "alive",
+                State::Suspect => "suspect",
+                State::Dead => "dead",
+                State::Leaving => "leaving",
+            };
+            json!({ "host": host, "data_centre": it.data_centre, "state": state })
+        })
+        .collect();
+    let shards: Vec<_> = core
+        .status()
+        .iter()
+        .map(|it| {
+            let backlog: Vec<_> = it
+                .backlog
+                .iter()
+                .map(|it| json!({ "workspace": it.id, "waiting": it.waiting, "counter": it.counter }))
+                .collect();
+            json!({
+                "shard": it.shard.to_string(),
+                "service": it.shard.service,
+                "slots": it.slots,
+                "used": it.used,
+                "backlog": backlog,
+            })
+        })
+        .collect();
+    json!({
+        "host": core.view().me(),
+        "revision": core.fleet().revision,
+        "control_sent": sent,
+        "control_received": received,
+        "members": members,
+        "shards": shards,
+    })
+}
+
+fn decisions(shell: &Shell, request: &Request) -> Response {
+    let query = |key: &str| {
+        let pairs = request.url().query_pairs();
+        pairs.into_iter().find(|(name, _)| name == key).map(|(_, value)| value.into_owned())
+    };
+    let host = query("host").and_then(|it| it.parse().ok());
+    let ticket = query("ticket").and_then(|it| it.parse().ok());
+    let (Some(host), Some(ticket)) = (host, ticket) else {
+        return json(400, &json!({ "error": "give host and ticket" }));
+    };
+    let all: Vec<_> = shell.read(|it| {
+        let all = it.decisions(host, ticket);
+        all.iter().map(|it| json!({ "at_ms": it.at.as_millis(), "text": it.text })).collect()
+    });
+    json(200, &all)
+}
--- /dev/null
+++ b/crates/portfield-scheduler/src/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of the scheduler.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use portfield_net::{
+    dial::Links,
+    settings::{Error, Reader},
+};
+
+/// What a scheduler is told at its start.
+#[derive(Debug, Clone)]
+pub(crate) struct Settings {
+    /// Address for routers and other schedulers; its IP number names the host.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Name of the data centre.
+    pub data_centre: String,
+    /// Address of the platform's services.
+    pub platform: SocketAddr,
+    /// Schedulers to ask for the members while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+    /// Relays towards other data centres.
+    pub links: Links,
+    /// Time between two looks at the host list.
+    pub list_period: Duration,
+    /// Time between two looks at the configuration's revision.
+    pub config_period: Duration,
+    /// Time between two load reports of an upstream.
+    pub report_period: Duration,
+    /// Where metrics go.
+    pub statsd: Option<SocketAddr>,
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub(crate) fn open(path: &Path) -> Result<Self, Error> {
+        let mut it = Reader::open(path);
+        let res = Self {
+            listen: it.address("listen"),
+            admin: it.address("admin"),
+            data_centre: it.text("data_centre"),
+            platform: it.address("platform"),
+            seeds: it.addresses("seeds"),
+            links: Links::new(it.address_table("links")),
+            list_period: it.millis("list_period_ms", 2000, (100, 60_000)),
+            config_period: it.millis("config_period_ms", 5000, (100, 60_000)),
+            report_period: it.millis("report_period_ms", 500, (50, 5000)),
+            statsd: it.optional_address("statsd"),
+        };
+        it.finish()?;
+        Ok(res)
+    }
+}
--- /dev/null
+++ b/crates/portfield-scheduler/src/shell.rs
@@ -0,0 +1,254 @@
+//! The decision state behind a lock, and the sockets that carry out what it asks for.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use async_channel::{Receiver, Sender};
+use portfield::{
+    fleet::Fleet,
+    ids::HostId,
+    member::ListEntry,
+    schedule::{self, Action, Arrival, Event, Scheduler},
+    wire,
+};
+use portfield_net::{clock, dial::Links, metrics::Metrics, rpc::Channel, rt::Runtime};
+
+use crate::settings::Settings;
+
+/// Time in which a probe is answered.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time in which a frame to a peer is confirmed.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest sleep between two ticks.
+const MAX_SLEEP: Duration = Duration::from_millis(200);
+/// Shortest sleep between two ticks.
+const MIN_SLEEP: Duration = Duration::from_millis(1);
+
+/// A router's session.
+#[derive(Debug)]
+struct Session {
+    number: u64,
+    sender: Sender<wire::OwnerFrame>,
+}
+
+#[derive(Debug)]
+struct State {
+    core: Scheduler,
+    sessions: HashMap<HostId, Session>,
+    channels: HashMap<SocketAddr, Channel>,
+    n_sessions: u64,
+}
+
+/// One scheduler process.
+#[derive(Debug)]
+pub(crate) struct Shell {
+    pub rt: Runtime,
+    pub links: Links,
+    pub metrics: Metrics,
+    wake: (Sender<()>, Receiver<()>),
+    state: Mutex<State>,
+}
+
+impl Shell {
+    /// Builds the state; `address` is the one it is bound to.
+    pub(crate) fn new(rt: Runtime, settings: &Settings, address: SocketAddr) -> Arc<Self> {
+        let me = ListEntry {
+            host: address.ip(),
+            address,
+            data_centre: settings.data_centre.clone(),
+            leaving: false,
+        };
+        let limits = schedule::Limits::default();
+        let core = schedule::Settings { me, incarnation: clock::life(), limits };
+        Arc::new(Self {
+            rt,
+            links: settings.links.clone(),
+            metrics: Metrics::new("portfield.scheduler", settings.statsd),
+            wake: async_channel::bounded(1),
+            state: Mutex::new(State {
+                core: Scheduler::new(core),
+                sessions: HashMap::new(),
+                channels: HashMap::new(),
+                n_sessions: 0,
+            }),
+        })
+    }
+
+    /// Hands an event to the decision state and carries out what it asks for.
+    pub(crate) fn feed(self: &Arc<Self>, event: Event) {
+        let mut state = self.lock();
+        let actions = state.core.handle(clock::now(), event);
+        for action in actions {
+            self.act(&mut state, action);
+        }
+        drop(state);
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Reads the decision state.
+    pub(crate) fn read<T>(&self, f: impl FnOnce(&mut Scheduler) -> T) -> T {
+        f(&mut self.lock().core)
+    }
+
+    /// Opens a router's session and returns its number.
+    pub(crate) fn open(self: &Arc<Self>, host: HostId, sender: Sender<wire::OwnerFrame>) -> u64 {
+        let mut state = self.lock();
+        state.n_sessions += 1;
+        let number = state.n_sessions;
+        state.sessions.insert(host, Session { number, sender });
+        drop(state);
+        log::info!(host:% = host, session = number; "router up");
+        self.feed(Event::RouterUp(host));
+        number
+    }
+
+    /// Takes in a router's frame, if it comes by the newest session.
+    pub(crate) fn hear(self: &Arc<Self>, host: HostId, number: u64, frame: wire::RouterFrame) {
+        if self.is_current(host, number) {
+            self.feed(Event::Router(host, frame));
+        }
+    }
+
+    /// Ends a router's session.
+    pub(crate) fn close(self: &Arc<Self>, host: HostId, number: u64) {
+        if !self.is_current(host, number) {
+            return;
+        }
+        self.lock().sessions.remove(&host);
+        log::info!(host:% = host, session = number; "router down");
+        self.feed(Event::RouterDown(host));
+    }
+
+    /// Ticks whenever something is due.
+    pub(crate) async fn keep_time(self: Arc<Self>) {
+        loop {
+            let next = self.lock().core.next_tick();
+            let pause = next.saturating_sub(clock::now()).clamp(MIN_SLEEP, MAX_SLEEP);
+            clock::timeout(pause, self.wake.1.recv()).await;
+            let due = self.lock().core.next_tick() <= clock::now();
+            if due {
+                self.feed(Event::Tick);
+            }
+        }
+    }
+
+    /// Asks another scheduler for its configuration.
+    pub(crate) async fn fetch(self: Arc<Self>, address: SocketAddr) {
+        let above = self.read(|it| it.fleet().revision);
+        let Some(channel) = self.channel(address).await else { return };
+        let call = async { channel.scheduler().fetch(wire::FetchRequest { above }).await };
+        let Some(Ok(reply)) = clock::timeout(PEER_TIMEOUT, call).await else { return };
+        if let Ok(fleet) = serde_json::from_str::<Fleet>(&reply.into_inner().fleet) {
+            self.adopt(fleet);
+        }
+    }
+
+    /// Offers a configuration to the decision state.
+    pub(crate) fn adopt(self: &Arc<Self>, fleet: Fleet) {
+        let old = self.read(|it| it.fleet().revision);
+        let revision = fleet.revision;
+        self.feed(Event::Offered(fleet));
+        if old < revision {
+            log::info!(revision, old; "configuration in force");
+        }
+    }
+
+    /// Probes a host in another host's place.
+    pub(crate) async fn probe_for(self: &Arc<Self>, target: HostId) -> bool {
+        let request = self.read(|it| wire::ProbeRequest {
+            from: it.view().me().to_string(),
+            revision: it.fleet().revision,
+            ..Default::default()
+        });
+        let address = self.read(|it| it.view().get(target).map(|it| it.address));
+        let Some(address) = address else { return false };
+        self.ask(address, request).await.is_some()
+    }
+
+    /// Sends a probe to an address that no host is known for yet.
+    pub(crate) async fn probe_seed(self: &Arc<Self>, address: SocketAddr) {
+        let request = self.read(|it| wire::ProbeRequest {
+            from: it.view().me().to_string(),
+            ..Default::default()
+        });
+        if let Some(reply) = self.ask(address, request).await {
+            self.feed(Event::Answered(address.ip(), reply));
+        }
+    }
+
+    fn act(self: &Arc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Router(host, frame) => {
+                if let Some(it) = state.sessions.get(&host) {
+                    let _ = it.sender.try_send(frame);
+                }
+            }
+            Action::Peer(address, frame) => {
+                let shell = self.clone();
+                self.rt.spawn(async move { shell.send_peer(address, frame).await });
+            }
+            Action::Probe(address, host, request) => {
+                let shell = self.clone();
+                self.rt.spawn(async move {
+                    if let Some(reply) = shell.ask(address, request).await {
+                        shell.feed(Event::Answered(host, reply));
+                    }
+                });
+            }
+            Action::Fetch(address) => self.rt.spawn(self.clone().fetch(address)),
+        }
+    }
+
+    async fn send_peer(self: Arc<Self>, address: SocketAddr, frame: wire::PeerFrame) {
+        let sent = frame.clone();
+        let call = async {
+            let channel = self.channel(address).await?;
+            channel.scheduler().exchange(sent).await.ok()
+        };
+        let res = clock::timeout(PEER_TIMEOUT, call).await.flatten();
+        let arrival = if res.is_some() { Arrival::Confirmed } else { Arrival::Unknown };
+        self.feed(Event::PeerSent(frame, arrival));
+    }
+
+    async fn ask(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: wire::ProbeRequest,
+    ) -> Option<wire::ProbeReply> {
+        let is_indirect = !request.target.is_empty();
+        let time = if is_indirect { PROBE_TIMEOUT * 2 } else { PROBE_TIMEOUT };
+        let call = async {
+            let channel = self.channel(address).await?;
+            channel.scheduler().probe(request).await.ok()
+        };
+        clock::timeout(time, call).await.flatten().map(tonic::Response::into_inner)
+    }
+
+    /// Returns a connection to a scheduler, the one that is open if there is one.
+    async fn channel(self: &Arc<Self>, address: SocketAddr) -> Option<Channel> {
+        let old = self.lock().channels.get(&address).cloned();
+        if let Some(it) = old.filter(|it| !it.is_closed()) {
+            return Some(it);
+        }
+        let data_centre = self.read(|it| {
+            let found = it.view().iter().find(|(_, info)| info.address == address);
+            found.map(|(_, info)| info.data_centre.clone()).unwrap_or_default()
+        });
+        let stream = self.links.connect(&data_centre, address).await.ok()?;
+        let channel = Channel::open(&self.rt, stream).await.ok()?;
+        self.lock().channels.insert(address, channel.clone());
+        Some(channel)
+    }
+
+    fn is_current(&self, host: HostId, number: u64) -> bool {
+        self.lock().sessions.get(&host).is_some_and(|it| it.number == number)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/portfield-scheduler/src/watch.rs
@@ -0,0 +1,84 @@
+//! What a scheduler looks at by itself: the host list, the configuration, its upstreams.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use portfield::{
+    ids::UpstreamId,
+    schedule::{Event, Health},
+};
+use portfield_net::{clock, http1::Target, platform::Platform, rt::Runtime, store};
+use serde::Deserialize;
+
+use crate::{settings::Settings, shell::Shell};
+
+/// Time in which the platform answers.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time in which an upstream reports its load.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What an upstream says of itself.
+#[derive(Debug, Deserialize)]
+struct Report {
+    running: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Starts all watches.
+pub(crate) fn start(rt: &Runtime, shell: &Arc<Shell>, settings: &Settings) {
+    let platform = Platform::new(settings.platform, PLATFORM_TIMEOUT);
+    rt.spawn(watch_hosts(shell.clone(), platform.clone(), settings.list_period));
+    rt.spawn(watch_fleet(shell.clone(), platform, settings.config_period));
+    rt.spawn(watch_upstreams(shell.clone(), settings.report_period));
+    rt.spawn(join(shell.clone(), settings.seeds.clone()));
+}
+
+async fn watch_hosts(shell: Arc<Shell>, platform: Platform, period: Duration) {
+    loop {
+        if let Ok(hosts) = platform.hosts().await {
+            let entries = hosts.iter().map(|it| it.entry()).collect();
+            shell.feed(Event::Listed(entries));
+        }
+        clock::sleep(period).await;
+    }
+}
+
+async fn watch_fleet(shell: Arc<Shell>, platform: Platform, period: Duration) {
+    loop {
+        let above = shell.read(|it| it.fleet().revision);
+        match store::read_fleet(&platform, above).await {
+            Ok(Some(fleet)) => shell.adopt(fleet),
+            Ok(None) => (),
+            Err(err) => log::debug!(err:%; "platform"),
+        }
+        clock::sleep(period).await;
+    }
+}
+
+async fn watch_upstreams(shell: Arc<Shell>, period: Duration) {
+    loop {
+        for (id, address) in shell.read(|it| it.watched()) {
+            shell.rt.spawn(report(shell.clone(), id, address));
+        }
+        clock::sleep(period).await;
+    }
+}
+
+async fn report(shell: Arc<Shell>, id: UpstreamId, address: SocketAddr) {
+    let target = Target { timeout: REPORT_TIMEOUT, ..Target::direct(address) };
+    let health = match target.get::<Report>("/health").await {
+        Ok(it) => Health::Up { running: it.running, leaving: it.leaving },
+        Err(_) => Health::Down,
+    };
+    shell.feed(Event::Report(id, health));
+}
+
+/// Asks the seeds for the members until some are known, in case the platform is down.
+async fn join(shell: Arc<Shell>, seeds: Vec<SocketAddr>) {
+    while !seeds.is_empty() && shell.read(|it| it.view().iter().count()) < 2 {
+        for it in &seeds {
+            shell.probe_seed(*it).await;
+        }
+        clock::sleep(Duration::from_millis(500)).await;
+    }
+}
--- /dev/null
+++ b/crates/portfield/src/burn.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/portfield/src/fleet/intent.rs
@@ -0,0 +1,300 @@
+//! What an operator states, by names, in TOML.
+
+use std::{collections::HashSet, net::SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    error::{Error, ErrorKind, Mistake},
+    model::{DataCentre, Fleet, Kind, Service, Upstream, Workspace},
+};
+
+/// Most requests one upstream may be said to run at once.
+const MAX_SLOTS: u32 = 4096;
+/// Largest share; keeps virtual time within 64 bits for years of service.
+const MAX_SHARE: u32 = 10_000;
+
+/// The whole configuration as an operator states it.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Intent {
+    /// Names of the data centres.
+    pub data_centres: Vec<String>,
+    /// Services.
+    #[serde(default, rename = "service")]
+    pub services: Vec<ServiceIntent>,
+    /// Workspaces.
+    #[serde(default, rename = "workspace")]
+    pub workspaces: Vec<WorkspaceIntent>,
+    /// Upstreams.
+    #[serde(default, rename = "upstream")]
+    pub upstreams: Vec<UpstreamIntent>,
+}
+
+/// A service as stated.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceIntent {
+    /// Its name.
+    pub name: String,
+    /// `engine` or `plain`.
+    pub kind: Kind,
+    /// A call may be sent again after it may have run.
+    #[serde(default)]
+    pub repeatable: bool,
+    /// Objective for the first token, in milliseconds.
+    #[serde(default = "first_token")]
+    pub first_token_ms: u64,
+    /// Objective for the time between tokens, in milliseconds.
+    #[serde(default = "token_gap")]
+    pub token_gap_ms: u64,
+    /// Longest wait for a grant, in milliseconds.
+    #[serde(default = "wait_limit")]
+    pub wait_limit_ms: u64,
+    /// Upstreams of one data centre above which a shard is split.
+    #[serde(default = "shard_size")]
+    pub shard_size: usize,
+}
+
+/// A workspace as stated.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkspaceIntent {
+    /// Its name.
+    pub name: String,
+    /// Weight of its service against the others'.
+    pub share: u32,
+    /// SHA-256 of its token, in hexadecimal.
+    pub token_sha256: String,
+    /// Requests that may wait at one router.
+    #[serde(default = "queue")]
+    pub queue: usize,
+    /// Bytes of bodies that may wait at one router.
+    #[serde(default = "queue_bytes")]
+    pub queue_bytes: usize,
+}
+
+/// An upstream as stated; its address names it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamIntent {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Name of its service.
+    pub service: String,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// It is to get no new work.
+    #[serde(default)]
+    pub leaving: bool,
+    /// It refuses an order that carries an old fencing number.
+    #[serde(default)]
+    pub fenced: bool,
+    /// Models it is to have loaded.
+    #[serde(default)]
+    pub models: Vec<String>,
+}
+
+fn first_token() -> u64 {
+    780
+}
+fn token_gap() -> u64 {
+    43
+}
+fn wait_limit() -> u64 {
+    30_000
+}
+fn shard_size() -> usize {
+    16
+}
+fn queue() -> usize {
+    256
+}
+fn queue_bytes() -> usize {
+    16 << 20
+}
+
+impl Intent {
+    /// Reads an intent from TOML and checks it.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Syntax`] where the text has another form, [`ErrorKind::Invalid`] with
+    /// every mistake where values are not acceptable.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::fleet::Intent;
+    ///
+    /// let intent = Intent::parse("data_centres = ['north']").unwrap();
+    /// assert_eq!(intent.data_centres, ["north"]);
+    /// let err = Intent::parse("data_centre = []").unwrap_err();
+    /// assert!(err.to_string().contains("data_centre"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let res: Self = toml::from_str(text)
+            .map_err(|err| Error::single(ErrorKind::Syntax, "file", err.to_string()))?;
+        let mistakes = res.mistakes();
+        if mistakes.is_empty() {
+            return Ok(res);
+        }
+        Err(Error::new(ErrorKind::Invalid, mistakes))
+    }
+
+    /// Numbers the parts; what `base` already has keeps its number.
+    pub fn number(&self, base: &Fleet) -> Fleet {
+        let mut next_id = base.next_id.max(1);
+        let mut fresh = || {
+            next_id += 1;
+            next_id - 1
+        };
+        let mut res = Fleet { revision: base.revision + 1, ..Fleet::default() };
+        for name in &self.data_centres {
+            let id = base.data_centre(name).unwrap_or_else(&mut fresh);
+            res.data_centres.push(DataCentre { id, name: name.clone() });
+        }
+        for it in &self.services {
+            let id = base.service_named(&it.name).map_or_else(&mut fresh, |it| it.id);
+            res.services.push(it.number(id));
+        }
+        for it in &self.workspaces {
+            let old = base.workspaces.iter().find(|old| old.name == it.name);
+            let id = old.map_or_else(&mut fresh, |it| it.id);
+            res.workspaces.push(it.number(id));
+        }
+        for it in &self.upstreams {
+            let old = base.upstreams.iter().find(|old| old.address == it.address);
+            let id = old.map_or_else(&mut fresh, |it| it.id);
+            let service = res.service_named(&it.service).map_or(0, |it| it.id);
+            let data_centre = res.data_centre(&it.data_centre).unwrap_or(0);
+            res.upstreams.push(it.number(id, service, data_centre));
+        }
+        res.next_id = next_id;
+        res.data_centres.sort_by_key(|it| it.id);
+        res.services.sort_by_key(|it| it.id);
+        res.workspaces.sort_by_key(|it| it.id);
+        res.upstreams.sort_by_key(|it| it.id);
+        res
+    }
+
+    fn mistakes(&self) -> Vec<Mistake> {
+        let mut res = Vec::new();
+        let names = self.data_centres.iter().map(String::as_str);
+        check_unique("data_centres", names, &mut res);
+        let names = self.services.iter().map(|it| it.name.as_str());
+        check_unique("service.name", names, &mut res);
+        let names = self.workspaces.iter().map(|it| it.name.as_str());
+        check_unique("workspace.name", names, &mut res);
+        let tokens = self.workspaces.iter().map(|it| it.token_sha256.as_str());
+        check_unique("workspace.token_sha256", tokens, &mut res);
+        let addresses: Vec<_> = self.upstreams.iter().map(|it| it.address.to_string()).collect();
+        check_unique("upstream.address", addresses.iter().map(String::as_str), &mut res);
+        self.services.iter().enumerate().for_each(|(idx, it)| it.check(idx, &mut res));
+        self.workspaces.iter().enumerate().for_each(|(idx, it)| it.check(idx, &mut res));
+        self.upstreams.iter().enumerate().for_each(|(idx, it)| it.check(idx, self, &mut res));
+        res
+    }
+}
+
+impl ServiceIntent {
+    fn number(&self, id: u32) -> Service {
+        Service {
+            id,
+            name: self.name.clone(),
+            kind: self.kind,
+            repeatable: self.repeatable,
+            first_token: self.first_token_ms,
+            token_gap: self.token_gap_ms,
+            wait_limit: self.wait_limit_ms,
+            shard_size: self.shard_size,
+        }
+    }
+
+    fn check(&self, idx: usize, res: &mut Vec<Mistake>) {
+        let key = |field: &str| format!("service[{idx}].{field}");
+        if !self.name.bytes().all(|it| it.is_ascii_alphanumeric() || it == b'-') {
+            push(res, key("name"), "use letters, digits and dashes only");
+        }
+        if self.shard_size == 0 {
+            push(res, key("shard_size"), "must be at least 1");
+        }
+        if self.wait_limit_ms == 0 {
+            push(res, key("wait_limit_ms"), "must be at least 1");
+        }
+    }
+}
+
+impl WorkspaceIntent {
+    fn number(&self, id: u32) -> Workspace {
+        Workspace {
+            id,
+            name: self.name.clone(),
+            share: self.share,
+            token_hash: self.token_sha256.clone(),
+            queue: self.queue,
+            queue_bytes: self.queue_bytes,
+        }
+    }
+
+    fn check(&self, idx: usize, res: &mut Vec<Mistake>) {
+        let key = |field: &str| format!("workspace[{idx}].{field}");
+        if !(1..=MAX_SHARE).contains(&self.share) {
+            push(res, key("share"), format!("must be between 1 and {MAX_SHARE}"));
+        }
+        let is_hash = self.token_sha256.len() == 64
+            && self.token_sha256.bytes().all(|it| matches!(it, b'0'..=b'9' | b'a'..=b'f'));
+        if !is_hash {
+            push(res, key("token_sha256"), "must be 64 lower-case hexadecimal digits");
+        }
+        if self.queue == 0 {
+            push(res, key("queue"), "must be at least 1");
+        }
+    }
+}
+
+impl UpstreamIntent {
+    fn number(&self, id: u32, service: u32, data_centre: u32) -> Upstream {
+        Upstream {
+            id,
+            service,
+            data_centre,
+            address: self.address,
+            slots: self.slots,
+            leaving: self.leaving,
+            fenced: self.fenced,
+            models: self.models.clone(),
+        }
+    }
+
+    fn check(&self, idx: usize, intent: &Intent, res: &mut Vec<Mistake>) {
+        let key = |field: &str| format!("upstream[{idx}].{field}");
+        if !intent.services.iter().any(|it| it.name == self.service) {
+            push(res, key("service"), format!("no service is named `{}`", self.service));
+        }
+        if !intent.data_centres.contains(&self.data_centre) {
+            let text = format!("no data centre is named `{}`", self.data_centre);
+            push(res, key("data_centre"), text);
+        }
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            push(res, key("slots"), format!("must be between 1 and {MAX_SLOTS}"));
+        }
+    }
+}
+
+fn check_unique<'a>(key: &str, names: impl Iterator<Item = &'a str>, res: &mut Vec<Mistake>) {
+    let mut seen = HashSet::new();
+    for name in names {
+        if name.is_empty() {
+            push(res, key.to_owned(), "must not be empty");
+        } else if !seen.insert(name) {
+            push(res, key.to_owned(), format!("`{name}` stands twice"));
+        }
+    }
+}
+
+fn push(res: &mut Vec<Mistake>, key: String, text: impl Into<String>) {
+    res.push(Mistake { key, text: text.into() });
+}
--- /dev/null
+++ b/crates/portfield/src/fleet/revision.rs
@@ -0,0 +1,44 @@
+//! The revision in force at one process: it only ever rises.
+
+use std::sync::Arc;
+
+use super::model::Fleet;
+use crate::ids::Revision;
+
+/// The configuration that a process has adopted.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::fleet::{Adopted, Fleet};
+///
+/// let mut adopted = Adopted::default();
+/// assert!(adopted.offer(Fleet { revision: 2, ..Fleet::default() }));
+/// assert!(!adopted.offer(Fleet { revision: 1, ..Fleet::default() }));
+/// assert_eq!(adopted.revision(), 2);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Adopted {
+    fleet: Arc<Fleet>,
+}
+
+impl Adopted {
+    /// Adopts a configuration if its revision is higher; returns whether it was.
+    pub fn offer(&mut self, fleet: Fleet) -> bool {
+        if fleet.revision <= self.fleet.revision {
+            return false;
+        }
+        self.fleet = Arc::new(fleet);
+        true
+    }
+
+    /// Returns the revision in force; zero is none yet.
+    pub fn revision(&self) -> Revision {
+        self.fleet.revision
+    }
+
+    /// Returns the configuration in force.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        &self.fleet
+    }
+}
--- /dev/null
+++ b/crates/portfield/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of a router fleet that shares language-model capacity fairly.
+//!
+//! Nothing here does I/O or reads a clock. Each part is a state machine: a message and
+//! the time go in, actions come out. The binaries put sockets around it, the replay puts
+//! virtual time around it, and both run the same code. Time is a [`std::time::Duration`]
+//! since an arbitrary start.
+//!
+//! One module a duty:
+//!
+//! - [`fleet`]: the configuration that operators state, its plans and its revisions
+//! - [`member`]: which hosts are alive, and which of them owns a shard
+//! - [`schedule`]: queues, fair order and slots of the shards that a host owns
+//! - [`route`]: tickets, outcomes, retries and admission at the host that took a request
+//! - [`claim`]: at-most-once execution by idempotency key
+//! - [`order`]: orders to engines under a lease with a fencing number
+//! - [`burn`]: service-level objectives and burn rates
+
+pub mod burn;
+pub mod claim;
+pub mod fleet;
+pub mod ids;
+pub mod member;
+pub mod order;
+pub mod route;
+pub mod schedule;
+pub mod timer;
+
+pub use portfield_wire as wire;
--- /dev/null
+++ b/crates/portfield/src/member/probe.rs
@@ -0,0 +1,186 @@
+//! Whom to probe and what an answer or its absence means.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::view::{State, View};
+use crate::ids::HostId;
+
+/// Time between two probes that one host sends.
+const PERIOD: Duration = Duration::from_millis(300);
+/// Time that a direct probe may take before indirect ones are sent.
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time that the indirect probes may take.
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time that a suspect has to refute.
+const SUSPICION: Duration = Duration::from_millis(500);
+/// Members asked to probe in this host's place.
+const N_HELPERS: usize = 2;
+/// Every so many periods a host of another data centre is probed.
+const REMOTE_EVERY: u64 = 4;
+/// Every so many periods a dead member is probed, to find it back after a cut.
+const DEAD_EVERY: u64 = 5;
+
+/// A probe to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Probe {
+    /// Ask the host itself.
+    Direct(HostId),
+    /// Ask `via` to ask `target`.
+    Indirect {
+        /// The host to send to.
+        via: HostId,
+        /// The host in question.
+        target: HostId,
+    },
+}
+
+/// Probes under way.
+#[derive(Debug, Clone)]
+pub struct Probes {
+    rng: fastrand::Rng,
+    order: Vec<HostId>,
+    open: BTreeMap<HostId, (Duration, Stage)>,
+    next: Duration,
+    round: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Direct,
+    Indirect,
+}
+
+impl Probes {
+    /// Builds the state; `seed` only spreads the order of probing.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            order: Vec::new(),
+            open: BTreeMap::new(),
+            next: Duration::ZERO,
+            round: 0,
+        }
+    }
+
+    /// Returns when [`Probes::tick`] has something to do next.
+    pub fn next(&self) -> Duration {
+        let open = self.open.values().map(|(at, stage)| *at + timeout(*stage)).min();
+        open.map_or(self.next, |it| it.min(self.next))
+    }
+
+    /// Sends what is due, and passes verdicts on members that did not answer.
+    pub fn tick(&mut self, now: Duration, view: &mut View) -> Vec<Probe> {
+        let mut res = Vec::new();
+        self.expire(now, view, &mut res);
+        confirm(now, view);
+        if now < self.next {
+            return res;
+        }
+        self.next = now + PERIOD;
+        self.round += 1;
+        if let Some(host) = self.choose(view) {
+            self.open.entry(host).or_insert((now, Stage::Direct));
+            res.push(Probe::Direct(host));
+        }
+        res
+    }
+
+    /// Takes in the answer to a probe of `host`, its own or by way of another member.
+    pub fn answered(&mut self, now: Duration, view: &mut View, host: HostId) {
+        self.open.remove(&host);
+        // NOTE: a dead member comes back by its own refutation, never by an old answer.
+        if view.get(host).is_some_and(|it| it.state == State::Suspect) {
+            view.set(now, host, State::Alive);
+        }
+    }
+
+    fn expire(&mut self, now: Duration, view: &mut View, res: &mut Vec<Probe>) {
+        let late: Vec<_> = self
+            .open
+            .iter()
+            .filter(|(_, (at, stage))| *at + timeout(*stage) <= now)
+            .map(|(host, (_, stage))| (*host, *stage))
+            .collect();
+        for (host, stage) in late {
+            self.open.remove(&host);
+            match stage {
+                Stage::Direct => {
+                    self.open.insert(host, (now, Stage::Indirect));
+                    res.extend(self.helpers(view, host));
+                }
+                Stage::Indirect => suspect(now, view, host),
+            }
+        }
+    }
+
+    fn helpers(&mut self, view: &View, target: HostId) -> Vec<Probe> {
+        let me = view.me();
+        let mut all: Vec<_> = view
+            .iter()
+            .filter(|(host, it)| *host != me && *host != target && it.state == State::Alive)
+            .map(|(host, _)| host)
+            .collect();
+        self.rng.shuffle(&mut all);
+        all.into_iter().take(N_HELPERS).map(|via| Probe::Indirect { via, target }).collect()
+    }
+
+    /// Chooses the next member: mostly of this data centre, each in its turn.
+    fn choose(&mut self, view: &View) -> Option<HostId> {
+        let me = view.me();
+        let home = &view.get(me)?.data_centre;
+        let pick = |rng: &mut fastrand::Rng, want: &dyn Fn(&super::Info) -> bool| {
+            let all: Vec<_> = view
+                .iter()
+                .filter(|(host, it)| *host != me && want(it))
+                .map(|(host, _)| host)
+                .collect();
+            rng.choice(all)
+        };
+        if self.round.is_multiple_of(DEAD_EVERY)
+            && let Some(host) = pick(&mut self.rng, &|it| it.state == State::Dead)
+        {
+            return Some(host);
+        }
+        if self.round.is_multiple_of(REMOTE_EVERY)
+            && let Some(host) =
+                pick(&mut self.rng, &|it| it.data_centre != *home && it.state <= State::Suspect)
+        {
+            return Some(host);
+        }
+        self.choose_local(view, home)
+    }
+
+    fn choose_local(&mut self, view: &View, home: &str) -> Option<HostId> {
+        let me = view.me();
+        if self.order.is_empty() {
+            self.order = view.owners(home).filter(|it| *it != me).collect();
+            self.rng.shuffle(&mut self.order);
+        }
+        self.order.pop()
+    }
+}
+
+fn timeout(stage: Stage) -> Duration {
+    match stage {
+        Stage::Direct => DIRECT_TIMEOUT,
+        Stage::Indirect => INDIRECT_TIMEOUT,
+    }
+}
+
+fn suspect(now: Duration, view: &mut View, host: HostId) {
+    if view.get(host).is_some_and(|it| it.state == State::Alive) {
+        view.set(now, host, State::Suspect);
+    }
+}
+
+/// Declares dead whoever has been suspected for too long, and whoever left long ago.
+fn confirm(now: Duration, view: &mut View) {
+    let late: Vec<_> = view
+        .iter()
+        .filter(|(_, it)| it.state == State::Suspect && it.since + SUSPICION <= now)
+        .map(|(host, _)| host)
+        .collect();
+    for host in late {
+        view.set(now, host, State::Dead);
+    }
+}
--- /dev/null
+++ b/crates/portfield/src/member/rendezvous.rs
@@ -0,0 +1,45 @@
+//! Rendezvous hashing (Thaler and Ravishankar, 1998): every host that sees the same
+//! members computes the same owner, and a member's end moves only what it owned.
+
+use std::{cmp::Reverse, net::IpAddr};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{ids::HostId, schedule::ShardKey};
+
+/// Orders `hosts` by their claim to `shard`, the owner first, its successor next.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::{member::rank, schedule::ShardKey};
+///
+/// let hosts: Vec<_> = (1..5).map(|it| std::net::IpAddr::from([127, 0, 0, it])).collect();
+/// let shard = ShardKey { service: 1, data_centre: 1, part: 0 };
+/// let all = rank(shard, hosts.iter().copied());
+/// let rest = rank(shard, hosts.iter().copied().filter(|it| *it != all[0]));
+/// assert_eq!(rest, all[1..]);
+/// ```
+pub fn rank(shard: ShardKey, hosts: impl Iterator<Item = HostId>) -> Vec<HostId> {
+    let mut res: Vec<_> = hosts.map(|it| (Reverse(weight(shard, it)), it)).collect();
+    res.sort_unstable();
+    res.into_iter().map(|(_, it)| it).collect()
+}
+
+/// Chooses the part of a split shard that a router's tickets go to, evenly over routers.
+pub fn choose_part(shard: ShardKey, n_parts: u32, router: HostId) -> u32 {
+    let part = |part| ShardKey { part, ..shard };
+    (0..n_parts).max_by_key(|it| weight(part(*it), router)).unwrap_or(0)
+}
+
+fn weight(shard: ShardKey, host: HostId) -> u64 {
+    let mut bytes = Vec::with_capacity(28);
+    for it in [shard.service, shard.data_centre, shard.part] {
+        bytes.extend(it.to_le_bytes());
+    }
+    match host {
+        IpAddr::V4(it) => bytes.extend(it.octets()),
+        IpAddr::V6(it) => bytes.extend(it.octets()),
+    }
+    xxh3_64(&bytes)
+}
--- /dev/null
+++ b/crates/portfield/src/member/view.rs
@@ -0,0 +1,253 @@
+//! What one host knows of all members, and how two such views merge.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use crate::{
+    ids::{HostId, Incarnation},
+    wire,
+};
+
+/// Copies of an update that are passed on, times the logarithm of the members.
+const GOSSIP_FACTOR: u32 = 3;
+/// Updates in one message.
+const GOSSIP_BATCH: usize = 6;
+/// How long a member that the host list no longer has is kept while it is dead.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// How a member is believed to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It missed a probe and may refute it.
+    Suspect,
+    /// It refuted nothing in time.
+    Dead,
+    /// It hands over and ends.
+    Leaving,
+}
+
+impl State {
+    fn from_wire(state: u32) -> Self {
+        match state {
+            0 => Self::Alive,
+            1 => Self::Suspect,
+            2 => Self::Dead,
+            _ => Self::Leaving,
+        }
+    }
+}
+
+/// One host of the platform's host list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListEntry {
+    /// The host.
+    pub host: HostId,
+    /// Address of its scheduler.
+    pub address: SocketAddr,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// The platform is about to take it away.
+    pub leaving: bool,
+}
+
+/// One member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Info {
+    /// Address of its scheduler.
+    pub address: SocketAddr,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// How it is believed to be.
+    pub state: State,
+    /// The life that the state speaks of.
+    pub incarnation: Incarnation,
+    /// When the state was learned.
+    pub since: Duration,
+    listed: bool,
+    spread: u32,
+}
+
+/// All members as one host knows them.
+#[derive(Debug, Clone)]
+pub struct View {
+    me: HostId,
+    members: BTreeMap<HostId, Info>,
+    version: u64,
+}
+
+impl View {
+    /// Builds a view that has only this host.
+    pub fn new(me: ListEntry, incarnation: Incarnation) -> Self {
+        let info = Info {
+            address: me.address,
+            data_centre: me.data_centre,
+            state: State::Alive,
+            incarnation,
+            since: Duration::ZERO,
+            listed: true,
+            spread: 0,
+        };
+        let members = BTreeMap::from([(me.host, info)]);
+        Self { me: me.host, members, version: 1 }
+    }
+
+    /// Returns this host.
+    pub fn me(&self) -> HostId {
+        self.me
+    }
+
+    /// Returns a number that changes with every change of a member's state.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns a member.
+    pub fn get(&self, host: HostId) -> Option<&Info> {
+        self.members.get(&host)
+    }
+
+    /// Returns every member.
+    pub fn iter(&self) -> impl Iterator<Item = (HostId, &Info)> {
+        self.members.iter().map(|(host, info)| (*host, info))
+    }
+
+    /// Returns the hosts of a data centre that may own shards.
+    pub fn owners<'a>(&'a self, data_centre: &'a str) -> impl Iterator<Item = HostId> + 'a {
+        self.iter()
+            .filter(move |(_, it)| it.data_centre == data_centre && it.state <= State::Suspect)
+            .map(|(host, _)| host)
+    }
+
+    /// Takes in the platform's host list.
+    pub fn list(&mut self, now: Duration, entries: &[ListEntry]) {
+        for info in self.members.values_mut() {
+            info.listed = false;
+        }
+        for it in entries {
+            let me = self.me;
+            let info = self.members.entry(it.host).or_insert_with(|| {
+                self.version += 1;
+                Info {
+                    address: it.address,
+                    data_centre: it.data_centre.clone(),
+                    state: State::Alive,
+                    incarnation: 0,
+                    since: now,
+                    listed: true,
+                    spread: 0,
+                }
+            });
+            info.listed = true;
+            if it.leaving && info.state == State::Alive && it.host != me {
+                self.set(now, it.host, State::Leaving);
+            }
+        }
+        self.forget(now);
+    }
+
+    /// Takes in what another member says.
+    pub fn merge(&mut self, now: Duration, members: &[wire::Member]) {
+        for it in members {
+            let (Ok(host), Ok(address)) = (it.host.parse(), it.address.parse()) else {
+                continue;
+            };
+            let state = State::from_wire(it.state);
+            if host == self.me {
+                self.refute(now, it.incarnation, state);
+                continue;
+            }
+            let old = self.members.get(&host);
+            if old.is_some_and(|old| (it.incarnation, state) <= (old.incarnation, old.state)) {
+                continue;
+            }
+            let changed = old.is_none_or(|old| old.state != state || old.address != address);
+            self.version += u64::from(changed);
+            let info = Info {
+                address,
+                data_centre: it.data_centre.clone(),
+                state,
+                incarnation: it.incarnation,
+                since: now,
+                listed: old.is_some_and(|it| it.listed),
+                spread: self.n_spread(),
+            };
+            self.members.insert(host, info);
+        }
+    }
+
+    /// Sets a member's state within its present life.
+    pub fn set(&mut self, now: Duration, host: HostId, state: State) {
+        let spread = self.n_spread();
+        let Some(info) = self.members.get_mut(&host) else { return };
+        if info.state == state {
+            return;
+        }
+        info.state = state;
+        info.since = now;
+        info.spread = spread;
+        self.version += 1;
+    }
+
+    /// Starts this host's leave: it owns nothing from here on.
+    pub fn leave(&mut self, now: Duration) {
+        self.set(now, self.me, State::Leaving);
+    }
+
+    /// Returns the updates to send with a message to `to`: always this host itself and
+    /// what is believed of the receiver, so that it can refute it.
+    pub fn gossip(&mut self, to: Option<HostId>) -> Vec<wire::Member> {
+        let me = self.me;
+        let mut res: Vec<_> = [Some(me), to]
+            .into_iter()
+            .flatten()
+            .filter_map(|it| self.members.get(&it).map(|info| to_wire(it, info)))
+            .collect();
+        let fresh = self.members.iter_mut().filter(|(_, it)| 0 < it.spread);
+        for (host, info) in fresh.take(GOSSIP_BATCH) {
+            info.spread -= 1;
+            res.push(to_wire(*host, info));
+        }
+        res
+    }
+
+    /// Returns all members for the wire.
+    pub fn to_wire(&self) -> Vec<wire::Member> {
+        self.iter().map(|(host, info)| to_wire(host, info)).collect()
+    }
+
+    fn refute(&mut self, now: Duration, incarnation: Incarnation, state: State) {
+        let spread = self.n_spread();
+        let Some(info) = self.members.get_mut(&self.me) else { return };
+        if incarnation < info.incarnation || state == info.state {
+            return;
+        }
+        info.incarnation = incarnation + 1;
+        info.since = now;
+        info.spread = spread;
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let me = self.me;
+        let n_old = self.members.len();
+        self.members.retain(|host, it| {
+            let gone = !it.listed && State::Dead <= it.state && it.since + FORGET_AFTER <= now;
+            *host == me || !gone
+        });
+        self.version += u64::from(self.members.len() != n_old);
+    }
+
+    fn n_spread(&self) -> u32 {
+        GOSSIP_FACTOR * (self.members.len().ilog2() + 1)
+    }
+}
+
+fn to_wire(host: HostId, info: &Info) -> wire::Member {
+    wire::Member {
+        host: host.to_string(),
+        address: info.address.to_string(),
+        data_centre: info.data_centre.clone(),
+        incarnation: info.incarnation,
+        state: info.state as u32,
+    }
+}
--- /dev/null
+++ b/crates/portfield/src/route/admission.rs
@@ -0,0 +1,78 @@
+//! Bounded queues per workspace: who floods is refused, and nobody else is.
+
+use std::collections::HashMap;
+
+use crate::{fleet::Workspace, ids::WorkspaceId};
+
+/// A workspace has as much waiting at this router as it may.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Held {
+    requests: usize,
+    bytes: usize,
+}
+
+/// What each workspace has waiting at one router.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::{fleet::Workspace, route::Admission};
+///
+/// let workspace = Workspace {
+///     id: 1,
+///     name: "trust".into(),
+///     share: 1,
+///     token_hash: String::new(),
+///     queue: 1,
+///     queue_bytes: 100,
+/// };
+/// let mut admission = Admission::default();
+/// assert!(admission.enter(&workspace, 60).is_ok());
+/// assert!(admission.enter(&workspace, 10).is_err());
+/// admission.leave(1, 60);
+/// assert!(admission.enter(&workspace, 10).is_ok());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Admission {
+    held: HashMap<WorkspaceId, Held>,
+}
+
+impl Admission {
+    /// Lets a request in, if the workspace's queue has room for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Full`] where the count or the bytes are used up.
+    pub fn enter(&mut self, workspace: &Workspace, bytes: usize) -> Result<(), Full> {
+        let held = self.held.entry(workspace.id).or_default();
+        if workspace.queue <= held.requests || workspace.queue_bytes < held.bytes + bytes {
+            return Err(Full);
+        }
+        held.requests += 1;
+        held.bytes += bytes;
+        Ok(())
+    }
+
+    /// Notes that a request no longer waits.
+    pub fn leave(&mut self, id: WorkspaceId, bytes: usize) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.requests -= 1;
+        held.bytes -= bytes;
+        if held.requests == 0 {
+            self.held.remove(&id);
+        }
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.held.values().map(|it| it.requests).sum()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/portfield/src/route/outcome.rs
@@ -0,0 +1,52 @@
+//! Whether a request ran, said only where it is certain.
+
+use std::fmt;
+
+/// How far an attempt to send a request upstream came before it broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// No connection, or none of the request was written to it.
+    Unsent,
+    /// The upstream said by itself that it did not run the request.
+    Declined,
+    /// Some of the request may have been written.
+    Sent,
+    /// The answer's head has arrived.
+    Answering,
+}
+
+/// What is said to the caller of a request that got no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It certainly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
+/// Returns the outcome of a request whose last attempt broke in a phase.
+///
+/// `n_ambiguous` counts the earlier attempts that may have run.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::route::{Outcome, Phase, outcome_of};
+///
+/// assert_eq!(outcome_of(Phase::Unsent, 0), Outcome::NotRun);
+/// assert_eq!(outcome_of(Phase::Unsent, 1), Outcome::Unknown);
+/// assert_eq!(outcome_of(Phase::Sent, 0), Outcome::Unknown);
+/// ```
+pub fn outcome_of(phase: Phase, n_ambiguous: u32) -> Outcome {
+    let certain = phase <= Phase::Declined && n_ambiguous == 0;
+    if certain { Outcome::NotRun } else { Outcome::Unknown }
+}
--- /dev/null
+++ b/crates/portfield/src/route/router.rs
@@ -0,0 +1,576 @@
+//! The tickets of one router: where each is registered, and what came of it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use super::admission::{Admission, Full};
+use crate::{
+    fleet::{Adopted, Fleet, Workspace},
+    ids::{HostId, Incarnation, Revision, ServiceId, TicketId, UpstreamId},
+    member::{choose_part, rank},
+    schedule::ShardKey,
+    timer::Timers,
+    wire,
+};
+
+/// Time between two batches of progress reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Progress in tokens below which a report waits for the next batch.
+const REPORT_QUANTUM: u32 = 16;
+/// Pause before a ticket is registered again with an owner that denied it.
+const REGISTER_PAUSE: Duration = Duration::from_millis(50);
+/// A session that cannot be opened is tried again after this time.
+const DIAL_PAUSE: Duration = Duration::from_millis(200);
+/// Sessions that are kept open even if no shard asks for them.
+const MIN_SESSIONS: usize = 2;
+/// First part of a ticket's number: the life of the router.
+const LIFE_SHIFT: u32 = 24;
+
+/// A request as its ticket describes it.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Whose it is.
+    pub workspace: Workspace,
+    /// What it calls.
+    pub service: ServiceId,
+    /// Cost hint in tokens, zero for none.
+    pub hint: u32,
+    /// It may wait behind interactive requests of its workspace.
+    pub batch: bool,
+    /// Hash of the prompt's prefix, zero for none.
+    pub prefix: u32,
+    /// Bytes of its body.
+    pub bytes: usize,
+    /// Instant at which it is given up on.
+    pub deadline: Duration,
+}
+
+/// Why a request that waited will not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Its workspace has too much waiting.
+    QueueFull,
+    /// No grant came in time.
+    Timeout,
+}
+
+/// What a router's process is to do.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Open a session with a scheduler.
+    Dial(HostId, SocketAddr),
+    /// Send a frame over a session.
+    Send(HostId, wire::RouterFrame),
+    /// Send the request upstream.
+    Start(TicketId, UpstreamId),
+    /// Refuse the request as not run; come back after the time given.
+    Refuse(TicketId, Reason, Duration),
+    /// Fetch the configuration from the scheduler of a host.
+    Fetch(HostId),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Not registered, or registration lost.
+    Homeless,
+    /// In the queue of the owner at a host.
+    Queued(HostId),
+    /// Runs under a grant of the owner at a host.
+    Runs(HostId, Run),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Run {
+    upstream: UpstreamId,
+    estimate: u32,
+    loan: u64,
+    cost: u32,
+    reported: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    request: Request,
+    shard: ShardKey,
+    since: Duration,
+    stage: Stage,
+}
+
+#[derive(Debug, Clone)]
+struct Scheduler {
+    address: SocketAddr,
+    state: u32,
+    incarnation: Incarnation,
+    up: bool,
+    dialed: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Report,
+    Place,
+    Deadline(TicketId),
+}
+
+/// The tickets of one router.
+#[derive(Debug)]
+pub struct Router {
+    data_centre: String,
+    host: HostId,
+    adopted: Adopted,
+    schedulers: BTreeMap<HostId, Scheduler>,
+    entries: HashMap<TicketId, Entry>,
+    homeless: BTreeSet<TicketId>,
+    stirred: BTreeSet<TicketId>,
+    admission: Admission,
+    timers: Timers<Timer>,
+    outbox: BTreeMap<HostId, BTreeMap<ShardKey, wire::ShardReport>>,
+    next_id: TicketId,
+    placing: bool,
+    actions: Vec<Action>,
+}
+
+impl Router {
+    /// Builds a router that knows no scheduler yet; `life` differs from earlier lives.
+    pub fn new(host: HostId, data_centre: impl Into<String>, life: u64) -> Self {
+        let mut timers = Timers::default();
+        timers.subscribe(REPORT_PERIOD, Timer::Report);
+        Self {
+            data_centre: data_centre.into(),
+            host,
+            adopted: Adopted::default(),
+            schedulers: BTreeMap::new(),
+            entries: HashMap::new(),
+            homeless: BTreeSet::new(),
+            stirred: BTreeSet::new(),
+            admission: Admission::default(),
+            timers,
+            outbox: BTreeMap::new(),
+            next_id: life << LIFE_SHIFT,
+            placing: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns the configuration in force here.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        self.adopted.fleet()
+    }
+
+    /// Returns how many requests wait and how many run.
+    pub fn load(&self) -> (usize, usize) {
+        let waiting = self.admission.len();
+        (waiting, self.entries.len() - waiting)
+    }
+
+    /// Returns whether some scheduler of this data centre has a session with this router.
+    pub fn is_connected(&self) -> bool {
+        self.schedulers.values().any(|it| it.up)
+    }
+
+    /// Returns the address of a host's scheduler.
+    pub fn address(&self, host: HostId) -> Option<SocketAddr> {
+        self.schedulers.get(&host).map(|it| it.address)
+    }
+
+    /// Adopts a configuration if its revision is higher.
+    pub fn offer(&mut self, fleet: Fleet) {
+        if self.adopted.offer(fleet) {
+            self.evict_all();
+        }
+    }
+
+    /// Names a scheduler to begin with, before any membership is known.
+    pub fn seed(&mut self, host: HostId, address: SocketAddr) {
+        self.schedulers.entry(host).or_insert(Scheduler {
+            address,
+            state: 0,
+            incarnation: 0,
+            up: false,
+            dialed: None,
+        });
+    }
+
+    /// Opens sessions until there are enough to learn the membership from.
+    pub fn connect(&mut self, now: Duration) {
+        let n_up = self.schedulers.values().filter(|it| it.up).count();
+        let down = self.schedulers.iter().filter(|(_, it)| !it.up && it.state <= 1);
+        let mut down: Vec<_> = down.map(|(host, it)| (it.dialed, *host)).collect();
+        down.sort_unstable();
+        for (_, host) in down.into_iter().take(MIN_SESSIONS.saturating_sub(n_up)) {
+            self.dial(now, host);
+        }
+    }
+
+    /// Takes in a request and returns the number of its ticket.
+    ///
+    /// # Errors
+    ///
+    /// [`Full`] where its workspace has too much waiting here.
+    pub fn submit(&mut self, now: Duration, request: Request) -> Result<TicketId, Full> {
+        self.admission.enter(&request.workspace, request.bytes)?;
+        self.next_id += 1;
+        let id = self.next_id;
+        let shard = self.home_shard(request.service);
+        self.timers.subscribe(request.deadline, Timer::Deadline(id));
+        self.entries.insert(id, Entry { request, shard, since: now, stage: Stage::Homeless });
+        self.place(now, id);
+        Ok(id)
+    }
+
+    /// Withdraws a request: its caller hung up, or it is done with.
+    pub fn withdraw(&mut self, id: TicketId) {
+        let Some(entry) = self.entries.remove(&id) else { return };
+        self.homeless.remove(&id);
+        match entry.stage {
+            Stage::Runs(host, run) => {
+                let done = wire::Done { id, cost: run.cost, declined: true, ..Default::default() };
+                self.report(host, entry.shard).done.push(done);
+            }
+            Stage::Queued(host) => {
+                self.admission.leave(entry.request.workspace.id, entry.request.bytes);
+                self.report(host, entry.shard).cancels.push(id);
+            }
+            Stage::Homeless => {
+                self.admission.leave(entry.request.workspace.id, entry.request.bytes);
+            }
+        }
+    }
+
+    /// Counts what a running request has cost so far, in tokens.
+    pub fn progress(&mut self, id: TicketId, cost: u32) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Stage::Runs(_, run) = &mut entry.stage else { return };
+        run.cost = cost;
+        if run.reported + REPORT_QUANTUM <= cost {
+            self.stirred.insert(id);
+        }
+    }
+
+    /// Ends a request that ran; `pace` is the mean time between its tokens.
+    pub fn finish(&mut self, id: TicketId, cost: u32, pace: Duration) {
+        self.end(id, wire::Done { id, cost, pace: pace_to_wire(pace), ..Default::default() });
+    }
+
+    /// Ends a request that its upstream failed.
+    pub fn fail(&mut self, id: TicketId, cost: u32) {
+        self.end(id, wire::Done { id, cost, failed: true, ..Default::default() });
+    }
+
+    /// Notes that a session is open: everything that belongs there is registered.
+    pub fn session_up(&mut self, now: Duration, host: HostId) {
+        if let Some(it) = self.schedulers.get_mut(&host) {
+            it.up = true;
+            it.dialed = None;
+        }
+        self.place_all(now);
+    }
+
+    /// Notes that a session ended or could not be opened.
+    pub fn session_down(&mut self, now: Duration, host: HostId) {
+        if let Some(it) = self.schedulers.get_mut(&host) {
+            it.up = false;
+            it.dialed = Some(now);
+        }
+        self.outbox.remove(&host);
+        for (id, entry) in &mut self.entries {
+            if entry.stage.host() != Some(host) {
+                continue;
+            }
+            self.homeless.insert(*id);
+            if entry.stage == Stage::Queued(host) {
+                entry.stage = Stage::Homeless;
+            }
+        }
+        self.place_later(now);
+    }
+
+    /// Takes in a scheduler's frame.
+    pub fn hear(&mut self, now: Duration, from: HostId, frame: &wire::OwnerFrame) {
+        self.hear_members(&frame.members);
+        self.hear_revision(from, frame.revision);
+        for answer in &frame.answers {
+            let Some(shard) = answer.shard.as_ref().map(ShardKey::from) else { continue };
+            if answer.not_owner {
+                self.evict(from, shard);
+                self.place_later(now);
+            }
+            for it in &answer.grants {
+                self.granted(now, from, shard, it);
+            }
+            for it in &answer.refusals {
+                let retry = Duration::from_millis(u64::from(it.retry));
+                self.refuse(it.ticket, Reason::QueueFull, retry);
+            }
+        }
+        if !frame.members.is_empty() {
+            self.place_all(now);
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                Timer::Report => {
+                    self.report_progress();
+                    self.connect(now);
+                    self.timers.subscribe(now + REPORT_PERIOD, Timer::Report);
+                }
+                Timer::Place => {
+                    self.placing = false;
+                    self.place_all(now);
+                }
+                Timer::Deadline(id) => self.expire(id),
+            }
+        }
+    }
+
+    /// Returns when [`Router::tick`] has something to do next.
+    pub fn next_tick(&self) -> Option<Duration> {
+        self.timers.next()
+    }
+
+    /// Takes what is to be done.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        for (host, reports) in std::mem::take(&mut self.outbox) {
+            let reports = reports.into_values().collect();
+            let frame = wire::RouterFrame { host: String::new(), reports };
+            self.actions.push(Action::Send(host, frame));
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn end(&mut self, id: TicketId, done: wire::Done) {
+        let Some(entry) = self.entries.remove(&id) else { return };
+        self.homeless.remove(&id);
+        self.stirred.remove(&id);
+        if let Stage::Runs(host, _) = entry.stage {
+            self.report(host, entry.shard).done.push(done);
+        }
+    }
+
+    fn expire(&mut self, id: TicketId) {
+        let waits = self.entries.get(&id).is_some_and(|it| !matches!(it.stage, Stage::Runs(..)));
+        if waits {
+            self.refuse(id, Reason::Timeout, Duration::from_secs(1));
+        }
+    }
+
+    fn refuse(&mut self, id: TicketId, reason: Reason, retry: Duration) {
+        if !self.entries.contains_key(&id) {
+            return;
+        }
+        self.withdraw(id);
+        self.actions.push(Action::Refuse(id, reason, retry));
+    }
+
+    fn granted(&mut self, now: Duration, from: HostId, shard: ShardKey, grant: &wire::Grant) {
+        let id = grant.ticket;
+        let entry = self.entries.get_mut(&id);
+        let is_mine =
+            entry.as_ref().is_some_and(|it| it.stage == Stage::Queued(from) && it.shard == shard);
+        let leaving = self.adopted.fleet().upstream(grant.upstream).is_none_or(|it| it.leaving);
+        if !is_mine || leaving {
+            let done = wire::Done { id, declined: true, ..Default::default() };
+            self.report(from, shard).done.push(done);
+            if is_mine {
+                self.homeless.insert(id);
+                self.place_later(now);
+            }
+            return;
+        }
+        let Some(entry) = entry else { return };
+        entry.stage = Stage::Runs(
+            from,
+            Run {
+                upstream: grant.upstream,
+                estimate: grant.estimate,
+                loan: grant.loan,
+                cost: 0,
+                reported: 0,
+            },
+        );
+        self.admission.leave(entry.request.workspace.id, entry.request.bytes);
+        self.actions.push(Action::Start(id, grant.upstream));
+    }
+
+    fn report_progress(&mut self) {
+        for id in std::mem::take(&mut self.stirred) {
+            let Some(entry) = self.entries.get_mut(&id) else { continue };
+            let Stage::Runs(host, run) = &mut entry.stage else { continue };
+            run.reported = run.cost;
+            let progress = wire::Progress { id, cost: run.cost };
+            let (host, shard) = (*host, entry.shard);
+            self.report(host, shard).progress.push(progress);
+        }
+    }
+
+    fn hear_members(&mut self, members: &[wire::Member]) {
+        for it in members {
+            let (Ok(host), Ok(address)) = (it.host.parse(), it.address.parse()) else { continue };
+            let fresh = Scheduler {
+                address,
+                state: it.state,
+                incarnation: it.incarnation,
+                up: false,
+                dialed: None,
+            };
+            let old = self.schedulers.entry(host).or_insert_with(|| fresh.clone());
+            if old.incarnation <= it.incarnation {
+                let (up, dialed) = (old.up, old.dialed);
+                *old = Scheduler { up, dialed, ..fresh };
+            }
+        }
+    }
+
+    fn hear_revision(&mut self, from: HostId, revision: Revision) {
+        if self.adopted.revision() < revision {
+            self.actions.push(Action::Fetch(from));
+        }
+    }
+
+    /// Marks what is registered at a host for a shard it does not own as to be placed.
+    fn evict(&mut self, host: HostId, shard: ShardKey) {
+        let here = self
+            .entries
+            .iter()
+            .filter(|(_, it)| it.shard == shard && it.stage.host() == Some(host));
+        let here: Vec<_> = here.map(|(id, _)| *id).collect();
+        self.homeless.extend(here);
+    }
+
+    /// Places everything anew where shards may have changed with the configuration.
+    fn evict_all(&mut self) {
+        let moved: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, it)| it.shard != self.home_shard(it.request.service))
+            .map(|(id, _)| *id)
+            .collect();
+        self.homeless.extend(moved);
+    }
+
+    /// Returns the shard of this data centre that this router's requests go to.
+    fn home_shard(&self, service: ServiceId) -> ShardKey {
+        let fleet = self.adopted.fleet();
+        let data_centre = fleet.data_centre(&self.data_centre).unwrap_or(0);
+        let n_parts = fleet.n_parts(service, data_centre);
+        let spread = ShardKey { service, data_centre, part: 0 };
+        let part = choose_part(spread, n_parts, self.host);
+        ShardKey { part, ..spread }
+    }
+
+    fn place_all(&mut self, now: Duration) {
+        for id in std::mem::take(&mut self.homeless) {
+            self.place(now, id);
+        }
+    }
+
+    /// Registers a ticket or a running request with the shard's owner.
+    fn place(&mut self, now: Duration, id: TicketId) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let shard = self.home_shard(entry.request.service);
+        let Some(host) = self.owner(shard) else {
+            self.homeless.insert(id);
+            self.place_later(now);
+            return;
+        };
+        if !self.schedulers[&host].up {
+            self.homeless.insert(id);
+            self.dial(now, host);
+            self.place_later(now);
+            return;
+        }
+        self.unregister(id, shard);
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.shard = shard;
+        let request = &entry.request;
+        match &mut entry.stage {
+            Stage::Runs(at, run) => {
+                *at = host;
+                let running = wire::Running {
+                    id,
+                    workspace: request.workspace.id,
+                    upstream: run.upstream,
+                    cost: run.cost,
+                    estimate: run.estimate,
+                    loan: run.loan,
+                };
+                self.report(host, shard).running.push(running);
+            }
+            stage => {
+                *stage = Stage::Queued(host);
+                let ticket = wire::Ticket {
+                    id,
+                    workspace: request.workspace.id,
+                    hint: request.hint,
+                    class: u32::from(request.batch),
+                    prefix: request.prefix,
+                    waited: now.saturating_sub(entry.since).as_millis() as u32,
+                };
+                self.report(host, shard).tickets.push(ticket);
+            }
+        }
+    }
+
+    /// Takes a ticket back from the shard that it was registered with, if that is another.
+    fn unregister(&mut self, id: TicketId, fresh: ShardKey) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let (old, host, stage) = (entry.shard, entry.stage.host(), entry.stage);
+        let Some(host) = host.filter(|_| old != fresh) else { return };
+        match stage {
+            Stage::Runs(_, run) => {
+                let done = wire::Done { id, cost: run.cost, declined: true, ..Default::default() };
+                self.report(host, old).done.push(done);
+            }
+            _ => self.report(host, old).cancels.push(id),
+        }
+    }
+
+    fn place_later(&mut self, now: Duration) {
+        if !self.placing {
+            self.placing = true;
+            self.timers.subscribe(now + REGISTER_PAUSE, Timer::Place);
+        }
+    }
+
+    fn owner(&self, shard: ShardKey) -> Option<HostId> {
+        let alive = self.schedulers.iter().filter(|(_, it)| it.state <= 1 && 0 < it.incarnation);
+        rank(shard, alive.map(|(host, _)| *host)).first().copied()
+    }
+
+    fn dial(&mut self, now: Duration, host: HostId) {
+        let Some(it) = self.schedulers.get_mut(&host) else { return };
+        if it.dialed.is_some_and(|at| now < at + DIAL_PAUSE) {
+            return;
+        }
+        it.dialed = Some(now);
+        self.actions.push(Action::Dial(host, it.address));
+    }
+
+    fn report(&mut self, host: HostId, shard: ShardKey) -> &mut wire::ShardReport {
+        let reports = self.outbox.entry(host).or_default();
+        reports.entry(shard).or_insert_with(|| wire::ShardReport {
+            shard: Some(shard.into()),
+            ..Default::default()
+        })
+    }
+}
+
+impl Stage {
+    fn host(&self) -> Option<HostId> {
+        match self {
+            Self::Homeless => None,
+            Self::Queued(host) | Self::Runs(host, _) => Some(*host),
+        }
+    }
+}
+
+fn pace_to_wire(pace: Duration) -> u32 {
+    (pace.as_micros() / 100) as u32
+}
--- /dev/null
+++ b/crates/portfield/src/schedule/estimate.rs
@@ -0,0 +1,66 @@
+//! What a request will cost, learned from what earlier ones did cost.
+
+use std::collections::HashMap;
+
+use crate::ids::WorkspaceId;
+
+/// Weight of the newest observation.
+const ALPHA: f64 = 0.1;
+/// Estimate for a workspace that nothing is known of, in tokens.
+const FIRST_GUESS: f64 = 200.0;
+/// Largest estimate, in tokens.
+const MAX_ESTIMATE: f64 = 32_768.0;
+
+#[derive(Debug, Clone, Copy)]
+struct Learned {
+    /// Mean cost in tokens.
+    mean: f64,
+    /// Actual cost over hinted cost.
+    ratio: f64,
+}
+
+/// Learned costs of the workspaces of one service.
+///
+/// A hint only orders the requests of its own workspace by size: the learned ratio takes
+/// out a workspace's habit of hinting too high or too low, whether by error or on purpose.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::schedule::Estimates;
+///
+/// let mut estimates = Estimates::default();
+/// for _ in 0..100 {
+///     estimates.learn(7, 1000, 100);
+/// }
+/// assert!(estimates.estimate(7, 1000) < 110);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Estimates {
+    learned: HashMap<WorkspaceId, Learned>,
+}
+
+impl Estimates {
+    /// Returns the expected cost in tokens; a `hint` of zero is none.
+    pub fn estimate(&self, id: WorkspaceId, hint: u32) -> u32 {
+        let learned = self.learned.get(&id);
+        let res = match (hint, learned) {
+            (0, None) => FIRST_GUESS,
+            (0, Some(it)) => it.mean,
+            (_, None) => f64::from(hint),
+            (_, Some(it)) => f64::from(hint) * it.ratio,
+        };
+        res.clamp(1.0, MAX_ESTIMATE) as u32
+    }
+
+    /// Takes in what a request did cost.
+    pub fn learn(&mut self, id: WorkspaceId, hint: u32, cost: u32) {
+        let cost = f64::from(cost.max(1));
+        let first = Learned { mean: cost, ratio: 1.0 };
+        let it = self.learned.entry(id).or_insert(first);
+        it.mean += ALPHA * (cost - it.mean);
+        if 0 < hint {
+            it.ratio += ALPHA * (cost / f64::from(hint) - it.ratio);
+        }
+    }
+}
--- /dev/null
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -0,0 +1,544 @@
+//! One scheduler process: members, owned shards, sessions with routers and peers.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    key::ShardKey,
+    owner::{Limits, Owner, Status},
+    peer::Arrival,
+    slots::Health,
+};
+use crate::{
+    fleet::{Adopted, Fleet},
+    ids::{HostId, Incarnation, Revision, TicketId, UpstreamId},
+    member::{ListEntry, Probe, Probes, State, View, rank},
+    wire,
+};
+
+/// Decisions remembered for operators.
+const MAX_DECISIONS: usize = 8192;
+
+/// What a scheduler is told at its start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host.
+    pub me: ListEntry,
+    /// Larger than that of any earlier life.
+    pub incarnation: Incarnation,
+    /// What its owners keep to.
+    pub limits: Limits,
+}
+
+/// What happens to a scheduler.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The platform's host list was read.
+    Listed(Vec<ListEntry>),
+    /// A configuration was read, from the platform or a peer.
+    Offered(Fleet),
+    /// A router's frame arrived.
+    Router(HostId, wire::RouterFrame),
+    /// A router opened its session.
+    RouterUp(HostId),
+    /// A router's session ended.
+    RouterDown(HostId),
+    /// A peer's frame arrived.
+    Peer(wire::PeerFrame),
+    /// A frame to a peer arrived, or may not have.
+    PeerSent(wire::PeerFrame, Arrival),
+    /// A probe of a host was answered, with the membership that came along.
+    Answered(HostId, wire::ProbeReply),
+    /// A probe arrived.
+    Probed(wire::ProbeRequest),
+    /// An upstream's load report was read, or could not be.
+    Report(UpstreamId, Health),
+    /// This host is to hand over what it owns.
+    Leave,
+    /// Time passed.
+    Tick,
+}
+
+/// What a scheduler asks its process to do.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Send a frame to a router.
+    Router(HostId, wire::OwnerFrame),
+    /// Send a frame to a peer.
+    Peer(SocketAddr, wire::PeerFrame),
+    /// Probe a host: the address to send to, the host in question, the message.
+    Probe(SocketAddr, HostId, wire::ProbeRequest),
+    /// Fetch the configuration from a peer that has a higher revision.
+    Fetch(SocketAddr),
+}
+
+/// One decision that an operator may ask about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decision {
+    /// When it was made.
+    pub at: Duration,
+    /// The router concerned.
+    pub host: HostId,
+    /// The ticket concerned.
+    pub ticket: TicketId,
+    /// What was decided.
+    pub text: String,
+}
+
+/// One scheduler process.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: Settings,
+    view: View,
+    probes: Probes,
+    adopted: Adopted,
+    owners: BTreeMap<ShardKey, Owner>,
+    standby: BTreeMap<ShardKey, Standby>,
+    routers: HashSet<HostId>,
+    told: BTreeMap<HostId, (State, Incarnation)>,
+    seen_version: (u64, Revision),
+    next_incarnation: Incarnation,
+    decisions: VecDeque<Decision>,
+    actions: Vec<Action>,
+}
+
+/// Another owner's counters, kept for the case that this host succeeds it.
+#[derive(Debug, Default)]
+struct Standby {
+    sets: HashMap<(ShardKey, Incarnation), wire::UsageSet>,
+    lifts: BTreeMap<u32, u64>,
+}
+
+impl Scheduler {
+    /// Builds a scheduler that knows nothing but itself.
+    pub fn new(settings: Settings) -> Self {
+        let seed = settings.incarnation ^ u64::from(settings.me.address.port());
+        Self {
+            view: View::new(settings.me.clone(), settings.incarnation),
+            probes: Probes::new(seed),
+            adopted: Adopted::default(),
+            owners: BTreeMap::new(),
+            standby: BTreeMap::new(),
+            routers: HashSet::new(),
+            told: BTreeMap::new(),
+            seen_version: (0, 0),
+            next_incarnation: settings.incarnation,
+            decisions: VecDeque::new(),
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        self.apply(now, event);
+        self.probe(now);
+        self.reassign(now);
+        for it in self.owners.values_mut() {
+            it.dispatch(now);
+        }
+        self.send_answers(now);
+        self.send_frames(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when it wants the next [`Event::Tick`] at the latest.
+    pub fn next_tick(&self) -> Duration {
+        let frames = self.owners.values().map(|it| it.next_frame().max(it.granting()));
+        frames.chain([self.probes.next()]).min().unwrap_or(Duration::MAX)
+    }
+
+    /// Returns the configuration in force here.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        self.adopted.fleet()
+    }
+
+    /// Returns what is known of the members.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the upstreams whose load reports are wanted.
+    pub fn watched(&self) -> Vec<(UpstreamId, SocketAddr)> {
+        let fleet = self.adopted.fleet();
+        let all = self.owners.keys().flat_map(|it| fleet.upstreams_of(*it));
+        all.map(|it| (it.id, it.address)).collect()
+    }
+
+    /// Returns what the owned shards show.
+    pub fn status(&self) -> Vec<Status> {
+        self.owners.values().map(Owner::status).collect()
+    }
+
+    /// Returns an owned shard.
+    pub fn owner(&self, shard: ShardKey) -> Option<&Owner> {
+        self.owners.get(&shard)
+    }
+
+    /// Returns the remembered decisions on a ticket, the oldest first.
+    pub fn decisions(&self, host: HostId, ticket: TicketId) -> Vec<&Decision> {
+        let all = self.decisions.iter();
+        all.filter(|it| it.host == host && it.ticket == ticket).collect()
+    }
+
+    fn apply(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Listed(entries) => self.view.list(now, &entries),
+            Event::Offered(fleet) => self.adopt(now, fleet),
+            Event::Router(host, frame) => self.hear_router(now, host, &frame),
+            Event::RouterUp(host) => self.router_up(now, host),
+            Event::RouterDown(host) => self.router_down(now, host),
+            Event::Peer(frame) => self.hear_peer(now, &frame),
+            Event::PeerSent(frame, arrival) => self.peer_sent(now, &frame, arrival),
+            Event::Answered(host, reply) => {
+                self.view.merge(now, &reply.gossip);
+                if reply.alive {
+                    self.probes.answered(now, &mut self.view, host);
+                }
+                self.learn_revision(host, reply.revision);
+            }
+            Event::Probed(request) => {
+                self.view.merge(now, &request.gossip);
+                if let Ok(host) = request.from.parse() {
+                    self.learn_revision(host, request.revision);
+                }
+            }
+            Event::Report(id, health) => {
+                for it in self.owners.values_mut() {
+                    it.report(now, id, health);
+                }
+            }
+            Event::Leave => self.view.leave(now),
+            Event::Tick => (),
+        }
+    }
+
+    /// Builds the answer to a probe.
+    pub fn probe_reply(&mut self, request: &wire::ProbeRequest) -> wire::ProbeReply {
+        let from = request.from.parse().ok();
+        let mut gossip = self.view.gossip(from);
+        // A host that has just joined learns everything at once.
+        let is_new = request.gossip.len() <= 2 && self.view.iter().count() > 2;
+        if is_new && request.revision < self.adopted.revision() {
+            gossip = self.view.to_wire();
+        }
+        wire::ProbeReply { alive: true, gossip, revision: self.adopted.revision() }
+    }
+
+    fn adopt(&mut self, now: Duration, fleet: Fleet) {
+        if !self.adopted.offer(fleet) {
+            return;
+        }
+        let fleet = self.adopted.fleet().clone();
+        for it in self.owners.values_mut() {
+            it.configure(now, &fleet);
+        }
+    }
+
+    fn learn_revision(&mut self, host: HostId, revision: Revision) {
+        if revision <= self.adopted.revision() {
+            return;
+        }
+        if let Some(it) = self.view.get(host) {
+            self.actions.push(Action::Fetch(it.address));
+        }
+    }
+
+    fn router_up(&mut self, now: Duration, host: HostId) {
+        if !self.routers.insert(host) {
+            self.owners.values_mut().for_each(|it| it.router_gone(now, host));
+        }
+        let frame = wire::OwnerFrame {
+            answers: Vec::new(),
+            members: self.home_members(),
+            revision: self.adopted.revision(),
+        };
+        self.actions.push(Action::Router(host, frame));
+    }
+
+    fn router_down(&mut self, now: Duration, host: HostId) {
+        self.routers.remove(&host);
+        self.owners.values_mut().for_each(|it| it.router_gone(now, host));
+    }
+
+    fn hear_router(&mut self, now: Duration, host: HostId, frame: &wire::RouterFrame) {
+        for report in &frame.reports {
+            let Some(shard) = report.shard.as_ref().map(ShardKey::from) else { continue };
+            if self.owners.contains_key(&shard) {
+                self.hear_report(now, host, shard, report);
+            } else if !report.tickets.is_empty() || !report.running.is_empty() {
+                self.disown(host, shard);
+            }
+        }
+    }
+
+    fn hear_report(
+        &mut self,
+        now: Duration,
+        host: HostId,
+        shard: ShardKey,
+        report: &wire::ShardReport,
+    ) {
+        let fleet = self.adopted.fleet().clone();
+        let Some(owner) = self.owners.get_mut(&shard) else { return };
+        for it in &report.running {
+            let home = fleet.upstream(it.upstream).map(|it| fleet.shard_of(it));
+            owner.resume(host, it, home.filter(|it| *it != shard));
+        }
+        for it in &report.progress {
+            owner.progress(host, it);
+        }
+        for it in &report.done {
+            owner.finish(now, host, it);
+        }
+        for it in &report.cancels {
+            owner.cancel(host, *it);
+        }
+        for it in &report.tickets {
+            owner.register(now, host, it);
+        }
+        for it in &report.tickets {
+            self.decide(now, host, it.id, format!("queued at {shard}, hint {}", it.hint));
+        }
+        for it in &report.done {
+            let text = format!("ended at {shard}, charged {}, declined {}", it.cost, it.declined);
+            self.decide(now, host, it.id, text);
+        }
+    }
+
+    fn disown(&mut self, host: HostId, shard: ShardKey) {
+        let answer =
+            wire::ShardAnswer { shard: Some(shard.into()), not_owner: true, ..Default::default() };
+        let frame = wire::OwnerFrame {
+            answers: vec![answer],
+            members: self.home_members(),
+            revision: self.adopted.revision(),
+        };
+        self.actions.push(Action::Router(host, frame));
+    }
+
+    fn hear_peer(&mut self, now: Duration, frame: &wire::PeerFrame) {
+        for it in &frame.shards {
+            let Some(to) = it.to.as_ref().map(ShardKey::from) else { continue };
+            match self.owners.get_mut(&to) {
+                Some(owner) => owner.hear(now, it),
+                None => self.standby.entry(to).or_default().keep(it),
+            }
+        }
+    }
+
+    fn peer_sent(&mut self, now: Duration, frame: &wire::PeerFrame, arrival: Arrival) {
+        for it in &frame.shards {
+            let from = it.from.as_ref().map(ShardKey::from);
+            if let Some(owner) = from.and_then(|it| self.owners.get_mut(&it)) {
+                owner.frame_sent(now, it, arrival);
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Duration) {
+        let me = self.view.me();
+        for probe in self.probes.tick(now, &mut self.view) {
+            let (to, host, target) = match probe {
+                Probe::Direct(host) => (host, host, String::new()),
+                Probe::Indirect { via, target } => (via, target, target.to_string()),
+            };
+            let request = wire::ProbeRequest {
+                from: me.to_string(),
+                target,
+                gossip: self.view.gossip(Some(host)),
+                revision: self.adopted.revision(),
+            };
+            if let Some(it) = self.view.get(to) {
+                self.actions.push(Action::Probe(it.address, host, request));
+            }
+        }
+    }
+
+    /// Computes anew which shards this host owns, where members or configuration changed.
+    fn reassign(&mut self, now: Duration) {
+        let version = (self.view.version(), self.adopted.revision());
+        if self.seen_version == version {
+            return;
+        }
+        self.seen_version = version;
+        let fleet = self.adopted.fleet().clone();
+        let me = self.view.me();
+        let home = fleet.data_centre(&self.settings.me.data_centre);
+        let mut mine = Vec::new();
+        for service in &fleet.services {
+            let shards = fleet.shards(service.id).filter(|it| Some(it.data_centre) == home);
+            mine.extend(shards.filter(|it| self.owner_host(&fleet, *it) == Some(me)));
+        }
+        let lost: Vec<_> = self.owners.keys().filter(|it| !mine.contains(it)).copied().collect();
+        for shard in lost {
+            self.hand_over(now, shard);
+        }
+        for shard in mine {
+            self.own(now, shard, &fleet);
+        }
+        self.tell_members();
+    }
+
+    fn own(&mut self, now: Duration, shard: ShardKey, fleet: &Fleet) {
+        if !self.owners.contains_key(&shard) {
+            self.next_incarnation += 1;
+            let limits = self.settings.limits.clone();
+            let mut owner = Owner::new(now, shard, self.next_incarnation, limits);
+            owner.configure(now, fleet);
+            if let Some(it) = self.standby.remove(&shard) {
+                owner.restore(it.sets.into_values(), &it.lifts);
+            }
+            self.owners.insert(shard, owner);
+        }
+        if let Some(owner) = self.owners.get_mut(&shard) {
+            owner.set_peers(fleet.shards(shard.service));
+        }
+    }
+
+    /// Ends the ownership of a shard: the routers register with the next owner, which
+    /// gets the counters at once.
+    fn hand_over(&mut self, now: Duration, shard: ShardKey) {
+        let Some(mut owner) = self.owners.remove(&shard) else { return };
+        let frame = owner.last_frame();
+        let fleet = self.adopted.fleet().clone();
+        let next = self.owner_host(&fleet, shard);
+        if let Some(it) = next.and_then(|it| self.view.get(it)) {
+            let frame = wire::PeerFrame { from: self.view.me().to_string(), shards: vec![frame] };
+            self.actions.push(Action::Peer(it.address, frame));
+        }
+        for host in owner.routers() {
+            self.disown(host, shard);
+        }
+        self.decide(now, self.view.me(), 0, format!("handed over {shard}"));
+    }
+
+    fn owner_host(&self, fleet: &Fleet, shard: ShardKey) -> Option<HostId> {
+        let name = fleet.data_centre_name(shard.data_centre);
+        rank(shard, self.view.owners(name)).first().copied()
+    }
+
+    /// Returns the host to send a frame to: the owner, or this shard's own successor.
+    fn receiver(&self, fleet: &Fleet, from: ShardKey, to: ShardKey) -> Option<HostId> {
+        if from != to {
+            return self.owner_host(fleet, to);
+        }
+        let name = fleet.data_centre_name(to.data_centre);
+        rank(to, self.view.owners(name)).get(1).copied()
+    }
+
+    fn send_frames(&mut self, now: Duration) {
+        let fleet = self.adopted.fleet().clone();
+        let me = self.view.me();
+        let mut batches: BTreeMap<HostId, Vec<wire::PeerShard>> = BTreeMap::new();
+        let frames: Vec<_> = self.owners.values_mut().flat_map(|it| it.frames(now)).collect();
+        for frame in frames {
+            let keys = (frame.from.as_ref(), frame.to.as_ref());
+            let (Some(from), Some(to)) = keys else { continue };
+            let host = self.receiver(&fleet, from.into(), to.into());
+            match host {
+                Some(host) if host != me => batches.entry(host).or_default().push(frame),
+                Some(_) => self.deliver_here(now, frame),
+                None => self.report_lost(now, frame),
+            }
+        }
+        for (host, shards) in batches {
+            let Some(it) = self.view.get(host) else { continue };
+            let frame = wire::PeerFrame { from: me.to_string(), shards };
+            self.actions.push(Action::Peer(it.address, frame));
+        }
+    }
+
+    fn deliver_here(&mut self, now: Duration, frame: wire::PeerShard) {
+        let frame = wire::PeerFrame { from: String::new(), shards: vec![frame] };
+        self.hear_peer(now, &frame);
+        self.peer_sent(now, &frame, Arrival::Confirmed);
+    }
+
+    fn report_lost(&mut self, now: Duration, frame: wire::PeerShard) {
+        let frame = wire::PeerFrame { from: String::new(), shards: vec![frame] };
+        self.peer_sent(now, &frame, Arrival::Unknown);
+    }
+
+    fn send_answers(&mut self, now: Duration) {
+        let mut frames: BTreeMap<HostId, wire::OwnerFrame> = BTreeMap::new();
+        for owner in self.owners.values_mut() {
+            for (host, answer) in owner.take_answers() {
+                frames.entry(host).or_default().answers.push(answer);
+            }
+        }
+        for (host, mut frame) in frames {
+            for answer in &frame.answers {
+                let shard = answer.shard.as_ref().map(ShardKey::from);
+                let shard = shard.map(|it| it.to_string()).unwrap_or_default();
+                for it in &answer.grants {
+                    let text = format!(
+                        "granted by {shard} on upstream {}, estimate {}, loan {}",
+                        it.upstream, it.estimate, it.loan
+                    );
+                    self.decide(now, host, it.ticket, text);
+                }
+                for it in &answer.refusals {
+                    let text = format!("refused by {shard}, retry in {} ms", it.retry);
+                    self.decide(now, host, it.ticket, text);
+                }
+            }
+            frame.revision = self.adopted.revision();
+            self.actions.push(Action::Router(host, frame));
+        }
+    }
+
+    fn home_members(&self) -> Vec<wire::Member> {
+        let home = &self.settings.me.data_centre;
+        let mut all = self.view.to_wire();
+        all.retain(|it| it.data_centre == *home);
+        all
+    }
+
+    /// Tells the routers which members of this data centre changed.
+    fn tell_members(&mut self) {
+        let mut fresh = self.home_members();
+        fresh.retain(|it| {
+            let Ok(host) = it.host.parse() else { return false };
+            let Some(info) = self.view.get(host) else { return false };
+            let now = (info.state, info.incarnation);
+            self.told.insert(host, now) != Some(now)
+        });
+        let revision = self.adopted.revision();
+        let mut routers: Vec<_> = self.routers.iter().copied().collect();
+        routers.sort_unstable();
+        for host in routers {
+            let members = fresh.clone();
+            let frame = wire::OwnerFrame { answers: Vec::new(), members, revision };
+            self.actions.push(Action::Router(host, frame));
+        }
+    }
+
+    fn decide(&mut self, now: Duration, host: HostId, ticket: TicketId, text: String) {
+        self.decisions.push_back(Decision { at: now, host, ticket, text });
+        if MAX_DECISIONS < self.decisions.len() {
+            self.decisions.pop_front();
+        }
+    }
+}
+
+impl Standby {
+    fn keep(&mut self, frame: &wire::PeerShard) {
+        for set in &frame.sets {
+            let Some(shard) = set.shard.as_ref().map(ShardKey::from) else { continue };
+            let old = self.sets.entry((shard, set.incarnation)).or_default();
+            let mut usage: BTreeMap<_, _> =
+                old.usage.iter().map(|it| (it.workspace, *it)).collect();
+            usage.extend(set.usage.iter().map(|it| (it.workspace, *it)));
+            *old = wire::UsageSet { usage: usage.into_values().collect(), ..set.clone() };
+        }
+        for it in &frame.lifts {
+            let old = self.lifts.entry(it.workspace).or_default();
+            *old = it.value.max(*old);
+        }
+    }
+}
--- /dev/null
+++ b/crates/portfield/src/timer.rs
@@ -0,0 +1,51 @@
+//! A timer service that parts subscribe to.
+//!
+//! The service itself reads no clock: whoever drives it hands the time in, a process from
+//! its monotonic clock and a replay from virtual time.
+
+use std::{collections::BTreeSet, time::Duration};
+
+/// Pending timers, each with the key its subscriber is told.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use portfield::timer::Timers;
+///
+/// let mut timers = Timers::default();
+/// timers.subscribe(Duration::from_secs(2), "probe");
+/// assert_eq!(timers.next(), Some(Duration::from_secs(2)));
+/// assert_eq!(timers.pop_due(Duration::from_secs(1)), None);
+/// assert_eq!(timers.pop_due(Duration::from_secs(2)), Some("probe"));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Timers<K> {
+    pending: BTreeSet<(Duration, K)>,
+}
+
+impl<K> Default for Timers<K> {
+    fn default() -> Self {
+        Self { pending: BTreeSet::new() }
+    }
+}
+
+impl<K: Ord + Clone> Timers<K> {
+    /// Asks for `key` to be told at the instant `at`.
+    pub fn subscribe(&mut self, at: Duration, key: K) {
+        self.pending.insert((at, key));
+    }
+
+    /// Returns the instant of the earliest timer.
+    pub fn next(&self) -> Option<Duration> {
+        self.pending.first().map(|(at, _)| *at)
+    }
+
+    /// Takes the earliest timer that is due at `now`.
+    pub fn pop_due(&mut self, now: Duration) -> Option<K> {
+        if now < self.next()? {
+            return None;
+        }
+        self.pending.pop_first().map(|(_, key)| key)
+    }
+}
--- /dev/null
+++ b/crates/portfieldctl/src/change.rs
@@ -0,0 +1,71 @@
+//! Changes of the configuration: plan, confirm, drain.
+
+use std::{fmt::Write, fs, net::SocketAddr, path::Path};
+
+use eyre::{WrapErr, bail};
+use portfield::fleet::{Fleet, Intent, Plan};
+use portfield_net::{
+    platform::Platform,
+    store::{self, Confirmed},
+};
+
+/// Plans a stated intent.
+pub(crate) async fn plan(platform: &Platform, file: &Path) -> eyre::Result<String> {
+    let text = fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
+    let intent = Intent::parse(&text)?;
+    let base = current(platform).await?;
+    keep(platform, &Plan::new(&intent, &base)).await
+}
+
+/// Plans the leave of an upstream.
+pub(crate) async fn drain(platform: &Platform, upstream: SocketAddr) -> eyre::Result<String> {
+    let base = current(platform).await?;
+    let mut fleet = base.clone();
+    let Some(it) = fleet.upstreams.iter_mut().find(|it| it.address == upstream) else {
+        bail!("no upstream has the address {upstream}");
+    };
+    it.leaving = true;
+    keep(platform, &Plan::between(&base, fleet)).await
+}
+
+/// Puts a plan in force.
+pub(crate) async fn confirm(platform: &Platform, id: &str) -> eyre::Result<String> {
+    let plan = store::read_plan(platform, id).await.wrap_err("reading the plan")?;
+    let base = current(platform).await?;
+    let overtaken = || {
+        let err = plan.check(id, &base).err();
+        let text = err.map(|it| it.to_string()).unwrap_or_default();
+        let since = Plan::between(&base, plan.fleet.clone()).changes;
+        let mut res = format!("not confirmed: {text}\nagainst what is in force now it would:\n");
+        since.iter().for_each(|it| res.push_str(&format!("  {it}\n")));
+        res
+    };
+    if plan.id() != id {
+        plan.check(id, &base)?;
+    }
+    match store::confirm(platform, &plan).await? {
+        Confirmed::InForce => Ok(format!("revision {} is in force\n", plan.fleet.revision)),
+        Confirmed::Overtaken => bail!("{}", overtaken()),
+        Confirmed::Unclear => {
+            bail!("the platform did not say whether it took effect; run it again")
+        }
+    }
+}
+
+async fn current(platform: &Platform) -> eyre::Result<Fleet> {
+    let fleet = store::read_fleet(platform, 0).await.wrap_err("reading the configuration")?;
+    Ok(fleet.unwrap_or_default())
+}
+
+async fn keep(platform: &Platform, plan: &Plan) -> eyre::Result<String> {
+    if plan.changes.is_empty() {
+        return Ok("nothing would change\n".to_owned());
+    }
+    store::keep_plan(platform, plan).await.wrap_err("keeping the plan")?;
+    let mut res = String::new();
+    for it in &plan.changes {
+        writeln!(res, "{it}")?;
+    }
+    writeln!(res, "\nplan {} against revision {}", plan.id(), plan.base)?;
+    Ok(res)
+}
--- /dev/null
+++ b/crates/portfieldctl/src/status.rs
@@ -0,0 +1,89 @@
+//! The fleet at a glance, what is wrong first.
+
+use std::fmt::Write;
+
+use portfield_net::{
+    http1::Target,
+    platform::{Host, Platform},
+};
+use serde_json::Value;
+
+/// Shows hosts, shards and revisions.
+pub(crate) async fn show(platform: &Platform) -> eyre::Result<String> {
+    let hosts = platform.hosts().await?;
+    let mut wrong = Vec::new();
+    let mut rows = Vec::new();
+    let mut shards = Vec::new();
+    let mut newest = 0;
+    for host in &hosts {
+        let [router, scheduler] = [host.router_admin, host.scheduler_admin].map(Target::direct);
+        let router = router.get::<Value>("/status").await.unwrap_or_default();
+        let scheduler = scheduler.get::<Value>("/status").await.unwrap_or_default();
+        note_wrong(host, &router, &scheduler, &mut wrong);
+        newest = newest.max(number(&router, "revision")).max(number(&scheduler, "revision"));
+        shards.extend(scheduler["shards"].as_array().cloned().unwrap_or_default());
+        rows.push((host, router, scheduler));
+    }
+    for (host, router, scheduler) in &rows {
+        let behind = [router, scheduler].map(|it| number(it, "revision") < newest);
+        if behind.contains(&true) {
+            wrong.push(format!("{}: revision {newest} is not in force", host.scheduler.ip()));
+        }
+    }
+    let mut res = String::new();
+    for it in &wrong {
+        writeln!(res, "! {it}")?;
+    }
+    writeln!(res, "revision {newest}, {} hosts, {} wrong\n", hosts.len(), wrong.len())?;
+    writeln!(
+        res,
+        "{:16} {:18} {:>7} {:>7} {:>9} {:>8} {:>8}",
+        "host", "data centre", "waiting", "running", "answered", "not run", "unknown"
+    )?;
+    for (host, it, _) in &rows {
+        writeln!(
+            res,
+            "{:16} {:18} {:>7} {:>7} {:>9} {:>8} {:>8}",
+            host.scheduler.ip(),
+            host.data_centre,
+            number(it, "waiting"),
+            number(it, "running"),
+            number(it, "answered"),
+            number(it, "not_run"),
+            number(it, "unknown"),
+        )?;
+    }
+    writeln!(res, "\n{:14} {:>6} {:>6} {:>9}", "shard", "slots", "used", "backlog")?;
+    for it in &shards {
+        let backlog = it["backlog"].as_array().map_or(0, Vec::len);
+        let name = it["shard"].as_str().unwrap_or_default();
+        writeln!(
+            res,
+            "{name:14} {:>6} {:>6} {backlog:>9}",
+            number(it, "slots"),
+            number(it, "used")
+        )?;
+    }
+    Ok(res)
+}
+
+fn note_wrong(host: &Host, router: &Value, scheduler: &Value, wrong: &mut Vec<String>) {
+    let name = host.scheduler.ip();
+    if router.is_null() {
+        wrong.push(format!("{name}: the router does not answer"));
+    } else if router["ready"] != true {
+        wrong.push(format!("{name}: the router is not ready"));
+    }
+    if scheduler.is_null() {
+        wrong.push(format!("{name}: the scheduler does not answer"));
+    }
+    for it in scheduler["members"].as_array().into_iter().flatten() {
+        if it["state"] == "dead" || it["state"] == "suspect" {
+            wrong.push(format!("{name}: sees {} as {}", it["host"], it["state"]));
+        }
+    }
+}
+
+fn number(value: &Value, key: &str) -> u64 {
+    value[key].as_u64().unwrap_or(0)
+}
