feat(replay): replay of traces in virtual time against stated outcomes

Real routers and schedulers, small fakes for engines, platform and delay; two baselines (FIFO per upstream, limits at each router).

--- a/crates/portfield-replay/src/gap.rs
+++ b/crates/portfield-replay/src/gap.rs
@@ -96,16 +96,15 @@
         self.pair
     }
 
-    /// Returns the largest gap and starts anew, for measures over a part of a run.
-    pub fn take(&mut self) -> f64 {
-        let res = std::mem::take(&mut self.largest);
+    /// Starts anew, for the measure of a part of a run.
+    pub fn reset(&mut self) {
+        self.largest = 0.0;
         for idx in 0..self.shares.len() {
             for other in 0..idx {
                 let diff = self.diff(idx, other);
                 *self.range(idx, other) = (diff, diff);
             }
         }
-        res
     }
 
     /// Returns a workspace's service for its share.
--- a/crates/portfield-replay/src/main.rs
+++ b/crates/portfield-replay/src/main.rs
@@ -2,11 +2,18 @@
 
 use std::{
     fs,
+    io::Write,
     path::{Path, PathBuf},
 };
 
 use clap::{Parser, Subcommand};
-use portfield_replay::case::Case;
+use eyre::bail;
+use portfield_replay::{
+    baseline::{self, Baseline},
+    case::Case,
+    measure::{Figures, Verdict},
+    sim, trace,
+};
 
 /// Records and replays traces in virtual time.
 #[derive(Debug, Parser)]
@@ -23,11 +30,23 @@
         /// Case files (TOML).
         cases: Vec<PathBuf>,
     },
+    /// Replays each case and holds it against its stated outcome.
+    Run {
+        /// Case files (TOML).
+        cases: Vec<PathBuf>,
+    },
+    /// Replays each case under every policy and prints one table.
+    Compare {
+        /// Case files (TOML).
+        cases: Vec<PathBuf>,
+    },
 }
 
 fn main() -> eyre::Result<()> {
     match Args::parse().command {
         Command::Record { cases } => cases.iter().try_for_each(|it| record(it)),
+        Command::Run { cases } => run(&cases),
+        Command::Compare { cases } => compare(&cases),
     }
 }
 
@@ -37,3 +56,60 @@
     fs::write(path.with_extension("jsonl"), lines?.join("\n") + "\n")?;
     Ok(())
 }
+
+fn run(cases: &[PathBuf]) -> eyre::Result<()> {
+    let mut out = std::io::stdout();
+    let mut n_broken = 0;
+    for path in cases {
+        let case = Case::read(path)?;
+        let arrivals = trace::read(&path.with_extension("jsonl"))?;
+        let figures = sim::replay(&case, &arrivals);
+        let (text, verdict) = figures.judge(&case.outcome);
+        n_broken += usize::from(verdict == Verdict::Broken);
+        let (answered, refused, orphaned) = figures.ends;
+        writeln!(
+            out,
+            "{}: {answered} answered, {refused} refused, {orphaned} orphaned",
+            name(path)
+        )?;
+        writeln!(out, "{text}")?;
+    }
+    if 0 < n_broken {
+        bail!("{n_broken} cases missed their outcome");
+    }
+    Ok(())
+}
+
+fn compare(cases: &[PathBuf]) -> eyre::Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(out, "| case | policy | gap | bound | utilisation | control B/s | longest wait s |")?;
+    writeln!(out, "| --- | --- | ---: | ---: | ---: | ---: | ---: |")?;
+    for path in cases {
+        let case = Case::read(path)?;
+        let arrivals = trace::read(&path.with_extension("jsonl"))?;
+        let rows = [
+            ("fair", sim::replay(&case, &arrivals)),
+            ("fifo", baseline::replay(Baseline::Fifo, &case, &arrivals)),
+            ("local", baseline::replay(Baseline::Local, &case, &arrivals)),
+        ];
+        for (policy, it) in &rows {
+            writeln!(out, "{}", row(&name(path), policy, it))?;
+        }
+    }
+    Ok(())
+}
+
+fn row(case: &str, policy: &str, it: &Figures) -> String {
+    format!(
+        "| {case} | {policy} | {:.0} | {:.0} | {:.1} % | {:.0} | {:.1} |",
+        it.gap,
+        it.bound,
+        it.utilisation * 100.0,
+        it.control,
+        it.wait
+    )
+}
+
+fn name(path: &Path) -> String {
+    path.file_stem().map(|it| it.to_string_lossy().into_owned()).unwrap_or_default()
+}
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -1,7 +1,7 @@
 //! One scheduler process: members, owned shards, sessions with routers and peers.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -109,7 +109,7 @@
 /// Another owner's counters, kept for the case that this host succeeds it.
 #[derive(Debug, Default)]
 struct Standby {
-    sets: HashMap<(ShardKey, Incarnation), wire::UsageSet>,
+    sets: BTreeMap<(ShardKey, Incarnation), wire::UsageSet>,
     lifts: BTreeMap<u32, u64>,
 }
 
