fix(schedule): lift over settled counters, and only where a workspace waits

Also an owner lifted workspaces that wait elsewhere over service it had not heard of. Ruled out: lost grants (no pause over 0.2 s) and lending (the same with one data centre's callers). Change: the floor is the least settled counter (no reservations); only the owner where a workspace waits lifts it; lifts are merged before usage. Conclusion: what is only estimated must never enter a lift.

--- a/crates/portfield/src/schedule/counters.rs
+++ b/crates/portfield/src/schedule/counters.rs
@@ -43,6 +43,8 @@
     lift: Virtual,
     /// Sum over all owners, reservations and lift included.
     total: Virtual,
+    /// Reservations of all owners.
+    pending: Virtual,
     /// Tickets waiting here, and owners elsewhere that have some.
     waiting: u32,
     elsewhere: u32,
@@ -55,6 +57,11 @@
     fn is_active(&self) -> bool {
         0 < self.waiting || 0 < self.elsewhere
     }
+
+    /// Returns the counter without what is only reserved.
+    fn settled(&self) -> Virtual {
+        self.total - self.pending
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -72,7 +79,9 @@
     local: BTreeSet<(Virtual, WorkspaceId)>,
     /// Workspaces with tickets anywhere, by counter.
     active: BTreeSet<(Virtual, WorkspaceId)>,
-    /// Counter of the workspace served last.
+    /// The same by settled counter: the least is the floor for who comes back.
+    settled: BTreeSet<(Virtual, WorkspaceId)>,
+    /// Settled counter of the workspace served last.
     clock: Virtual,
     version: u64,
 }
@@ -111,9 +120,11 @@
 
     /// Reserves the estimate of a request that was granted.
     pub fn reserve(&mut self, id: WorkspaceId, amount: Virtual) {
-        self.clock = self.clock.max(self.total(id));
+        let settled = self.entries.get(&id).map_or(0, Entry::settled);
+        self.clock = self.clock.max(settled);
         self.change(id, |it| {
             it.reserved += amount;
+            it.pending += amount;
             it.total += amount;
         });
         self.touch(id);
@@ -123,6 +134,7 @@
     pub fn release(&mut self, id: WorkspaceId, amount: Virtual) {
         self.change(id, |it| {
             it.reserved -= amount;
+            it.pending -= amount;
             it.total -= amount;
         });
         self.touch(id);
@@ -134,6 +146,7 @@
         self.change(id, |it| {
             it.served += amount;
             it.reserved -= covered;
+            it.pending -= covered;
             it.total += amount - covered;
         });
         self.touch(id);
@@ -249,9 +262,13 @@
         self.change(id, |it| {
             it.total += fresh.served + fresh.reserved;
             it.total -= old.served + old.reserved;
+            it.pending += fresh.reserved;
+            it.pending -= old.reserved;
         });
         match (0 < old.waiting, 0 < fresh.waiting) {
-            (false, true) => self.enter(id, |it| it.elsewhere += 1),
+            // NOTE: only the owner where it waits lifts it. Here its service is known late,
+            // and a lift over what is not known yet would stay.
+            (false, true) => self.change(id, |it| it.elsewhere += 1),
             (true, false) => self.change(id, |it| it.elsewhere -= 1),
             _ => (),
         }
@@ -259,13 +276,16 @@
 
     /// Applies a change after which a workspace may newly be active: whoever was idle
     /// starts at the floor and banks nothing.
+    ///
+    /// **NOTE:** The floor leaves reservations out. They are estimates: a lift over one that
+    /// was too high would stay after it is taken back, and starve the workspace meanwhile.
     fn enter(&mut self, id: WorkspaceId, f: impl FnOnce(&mut Entry)) {
         let was_active = self.entries.get(&id).is_some_and(Entry::is_active);
-        let floor = self.active.first().map_or(self.clock, |it| it.0);
+        let floor = self.settled.first().map_or(self.clock, |it| it.0);
         self.change(id, f);
         let entry = self.entries[&id];
-        if !was_active && entry.is_active() && entry.total < floor {
-            self.lift_to(id, floor);
+        if !was_active && entry.is_active() && entry.settled() < floor {
+            self.raise_lift(id, entry.lift + (floor - entry.settled()));
         }
     }
 
@@ -301,10 +321,16 @@
         f(entry);
         let new = *entry;
         if (old.total, old.waiting) != (new.total, new.waiting) {
-            move_key(&mut self.local, id, (old, 0 < old.waiting), (new, 0 < new.waiting));
+            let (was, is) = ((old.total, 0 < old.waiting), (new.total, 0 < new.waiting));
+            move_key(&mut self.local, id, was, is);
         }
         if (old.total, old.is_active()) != (new.total, new.is_active()) {
-            move_key(&mut self.active, id, (old, old.is_active()), (new, new.is_active()));
+            let (was, is) = ((old.total, old.is_active()), (new.total, new.is_active()));
+            move_key(&mut self.active, id, was, is);
+        }
+        if (old.settled(), old.is_active()) != (new.settled(), new.is_active()) {
+            let (was, is) = ((old.settled(), old.is_active()), (new.settled(), new.is_active()));
+            move_key(&mut self.settled, id, was, is);
         }
     }
 }
@@ -312,13 +338,13 @@
 fn move_key(
     set: &mut BTreeSet<(Virtual, WorkspaceId)>,
     id: WorkspaceId,
-    (old, was_in): (Entry, bool),
-    (new, is_in): (Entry, bool),
+    (old, was_in): (Virtual, bool),
+    (new, is_in): (Virtual, bool),
 ) {
     if was_in {
-        set.remove(&(old.total, id));
+        set.remove(&(old, id));
     }
     if is_in {
-        set.insert((new.total, id));
+        set.insert((new, id));
     }
 }
--- a/crates/portfield/src/schedule/peer.rs
+++ b/crates/portfield/src/schedule/peer.rs
@@ -201,6 +201,7 @@
     }
 
     fn hear_usage(&mut self, from: ShardKey, frame: &wire::PeerShard) {
+        self.counters.merge_lifts(&frame.lifts);
         for set in &frame.sets {
             let Some(shard) = set.shard.as_ref().map(ShardKey::from) else { continue };
             let is_own = shard == self.shard && set.incarnation == self.incarnation;
@@ -216,7 +217,6 @@
                 }
             }
         }
-        self.counters.merge_lifts(&frame.lifts);
     }
 
     fn hear_loans(&mut self, now: Duration, from: ShardKey, frame: &wire::PeerShard) {
