fix(schedule): a hint counts only as far as it beats the mean

Cause: the learned ratio was a mean of ratios. Hints wrong by ten times either way give it a mean above two, so a large hint was reserved at twenty times its cost and its workspace waited until that settled. Change: ratio of sums, and the error of both estimates is learned too; the better one is used.

--- a/crates/portfield/src/schedule/estimate.rs
+++ b/crates/portfield/src/schedule/estimate.rs
@@ -15,14 +15,18 @@
 struct Learned {
     /// Mean cost in tokens.
     mean: f64,
-    /// Actual cost over hinted cost.
+    /// Sum of actual costs over sum of hinted costs, the newest weighing most.
     ratio: f64,
+    /// Mean errors of an estimate by the mean, and by the hint.
+    mean_error: f64,
+    hint_error: f64,
 }
 
 /// Learned costs of the workspaces of one service.
 ///
-/// A hint only orders the requests of its own workspace by size: the learned ratio takes
-/// out a workspace's habit of hinting too high or too low, whether by error or on purpose.
+/// A hint counts only as far as it proved better than the workspace's mean cost, and the
+/// learned ratio takes out a habit of hinting too high or too low, whether by error or on
+/// purpose.
 ///
 /// # Examples
 ///
@@ -48,6 +52,7 @@
             (0, None) => FIRST_GUESS,
             (0, Some(it)) => it.mean,
             (_, None) => f64::from(hint),
+            (_, Some(it)) if it.mean_error < it.hint_error => it.mean,
             (_, Some(it)) => f64::from(hint) * it.ratio,
         };
         res.clamp(1.0, MAX_ESTIMATE) as u32
@@ -56,11 +61,21 @@
     /// Takes in what a request did cost.
     pub fn learn(&mut self, id: WorkspaceId, hint: u32, cost: u32) {
         let cost = f64::from(cost.max(1));
-        let first = Learned { mean: cost, ratio: 1.0 };
-        let it = self.learned.entry(id).or_insert(first);
+        let it = self.learned.entry(id).or_insert(Learned {
+            mean: cost,
+            ratio: cost / f64::from(hint.max(1)),
+            mean_error: 0.0,
+            hint_error: 0.0,
+        });
+        it.mean_error += ALPHA * ((cost - it.mean).abs() - it.mean_error);
         it.mean += ALPHA * (cost - it.mean);
-        if 0 < hint {
-            it.ratio += ALPHA * (cost / f64::from(hint) - it.ratio);
+        if hint == 0 {
+            return;
         }
+        let hint = f64::from(hint);
+        it.hint_error += ALPHA * ((cost - hint * it.ratio).abs() - it.hint_error);
+        // A ratio of sums: one small hint for a large request doesn't outweigh the rest.
+        let weight = ALPHA * (hint / (hint + it.mean));
+        it.ratio += weight * (cost / hint - it.ratio);
     }
 }
