perf(schedule): lend a slot at a lead of 250 tokens in place of 500

Cause: a slot went to a peer only when its workspace was 500 tokens (mean share) behind, which is a term of the gap in the uneven cases.

--- a/crates/portfield/src/schedule/owner.rs
+++ b/crates/portfield/src/schedule/owner.rs
@@ -46,7 +46,7 @@
     fn default() -> Self {
         Self {
             recovery: Duration::from_millis(300),
-            lend_lead: 500,
+            lend_lead: 250,
             catch_up: 50_000,
             queue: 4096,
             exchange: Duration::from_millis(250),
