fix(schedule): number ownerships by time, reconcile loans

Loans that a dead or replaced owner held were never asked for again. Ruled out: slots in doubt (cleared within 1.5 s by load reports). Change: an ownership's number counts on in milliseconds from the host's start and is above what the successor was told; the first frame to a peer is full; a complete list of held loans goes with it and every 5 s, and a loan it leaves out is in doubt until load reports clear it.

--- a/crates/portfield-replay/src/sim/mod.rs
+++ b/crates/portfield-replay/src/sim/mod.rs
@@ -180,7 +180,8 @@
         let host = &mut self.hosts[idx];
         host.lives.0 += 1;
         host.ticks.0 = Duration::MAX;
-        let incarnation = host.lives.0 * 1_000_000 + idx as u64;
+        // As a wall clock would give it: hosts started one after the other.
+        let incarnation = 1_000_000 + 10 * idx as u64 + self.now.as_millis() as u64;
         let settings = schedule::Settings { me, incarnation, limits: Limits::default() };
         host.scheduler = Some(Scheduler::new(settings));
         // Hosts look at different moments.
--- a/crates/portfield/src/schedule/peer.rs
+++ b/crates/portfield/src/schedule/peer.rs
@@ -18,6 +18,10 @@
 const SILENCE: Duration = Duration::from_secs(3);
 /// An idle frame goes out this often, so that a silent peer is a lost one.
 const IDLE_EXCHANGE: Duration = Duration::from_secs(1);
+/// Time between two complete lists of the loans that are held.
+const HELD_PERIOD: Duration = Duration::from_secs(5);
+/// A loan that a complete list leaves out is lost if it is older than this.
+const LOAN_TRANSIT: Duration = Duration::from_secs(2);
 /// Time between two frames that only carry loans or a new want.
 const URGENT_PAUSE: Duration = Duration::from_millis(2);
 
@@ -36,6 +40,7 @@
     told_want: u32,
     sent: Duration,
     next: Duration,
+    next_held: Duration,
     lends: Vec<wire::Loan>,
     returns: Vec<LoanId>,
     lent: BTreeMap<LoanId, Duration>,
@@ -63,7 +68,9 @@
     /// Keeps exactly the given peers.
     pub(super) fn configure(&mut self, list: impl Iterator<Item = ShardKey>) {
         let mut old = std::mem::take(&mut self.peers);
-        self.peers = list.map(|it| (it, old.remove(&it).unwrap_or_default())).collect();
+        // The first frame to a peer is a full one.
+        let fresh = || Peer { pulls: true, ..Peer::default() };
+        self.peers = list.map(|it| (it, old.remove(&it).unwrap_or_else(fresh))).collect();
     }
 
     /// Returns a peer where a workspace has tickets beyond the peer's own slots.
@@ -84,6 +91,11 @@
         id
     }
 
+    /// Returns the loans of a lender that are not used yet.
+    fn unused_from(&self, lender: ShardKey) -> impl Iterator<Item = wire::Loan> + '_ {
+        self.borrowed.iter().filter(move |it| it.0 == lender).map(|it| it.1)
+    }
+
     /// Queues the return of a borrowed slot.
     pub(super) fn give_back(&mut self, lender: ShardKey, loan: LoanId) {
         if let Some(it) = self.peers.get_mut(&lender) {
@@ -122,6 +134,7 @@
                 incarnation: frame.incarnation,
                 lent: std::mem::take(&mut peer.lent),
                 returns: std::mem::take(&mut peer.returns),
+                pulls: true,
                 ..Peer::default()
             };
         }
@@ -187,7 +200,10 @@
             return;
         }
         peer.returns.extend(&frame.returns);
-        peer.pulls |= 1 < frame.sets.len() || !frame.held.is_empty();
+        peer.pulls |= 1 < frame.sets.len();
+        if frame.complete {
+            peer.next_held = now;
+        }
         for loan in &frame.lends {
             peer.lent.remove(&loan.id);
             self.slots.doubt_loan(now, loan.id);
@@ -227,12 +243,30 @@
             }
         }
         self.peers.borrowed.extend(frame.lends.iter().map(|it| (from, *it)));
-        for loan in &frame.held {
-            let Some(peer) = self.peers.peers.get_mut(&from) else { continue };
+        if frame.complete {
+            self.reconcile(now, from, &frame.held);
+        }
+    }
+
+    /// Makes the loans to a peer those that it says it holds. One that it lost, as with the
+    /// owner before it, is in doubt: what ran under it may still run.
+    fn reconcile(&mut self, now: Duration, from: ShardKey, held: &[wire::Loan]) {
+        let Some(peer) = self.peers.peers.get_mut(&from) else { return };
+        for loan in held {
             if peer.lent.insert(loan.id, now).is_none() {
                 self.slots.lend(now, loan.upstream, loan.id);
             }
         }
+        let lost: Vec<_> = peer
+            .lent
+            .iter()
+            .filter(|(id, at)| **at + LOAN_TRANSIT <= now && !held.iter().any(|it| it.id == **id))
+            .map(|(id, _)| *id)
+            .collect();
+        for loan in lost {
+            peer.lent.remove(&loan);
+            self.slots.doubt_loan(now, loan);
+        }
     }
 
     fn frame(&mut self, now: Duration, to: ShardKey, want: u32) -> Option<wire::PeerShard> {
@@ -266,7 +300,16 @@
             peer.sending = Some(version);
             peer.next = now + self.limits.exchange;
             let (since, full) = (peer.acked, std::mem::take(&mut peer.pulls));
+            let tells_held = full || peer.next_held <= now;
+            if tells_held {
+                peer.next_held = now + HELD_PERIOD;
+            }
             self.fill(&mut res, if full { 0 } else { since }, full, to);
+            if tells_held && to != self.shard {
+                res.complete = true;
+                res.held = self.held_from(to);
+                res.held.extend(self.peers.unused_from(to));
+            }
         }
         Some(res)
     }
@@ -284,9 +327,6 @@
         if full || to == self.shard {
             res.sets.extend(self.counters.seen_sets());
         }
-        if full {
-            res.held = self.held_from(to);
-        }
     }
 
     fn postpone(&mut self, next: Duration) {
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -386,11 +386,13 @@
 
     fn own(&mut self, now: Duration, shard: ShardKey, fleet: &Fleet) {
         if !self.owners.contains_key(&shard) {
-            self.next_incarnation += 1;
+            let standby = self.standby.remove(&shard);
+            let earlier = standby.as_ref().and_then(|it| it.newest(shard));
+            let incarnation = self.new_incarnation(now, earlier);
             let limits = self.settings.limits.clone();
-            let mut owner = Owner::new(now, shard, self.next_incarnation, limits);
+            let mut owner = Owner::new(now, shard, incarnation, limits);
             owner.configure(now, fleet);
-            if let Some(it) = self.standby.remove(&shard) {
+            if let Some(it) = standby {
                 owner.restore(it.sets.into_values(), &it.lifts);
             }
             self.owners.insert(shard, owner);
@@ -400,6 +402,15 @@
         }
     }
 
+    /// Returns a number above those of all earlier ownerships: hosts started at different
+    /// times, so it counts on from the host's own start, and above what the standby knows.
+    fn new_incarnation(&mut self, now: Duration, earlier: Option<Incarnation>) -> Incarnation {
+        let by_clock = self.settings.incarnation + now.as_millis() as u64;
+        let earlier = earlier.unwrap_or(0).max(self.next_incarnation);
+        self.next_incarnation = by_clock.max(earlier + 1);
+        self.next_incarnation
+    }
+
     /// Ends the ownership of a shard: the routers register with the next owner, which
     /// gets the counters at once.
     fn hand_over(&mut self, now: Duration, shard: ShardKey) {
@@ -527,6 +538,11 @@
 }
 
 impl Standby {
+    fn newest(&self, shard: ShardKey) -> Option<Incarnation> {
+        let all = (shard, 0)..=(shard, Incarnation::MAX);
+        self.sets.range(all).next_back().map(|((_, it), _)| *it)
+    }
+
     fn keep(&mut self, frame: &wire::PeerShard) {
         for set in &frame.sets {
             let Some(shard) = set.shard.as_ref().map(ShardKey::from) else { continue };
