--- a/crates/portfield-replay/src/measure.rs
+++ b/crates/portfield-replay/src/measure.rs
@@ -45,7 +45,7 @@
     most_cost: u32,
     busy: f64,
     capacity: f64,
-    last_sample: Duration,
+    last_sample: Option<Duration>,
     last_start: Duration,
     longest_wait: Duration,
     longest_pause: Duration,
@@ -111,7 +111,7 @@
             most_cost: arrivals.iter().map(|it| it.cost).max().unwrap_or(0),
             busy: 0.0,
             capacity: 0.0,
-            last_sample: Duration::ZERO,
+            last_sample: None,
             last_start: Duration::ZERO,
             longest_wait: Duration::ZERO,
             longest_pause: Duration::ZERO,
@@ -170,8 +170,8 @@
 
     /// Counts slots in use since the last sample.
     pub fn sample(&mut self, now: Duration, busy: u32, capacity: u32) {
-        let time = (now - self.last_sample).as_secs_f64();
-        self.last_sample = now;
+        let time = (now - self.last_sample.unwrap_or(now)).as_secs_f64();
+        self.last_sample = Some(now);
         if self.waiting.iter().all(|it| *it == 0) {
             return;
         }
