perf(member): a refused probe is a verdict

Cause: an owner's process that died was found by probe time-out, indirect probes and suspicion, 1.35 s; its upstreams drained meanwhile. Change: connection refused by the host itself means the process has ended; the member is dead at once and a new process refutes it. A refusal by a relay says nothing and is not taken for one. A host that dies without refusing is found as before, by time-out.

--- a/crates/portfield-net/src/dial.rs
+++ b/crates/portfield-net/src/dial.rs
@@ -35,11 +35,15 @@
     pub async fn connect(&self, data_centre: &str, address: SocketAddr) -> io::Result<TcpStream> {
         let relay = self.relays.get(data_centre).copied();
         let open = async {
-            let mut stream = TcpStream::connect(relay.unwrap_or(address)).await?;
+            let Some(relay) = relay else {
+                let stream = TcpStream::connect(address).await?;
+                stream.set_nodelay(true)?;
+                return Ok(stream);
+            };
+            // A relay that refuses says nothing about the address behind it.
+            let mut stream = TcpStream::connect(relay).await.map_err(io::Error::other)?;
             stream.set_nodelay(true)?;
-            if relay.is_some() {
-                ask_relay(&mut stream, address).await?;
-            }
+            ask_relay(&mut stream, address).await?;
             Ok(stream)
         };
         let late = || Err(io::Error::new(io::ErrorKind::TimedOut, "no connection in time"));
@@ -59,5 +63,5 @@
     if answer.starts_with(b"HTTP/1.1 200") {
         return Ok(());
     }
-    Err(io::Error::new(io::ErrorKind::ConnectionRefused, "the relay refused"))
+    Err(io::Error::other("the relay refused"))
 }
--- a/crates/portfield-replay/src/sim/net.rs
+++ b/crates/portfield-replay/src/sim/net.rs
@@ -52,6 +52,12 @@
         ((answers && open).then_some(host.lives.0), self.delay(a, b))
     }
 
+    /// Returns whether a host answers, but no scheduler runs there.
+    fn refuses(&self, from: usize, to: usize) -> bool {
+        let (a, b) = (self.hosts[from].centre, self.hosts[to].centre);
+        self.hosts[to].scheduler.is_none() && !self.is_cut(a, b) && !self.is_cut(b, a)
+    }
+
     pub(super) fn dial(&mut self, router: usize, host: HostId) {
         let scheduler = self.host(host);
         let (life, delay) = self.reach(router, scheduler);
@@ -144,8 +150,14 @@
         let to = self.at_address(address);
         self.count(request.encoded_len() + CALL_COST);
         let (life, delay) = self.reach(from, to);
-        let Some(life) = life else { return };
         let own = self.hosts[from].lives.0;
+        let Some(life) = life else {
+            if request.target.is_empty() && self.refuses(from, to) {
+                let event = schedule::Event::Refused(target);
+                self.after(delay * 2, Event::Scheduler(from, own, event));
+            }
+            return;
+        };
         let mut time = delay * 2;
         let mut alive = true;
         if !request.target.is_empty() {
--- a/crates/portfield-scheduler/src/shell.rs
+++ b/crates/portfield-scheduler/src/shell.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -28,6 +29,15 @@
 /// Shortest sleep between two ticks.
 const MIN_SLEEP: Duration = Duration::from_millis(1);
 
+/// Why a call to a scheduler got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Failure {
+    /// Nothing listens at its address.
+    Refused,
+    /// It may have arrived or not.
+    Lost,
+}
+
 /// A router's session.
 #[derive(Debug)]
 struct Session {
@@ -139,7 +149,7 @@
     /// Asks another scheduler for its configuration.
     pub(crate) async fn fetch(self: Arc<Self>, address: SocketAddr) {
         let above = self.read(|it| it.fleet().revision);
-        let Some(channel) = self.channel(address).await else { return };
+        let Ok(channel) = self.channel(address).await else { return };
         let call = async { channel.scheduler().fetch(wire::FetchRequest { above }).await };
         let Some(Ok(reply)) = clock::timeout(PEER_TIMEOUT, call).await else { return };
         if let Ok(fleet) = serde_json::from_str::<Fleet>(&reply.into_inner().fleet) {
@@ -166,7 +176,7 @@
         });
         let address = self.read(|it| it.view().get(target).map(|it| it.address));
         let Some(address) = address else { return false };
-        self.ask(address, request).await.is_some()
+        self.ask(address, request).await.is_ok()
     }
 
     /// Sends a probe to an address that no host is known for yet.
@@ -175,7 +185,7 @@
             from: it.view().me().to_string(),
             ..Default::default()
         });
-        if let Some(reply) = self.ask(address, request).await {
+        if let Ok(reply) = self.ask(address, request).await {
             self.feed(Event::Answered(address.ip(), reply));
         }
     }
@@ -194,8 +204,11 @@
             Action::Probe(address, host, request) => {
                 let shell = self.clone();
                 self.rt.spawn(async move {
-                    if let Some(reply) = shell.ask(address, request).await {
-                        shell.feed(Event::Answered(host, reply));
+                    let is_direct = request.target.is_empty();
+                    match shell.ask(address, request).await {
+                        Ok(reply) => shell.feed(Event::Answered(host, reply)),
+                        Err(Failure::Refused) if is_direct => shell.feed(Event::Refused(host)),
+                        Err(_) => (),
                     }
                 });
             }
@@ -206,7 +219,7 @@
     async fn send_peer(self: Arc<Self>, address: SocketAddr, frame: wire::PeerFrame) {
         let sent = frame.clone();
         let call = async {
-            let channel = self.channel(address).await?;
+            let channel = self.channel(address).await.ok()?;
             channel.scheduler().exchange(sent).await.ok()
         };
         let res = clock::timeout(PEER_TIMEOUT, call).await.flatten();
@@ -218,30 +231,35 @@
         self: &Arc<Self>,
         address: SocketAddr,
         request: wire::ProbeRequest,
-    ) -> Option<wire::ProbeReply> {
+    ) -> Result<wire::ProbeReply, Failure> {
         let is_indirect = !request.target.is_empty();
         let time = if is_indirect { PROBE_TIMEOUT * 2 } else { PROBE_TIMEOUT };
         let call = async {
             let channel = self.channel(address).await?;
-            channel.scheduler().probe(request).await.ok()
+            let reply = channel.scheduler().probe(request).await;
+            reply.map(tonic::Response::into_inner).map_err(|_| Failure::Lost)
         };
-        clock::timeout(time, call).await.flatten().map(tonic::Response::into_inner)
+        clock::timeout(time, call).await.unwrap_or(Err(Failure::Lost))
     }
 
     /// Returns a connection to a scheduler, the one that is open if there is one.
-    async fn channel(self: &Arc<Self>, address: SocketAddr) -> Option<Channel> {
+    async fn channel(self: &Arc<Self>, address: SocketAddr) -> Result<Channel, Failure> {
         let old = self.lock().channels.get(&address).cloned();
         if let Some(it) = old.filter(|it| !it.is_closed()) {
-            return Some(it);
+            return Ok(it);
         }
         let data_centre = self.read(|it| {
             let found = it.view().iter().find(|(_, info)| info.address == address);
             found.map(|(_, info)| info.data_centre.clone()).unwrap_or_default()
         });
-        let stream = self.links.connect(&data_centre, address).await.ok()?;
-        let channel = Channel::open(&self.rt, stream).await.ok()?;
+        let failure = |err: io::Error| match err.kind() {
+            io::ErrorKind::ConnectionRefused => Failure::Refused,
+            _ => Failure::Lost,
+        };
+        let stream = self.links.connect(&data_centre, address).await.map_err(failure)?;
+        let channel = Channel::open(&self.rt, stream).await.map_err(|_| Failure::Lost)?;
         self.lock().channels.insert(address, channel.clone());
-        Some(channel)
+        Ok(channel)
     }
 
     fn is_current(&self, host: HostId, number: u64) -> bool {
--- a/crates/portfield/src/member/probe.rs
+++ b/crates/portfield/src/member/probe.rs
@@ -94,6 +94,15 @@
         }
     }
 
+    /// Takes in that nothing listens at `host`'s address: its process has ended, and no
+    /// suspicion is needed. A new process there refutes it with its new incarnation.
+    pub fn refused(&mut self, now: Duration, view: &mut View, host: HostId) {
+        self.open.remove(&host);
+        if view.get(host).is_some_and(|it| it.state <= State::Suspect) {
+            view.set(now, host, State::Dead);
+        }
+    }
+
     fn expire(&mut self, now: Duration, view: &mut View, res: &mut Vec<Probe>) {
         let late: Vec<_> = self
             .open
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -53,6 +53,8 @@
     PeerSent(wire::PeerFrame, Arrival),
     /// A probe of a host was answered, with the membership that came along.
     Answered(HostId, wire::ProbeReply),
+    /// A probe was refused: nothing listens at the host's address.
+    Refused(HostId),
     /// A probe arrived.
     Probed(wire::ProbeRequest),
     /// An upstream's load report was read, or could not be.
@@ -201,6 +203,7 @@
                 }
                 self.learn_revision(host, reply.revision);
             }
+            Event::Refused(host) => self.probes.refused(now, &mut self.view, host),
             Event::Probed(request) => {
                 self.view.merge(now, &request.gossip);
                 if let Ok(host) = request.from.parse() {
