fix(route): a scheduler that is dead by membership has no session

Cause, found by the new replay host-dies: when an owner's host loses power nothing refuses and its connections seem open until a ping fails (5 s); the routers left their tickets with it. Change: a router that hears of a dead member ends the session and registers with the next owner.

--- a/crates/portfield-replay/src/case.rs
+++ b/crates/portfield-replay/src/case.rs
@@ -132,6 +132,8 @@
     Scheduler,
     /// The scheduler that owns the first data centre's shard dies, whichever it is.
     Owner,
+    /// The host of the first shard's owner loses power: nothing refuses, connections hang.
+    Host,
     /// A host's router dies with its requests, and starts again with nothing.
     Router,
     /// A data centre is cut off from the others.
@@ -162,6 +164,8 @@
     pub wait: Option<f64>,
     /// Longest time after a fault's start without any grant while something waits, in seconds.
     pub pause: Option<f64>,
+    /// Longest time from an owner's death to the next work for its upstreams, in seconds.
+    pub regrant: Option<f64>,
     /// Largest gap in the last seconds of the run, with the number of seconds.
     pub gap_at_end: Option<(f64, f64)>,
 }
--- a/crates/portfield-replay/src/measure.rs
+++ b/crates/portfield-replay/src/measure.rs
@@ -50,6 +50,8 @@
     longest_wait: Duration,
     longest_pause: Duration,
     violations: Vec<String>,
+    /// Longest time from an owner's death to the next work for its upstreams.
+    pub regrant: Duration,
     /// Control bytes, sent and received.
     pub bytes: u64,
     /// Control messages sent.
@@ -75,6 +77,8 @@
     pub wait: f64,
     /// Longest time without a grant while something waited, in seconds.
     pub pause: f64,
+    /// Longest time from an owner's death to the next work for its upstreams, in seconds.
+    pub regrant: f64,
     /// Requests answered, refused and orphaned.
     pub ends: (usize, usize, usize),
     /// Broken promises.
@@ -116,6 +120,7 @@
             longest_wait: Duration::ZERO,
             longest_pause: Duration::ZERO,
             violations: Vec::new(),
+            regrant: Duration::ZERO,
             bytes: 0,
             messages: 0,
             names,
@@ -202,6 +207,7 @@
             control: self.bytes as f64 / now.as_secs_f64() / n_hosts as f64,
             wait: self.longest_wait.as_secs_f64(),
             pause: self.longest_pause.as_secs_f64(),
+            regrant: self.regrant.as_secs_f64(),
             ends: (count(Fate::Answered), count(Fate::Refused), count(Fate::Orphaned)),
             violations: self.violations.clone(),
         }
@@ -238,6 +244,9 @@
         if let Some(it) = outcome.pause {
             lines.push(("longest pause at most", it, self.pause, self.pause <= it));
         }
+        if let Some(it) = outcome.regrant {
+            lines.push(("granting again within", it, self.regrant, self.regrant <= it));
+        }
         let mut text = String::new();
         for (name, bound, figure, holds) in &lines {
             let mark = if *holds { "holds" } else { "BROKEN" };
--- a/crates/portfield-replay/src/sim/faults.rs
+++ b/crates/portfield-replay/src/sim/faults.rs
@@ -22,8 +22,18 @@
             (FaultKind::Scheduler, Switch::Off) => self.start_scheduler(at),
             (FaultKind::Owner, Switch::On) => {
                 let owner = self.first_owner();
+                self.orphaned = Some(self.now);
                 self.kill_scheduler(owner);
             }
+            (FaultKind::Host, Switch::On) => self.kill_host(),
+            (FaultKind::Host, Switch::Off) => {
+                let dead = (0..self.hosts.len()).find(|it| self.hosts[*it].silent);
+                if let Some(it) = dead {
+                    self.hosts[it].silent = false;
+                    self.start_scheduler(it);
+                    self.start_router(it);
+                }
+            }
             (FaultKind::Owner, Switch::Off) => {
                 let dead = (0..self.hosts.len()).filter(|it| self.hosts[*it].scheduler.is_none());
                 dead.collect::<Vec<_>>().into_iter().for_each(|it| self.start_scheduler(it));
@@ -77,6 +87,15 @@
         self.break_sessions(|it| it.1 == at);
     }
 
+    fn kill_host(&mut self) {
+        let at = self.first_owner();
+        self.orphaned = Some(self.now);
+        self.hosts[at].silent = true;
+        self.hosts[at].scheduler = None;
+        self.kill_router(at);
+        self.break_sessions(|it| it.1 == at);
+    }
+
     fn kill_router(&mut self, at: usize) {
         self.hosts[at].router = None;
         let mut tickets: Vec<_> = self.hosts[at].tickets.drain().collect();
--- a/crates/portfield-replay/src/sim/mod.rs
+++ b/crates/portfield-replay/src/sim/mod.rs
@@ -41,6 +41,8 @@
 const WARM_UP: Duration = Duration::from_secs(3);
 /// Longest replay after the last arrival.
 const LINGER: Duration = Duration::from_secs(120);
+/// Grants that were under way when their owner died arrive within this time.
+const TRANSIT: Duration = Duration::from_millis(20);
 /// Time after which a leaving upstream must get nothing.
 const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -84,6 +86,8 @@
     /// Lives of the scheduler and of the router.
     lives: (u64, u64),
     paused: Option<Vec<Event>>,
+    /// It has no power: nothing there even refuses.
+    silent: bool,
     tickets: HashMap<TicketId, usize>,
     ticks: (Duration, Duration),
 }
@@ -104,6 +108,8 @@
     sessions: BTreeSet<(usize, usize)>,
     cuts: Vec<(usize, usize)>,
     left: Option<(UpstreamId, Duration)>,
+    /// When the first shard lost its owner, until its upstreams get work again.
+    orphaned: Option<Duration>,
     measure: Measure,
 }
 
@@ -137,6 +143,7 @@
             sessions: BTreeSet::new(),
             cuts: Vec::new(),
             left: None,
+            orphaned: None,
             measure: Measure::new(case, arrivals),
         };
         res.add_hosts();
@@ -164,6 +171,7 @@
                     router: None,
                     lives: (0, 0),
                     paused: None,
+                    silent: false,
                     tickets: HashMap::new(),
                     ticks: (Duration::MAX, Duration::MAX),
                 });
@@ -396,6 +404,7 @@
         if self.left.is_some_and(|(id, at)| id == start.upstream && at + LEAVE_LIMIT < self.now) {
             self.measure.violate(format!("upstream {} got work while leaving", start.upstream));
         }
+        self.note_regrant(centre);
         self.n_runs += 1;
         let run = self.n_runs;
         self.runs.insert(run, start);
@@ -408,6 +417,15 @@
         self.after(time, Event::Tokens(start.upstream, run));
     }
 
+    /// Notes the first work for the first data centre's upstreams after their owner died.
+    fn note_regrant(&mut self, centre: usize) {
+        let Some(since) = self.orphaned.filter(|it| centre == 0 && *it + TRANSIT < self.now) else {
+            return;
+        };
+        self.orphaned = None;
+        self.measure.regrant = self.measure.regrant.max(self.now - since);
+    }
+
     fn make_tokens(&mut self, upstream: UpstreamId, run: u64) {
         let Some(start) = self.runs.get(&run).copied() else { return };
         let now = self.now;
--- a/crates/portfield-replay/src/sim/net.rs
+++ b/crates/portfield-replay/src/sim/net.rs
@@ -13,6 +13,8 @@
 const CALL_COST: usize = 120;
 /// Time after which a call without an answer is given up.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a connection without pings is given up.
+const PING_LIMIT: Duration = Duration::from_secs(5);
 /// Time after which a probe without an answer is given up.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -55,7 +57,8 @@
     /// Returns whether a host answers, but no scheduler runs there.
     fn refuses(&self, from: usize, to: usize) -> bool {
         let (a, b) = (self.hosts[from].centre, self.hosts[to].centre);
-        self.hosts[to].scheduler.is_none() && !self.is_cut(a, b) && !self.is_cut(b, a)
+        let host = &self.hosts[to];
+        host.scheduler.is_none() && !host.silent && !self.is_cut(a, b) && !self.is_cut(b, a)
     }
 
     pub(super) fn dial(&mut self, router: usize, host: HostId) {
@@ -179,7 +182,11 @@
         let broken: Vec<_> = self.sessions.iter().filter(|it| gone(it)).copied().collect();
         for (router, scheduler) in broken {
             self.sessions.remove(&(router, scheduler));
-            let delay = self.delay(self.hosts[router].centre, self.hosts[scheduler].centre);
+            let mut delay = self.delay(self.hosts[router].centre, self.hosts[scheduler].centre);
+            if self.hosts[router].silent || self.hosts[scheduler].silent {
+                // Only the pings of the connection find it out.
+                delay += PING_LIMIT;
+            }
             let (ip, life) = (self.hosts[router].ip, self.hosts[scheduler].lives.0);
             let down = schedule::Event::RouterDown(ip);
             self.after(delay, Event::Scheduler(scheduler, life, down));
--- a/crates/portfield/src/route/router.rs
+++ b/crates/portfield/src/route/router.rs
@@ -17,6 +17,8 @@
     wire,
 };
 
+/// State of a member that is dead, on the wire.
+const DEAD: u32 = 2;
 /// Time between two batches of progress reports.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
 /// Progress in tokens below which a report waits for the next batch.
@@ -291,7 +293,7 @@
 
     /// Takes in a scheduler's frame.
     pub fn hear(&mut self, now: Duration, from: HostId, frame: &wire::OwnerFrame) {
-        self.hear_members(&frame.members);
+        self.hear_members(now, &frame.members);
         self.hear_revision(from, frame.revision);
         for answer in &frame.answers {
             let Some(shard) = answer.shard.as_ref().map(ShardKey::from) else { continue };
@@ -410,7 +412,7 @@
         }
     }
 
-    fn hear_members(&mut self, members: &[wire::Member]) {
+    fn hear_members(&mut self, now: Duration, members: &[wire::Member]) {
         for it in members {
             let (Ok(host), Ok(address)) = (it.host.parse(), it.address.parse()) else { continue };
             let fresh = Scheduler {
@@ -424,6 +426,10 @@
             if old.incarnation <= it.incarnation {
                 let (up, dialed) = (old.up, old.dialed);
                 *old = Scheduler { up, dialed, ..fresh };
+                if up && it.state == DEAD {
+                    // The connection to a host without power may seem open for long.
+                    self.session_down(now, host);
+                }
             }
         }
     }
