fix(schedule): a new owner lifts nobody it doesn't know, strays are named

Change: lifts begin when the recovery window ends; a frame's answer names the shards that the receiver does not own, and its view of its data centre, so the sender keeps those loans in doubt and learns the owner.

--- a/crates/portfield-replay/src/sim/net.rs
+++ b/crates/portfield-replay/src/sim/net.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use portfield::{ids::HostId, schedule, schedule::Arrival, wire};
+use portfield::{ids::HostId, schedule, wire};
 use prost::Message;
 
 use super::{Event, World};
@@ -135,11 +135,11 @@
             let event = schedule::Event::Peer(frame.clone());
             self.after(delay, Event::Scheduler(to, lives, event));
         }
-        let (arrival, time) = match life {
-            Some(_) => (Arrival::Confirmed, delay * 2),
-            None => (Arrival::Unknown, CALL_TIMEOUT),
-        };
-        let event = schedule::Event::PeerSent(frame, arrival);
+        let scheduler = self.hosts[to].scheduler.as_ref().filter(|_| life.is_some());
+        let reply = scheduler.map(|it| it.peer_reply(&frame));
+        let time = if reply.is_some() { delay * 2 } else { CALL_TIMEOUT };
+        self.count(reply.as_ref().map_or(0, wire::PeerReply::encoded_len));
+        let event = schedule::Event::PeerSent(frame, reply);
         self.after(time, Event::Scheduler(from, own, event));
     }
 
--- a/crates/portfield-scheduler/src/grpc.rs
+++ b/crates/portfield-scheduler/src/grpc.rs
@@ -63,8 +63,10 @@
         &self,
         request: Request<wire::PeerFrame>,
     ) -> Result<Response<wire::PeerReply>, Status> {
-        self.shell.feed(Event::Peer(request.into_inner()));
-        Ok(Response::new(wire::PeerReply::default()))
+        let frame = request.into_inner();
+        let reply = self.shell.read(|it| it.peer_reply(&frame));
+        self.shell.feed(Event::Peer(frame));
+        Ok(Response::new(reply))
     }
 
     async fn fetch(
--- a/crates/portfield-scheduler/src/shell.rs
+++ b/crates/portfield-scheduler/src/shell.rs
@@ -13,7 +13,7 @@
     fleet::Fleet,
     ids::HostId,
     member::ListEntry,
-    schedule::{self, Action, Arrival, Event, Scheduler},
+    schedule::{self, Action, Event, Scheduler},
     wire,
 };
 use portfield_net::{clock, dial::Links, metrics::Metrics, rpc::Channel, rt::Runtime};
@@ -223,8 +223,7 @@
             channel.scheduler().exchange(sent).await.ok()
         };
         let res = clock::timeout(PEER_TIMEOUT, call).await.flatten();
-        let arrival = if res.is_some() { Arrival::Confirmed } else { Arrival::Unknown };
-        self.feed(Event::PeerSent(frame, arrival));
+        self.feed(Event::PeerSent(frame, res.map(tonic::Response::into_inner)));
     }
 
     async fn ask(
--- a/crates/portfield/src/member/probe.rs
+++ b/crates/portfield/src/member/probe.rs
@@ -16,9 +16,9 @@
 /// Members asked to probe in this host's place.
 const N_HELPERS: usize = 2;
 /// Every so many periods a host of another data centre is probed.
-const REMOTE_EVERY: u64 = 4;
+const REMOTE_EVERY: u64 = 8;
 /// Every so many periods a dead member is probed, to find it back after a cut.
-const DEAD_EVERY: u64 = 5;
+const DEAD_EVERY: u64 = 7;
 
 /// A probe to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,7 +78,7 @@
         }
         self.next = now + PERIOD;
         self.round += 1;
-        if let Some(host) = self.choose(view) {
+        for host in self.choose(view) {
             self.open.entry(host).or_insert((now, Stage::Direct));
             res.push(Probe::Direct(host));
         }
@@ -133,30 +133,24 @@
         all.into_iter().take(N_HELPERS).map(|via| Probe::Indirect { via, target }).collect()
     }
 
-    /// Chooses the next member: mostly of this data centre, each in its turn.
-    fn choose(&mut self, view: &View) -> Option<HostId> {
+    /// Chooses the members to probe: one of this data centre in its turn, and now and then
+    /// one of another and one that is dead, which must not delay the first.
+    fn choose(&mut self, view: &View) -> Vec<HostId> {
         let me = view.me();
-        let home = &view.get(me)?.data_centre;
-        let pick = |rng: &mut fastrand::Rng, want: &dyn Fn(&super::Info) -> bool| {
-            let all: Vec<_> = view
-                .iter()
-                .filter(|(host, it)| *host != me && want(it))
-                .map(|(host, _)| host)
-                .collect();
-            rng.choice(all)
-        };
-        if self.round.is_multiple_of(DEAD_EVERY)
-            && let Some(host) = pick(&mut self.rng, &|it| it.state == State::Dead)
-        {
-            return Some(host);
+        let Some(home) = view.get(me).map(|it| &it.data_centre) else { return Vec::new() };
+        let mut res: Vec<_> = self.choose_local(view, home).into_iter().collect();
+        if self.round.is_multiple_of(REMOTE_EVERY) {
+            let remote =
+                view.iter().filter(|(_, it)| it.data_centre != *home && it.state <= State::Suspect);
+            let remote: Vec<_> = remote.map(|(host, _)| host).collect();
+            res.extend(self.rng.choice(remote));
         }
-        if self.round.is_multiple_of(REMOTE_EVERY)
-            && let Some(host) =
-                pick(&mut self.rng, &|it| it.data_centre != *home && it.state <= State::Suspect)
-        {
-            return Some(host);
+        if self.round.is_multiple_of(DEAD_EVERY) {
+            let dead = view.iter().filter(|(_, it)| it.state == State::Dead);
+            let dead: Vec<_> = dead.map(|(host, _)| host).collect();
+            res.extend(self.rng.choice(dead));
         }
-        self.choose_local(view, home)
+        res
     }
 
     fn choose_local(&mut self, view: &View, home: &str) -> Option<HostId> {
--- a/crates/portfield/src/schedule/counters.rs
+++ b/crates/portfield/src/schedule/counters.rs
@@ -84,9 +84,19 @@
     /// Settled counter of the workspace served last.
     clock: Virtual,
     version: u64,
+    /// Whether the other owners' counters are known, so that a lift would be true.
+    complete: bool,
 }
 
 impl Counters {
+    /// Notes that what other owners counted is known: from now on workspaces are lifted.
+    ///
+    /// **NOTE:** A new owner that lifted before would lift over what it doesn't know yet, and
+    /// the lift would stay.
+    pub fn set_complete(&mut self) {
+        self.complete = true;
+    }
+
     /// Returns a workspace's counter.
     pub fn total(&self, id: WorkspaceId) -> Virtual {
         self.entries.get(&id).map_or(0, |it| it.total)
@@ -284,7 +294,7 @@
         let floor = self.settled.first().map_or(self.clock, |it| it.0);
         self.change(id, f);
         let entry = self.entries[&id];
-        if !was_active && entry.is_active() && entry.settled() < floor {
+        if self.complete && !was_active && entry.is_active() && entry.settled() < floor {
             self.raise_lift(id, entry.lift + (floor - entry.settled()));
         }
     }
--- a/crates/portfield/src/schedule/owner.rs
+++ b/crates/portfield/src/schedule/owner.rs
@@ -270,6 +270,7 @@
         if now < self.granting {
             return;
         }
+        self.counters.set_complete();
         self.use_borrowed(now);
         while self.slots.any_free(now) {
             let Some(choice) = self.choose() else { break };
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -49,8 +49,8 @@
     RouterDown(HostId),
     /// A peer's frame arrived.
     Peer(wire::PeerFrame),
-    /// A frame to a peer arrived, or may not have.
-    PeerSent(wire::PeerFrame, Arrival),
+    /// A frame to a peer was answered, or its answer is lost.
+    PeerSent(wire::PeerFrame, Option<wire::PeerReply>),
     /// A probe of a host was answered, with the membership that came along.
     Answered(HostId, wire::ProbeReply),
     /// A probe was refused: nothing listens at the host's address.
@@ -195,7 +195,7 @@
             Event::RouterUp(host) => self.router_up(now, host),
             Event::RouterDown(host) => self.router_down(now, host),
             Event::Peer(frame) => self.hear_peer(now, &frame),
-            Event::PeerSent(frame, arrival) => self.peer_sent(now, &frame, arrival),
+            Event::PeerSent(frame, reply) => self.peer_sent(now, &frame, reply.as_ref()),
             Event::Answered(host, reply) => {
                 self.view.merge(now, &reply.gossip);
                 if reply.alive {
@@ -232,6 +232,19 @@
         wire::ProbeReply { alive: true, gossip, revision: self.adopted.revision() }
     }
 
+    /// Builds the answer to a peer's frame: what in it went to the wrong host.
+    pub fn peer_reply(&self, frame: &wire::PeerFrame) -> wire::PeerReply {
+        let is_stray = |it: &&wire::PeerShard| {
+            let to = it.to.as_ref().map(ShardKey::from);
+            // A frame from a shard to itself is for its successor.
+            it.from != it.to && to.is_some_and(|it| !self.owners.contains_key(&it))
+        };
+        let not_owned: Vec<_> =
+            frame.shards.iter().filter(is_stray).filter_map(|it| it.to).collect();
+        let gossip = if not_owned.is_empty() { Vec::new() } else { self.home_members() };
+        wire::PeerReply { not_owned, gossip }
+    }
+
     fn adopt(&mut self, now: Duration, fleet: Fleet) {
         if !self.adopted.offer(fleet) {
             return;
@@ -329,17 +342,31 @@
             let Some(to) = it.to.as_ref().map(ShardKey::from) else { continue };
             match self.owners.get_mut(&to) {
                 Some(owner) => owner.hear(now, it),
-                None => self.standby.entry(to).or_default().keep(it),
+                None if it.from == it.to => self.standby.entry(to).or_default().keep(it),
+                None => (),
             }
         }
     }
 
-    fn peer_sent(&mut self, now: Duration, frame: &wire::PeerFrame, arrival: Arrival) {
+    fn peer_sent(
+        &mut self,
+        now: Duration,
+        frame: &wire::PeerFrame,
+        reply: Option<&wire::PeerReply>,
+    ) {
+        if let Some(it) = reply {
+            self.view.merge(now, &it.gossip);
+        }
         for it in &frame.shards {
             let from = it.from.as_ref().map(ShardKey::from);
-            if let Some(owner) = from.and_then(|it| self.owners.get_mut(&it)) {
-                owner.frame_sent(now, it, arrival);
-            }
+            let Some(owner) = from.and_then(|it| self.owners.get_mut(&it)) else { continue };
+            let taken =
+                |reply: &wire::PeerReply| it.to.is_some_and(|to| !reply.not_owned.contains(&to));
+            let arrival = match reply.is_some_and(taken) {
+                true => Arrival::Confirmed,
+                false => Arrival::Unknown,
+            };
+            owner.frame_sent(now, it, arrival);
         }
     }
 
@@ -470,12 +497,12 @@
     fn deliver_here(&mut self, now: Duration, frame: wire::PeerShard) {
         let frame = wire::PeerFrame { from: String::new(), shards: vec![frame] };
         self.hear_peer(now, &frame);
-        self.peer_sent(now, &frame, Arrival::Confirmed);
+        self.peer_sent(now, &frame, Some(&wire::PeerReply::default()));
     }
 
     fn report_lost(&mut self, now: Duration, frame: wire::PeerShard) {
         let frame = wire::PeerFrame { from: String::new(), shards: vec![frame] };
-        self.peer_sent(now, &frame, Arrival::Unknown);
+        self.peer_sent(now, &frame, None);
     }
 
     fn send_answers(&mut self, now: Duration) {
--- a/crates/portfield/tests/counters.rs
+++ b/crates/portfield/tests/counters.rs
@@ -17,9 +17,27 @@
     UsageSet { shard: Some(NORTH.into()), incarnation, sequence, usage: usage.collect() }
 }
 
+fn complete() -> Counters {
+    let mut it = Counters::default();
+    it.set_complete();
+    it
+}
+
+/// Found by the replay of `host-dies`: a new owner lifted workspaces before it had heard
+/// what they were served, and they starved.
 #[test]
-fn idle_workspace_banks_nothing() {
+fn new_owner_lifts_nobody_before_it_knows() {
     let mut it = Counters::default();
+    it.serve(1, 500 * SCALE, 0);
+    it.set_waiting(1, 1);
+    it.set_waiting(2, 1);
+    it.merge(NORTH, &set(1, 1, &[(2, 480, 0, 0)]));
+    assert_eq!(it.total(2), 480 * SCALE);
+}
+
+#[test]
+fn idle_workspace_banks_nothing() {
+    let mut it = complete();
     it.set_waiting(1, 1);
     it.serve(1, 500 * SCALE, 0);
     it.set_waiting(2, 1);
@@ -30,7 +48,7 @@
 /// that turned out too high, and starved until the others caught up.
 #[test]
 fn lift_leaves_reservations_out() {
-    let mut it = Counters::default();
+    let mut it = complete();
     it.set_waiting(1, 1);
     it.reserve(1, 6800 * SCALE);
     it.set_waiting(2, 1);
@@ -42,7 +60,7 @@
 /// service that it had not heard of yet.
 #[test]
 fn only_the_owner_where_it_waits_lifts() {
-    let mut it = Counters::default();
+    let mut it = complete();
     it.set_waiting(1, 1);
     it.serve(1, 500 * SCALE, 0);
     it.merge(NORTH, &set(1, 1, &[(2, 0, 0, 1)]));
