fix(member): each data centre judges its own members

Ruled out: the views themselves (all alive again 3 s after the heal) and lost returns (named again). Change: a verdict counts only from a host of the same data centre, and a statement on one's own overrides what others hold; a frame's answer names a later ownership, and the owner goes on under a later number without counting anything twice; nothing is lent to a peer whose last answer is lost.

--- a/crates/portfield/src/member/view.rs
+++ b/crates/portfield/src/member/view.rs
@@ -146,8 +146,16 @@
         self.forget(now);
     }
 
-    /// Takes in what another member says.
-    pub fn merge(&mut self, now: Duration, members: &[wire::Member]) {
+    /// Takes in what the member `from` says.
+    ///
+    /// Each data centre judges its own members: a verdict on a host counts only from a host
+    /// beside it, so that one that is cut off cannot declare the others dead everywhere.
+    pub fn merge(&mut self, now: Duration, from: Option<HostId>, members: &[wire::Member]) {
+        let sender = from.and_then(|it| {
+            let told = members.iter().find(|member| member.host == it.to_string());
+            let known = || self.members.get(&it).map(|it| it.data_centre.clone());
+            told.map(|it| it.data_centre.clone()).or_else(known)
+        });
         for it in members {
             let (Ok(host), Ok(address)) = (it.host.parse(), it.address.parse()) else {
                 continue;
@@ -157,8 +165,12 @@
                 self.refute(now, it.incarnation, state);
                 continue;
             }
+            let is_beside = sender.as_ref() == Some(&it.data_centre);
             let old = self.members.get(&host);
-            if old.is_some_and(|old| (it.incarnation, state) <= (old.incarnation, old.state)) {
+            if !is_news(old, it.incarnation, state, is_beside && !self.is_home(&it.data_centre)) {
+                continue;
+            }
+            if matches!(state, State::Suspect | State::Dead) && !is_beside {
                 continue;
             }
             let changed = old.is_none_or(|old| old.state != state || old.address != address);
@@ -216,6 +228,10 @@
         self.iter().map(|(host, info)| to_wire(host, info)).collect()
     }
 
+    fn is_home(&self, data_centre: &str) -> bool {
+        self.members.get(&self.me).is_some_and(|it| it.data_centre == data_centre)
+    }
+
     fn refute(&mut self, now: Duration, incarnation: Incarnation, state: State) {
         let spread = self.n_spread();
         let Some(info) = self.members.get_mut(&self.me) else { return };
@@ -242,6 +258,20 @@
     }
 }
 
+/// Returns whether a statement overrides what is known: within one life the worse state
+/// does, but a statement on a host of the sender's own data centre does in any case.
+fn is_news(
+    old: Option<&Info>,
+    incarnation: Incarnation,
+    state: State,
+    has_authority: bool,
+) -> bool {
+    let Some(old) = old else { return true };
+    let differs = (incarnation, state) != (old.incarnation, old.state);
+    let overrides = (old.incarnation, old.state) < (incarnation, state);
+    overrides || has_authority && differs && old.incarnation <= incarnation
+}
+
 fn to_wire(host: HostId, info: &Info) -> wire::Member {
     wire::Member {
         host: host.to_string(),
--- a/crates/portfield/src/schedule/counters.rs
+++ b/crates/portfield/src/schedule/counters.rs
@@ -243,6 +243,19 @@
         sets.collect()
     }
 
+    /// Ends one incarnation of the counters here: what it served stays as another owner's
+    /// would, and counting starts anew.
+    pub fn seal(&mut self, shard: ShardKey, incarnation: Incarnation) {
+        let mut sealed = Seen { sequence: u64::MAX, usage: BTreeMap::new() };
+        for (id, it) in self.entries.iter_mut().filter(|(_, it)| 0 < it.served) {
+            let served = std::mem::take(&mut it.served);
+            sealed.usage.insert(*id, wire::Usage { workspace: *id, served, ..Default::default() });
+        }
+        self.seen.insert((shard, incarnation), sealed);
+        let all: Vec<_> = self.entries.keys().copied().collect();
+        all.into_iter().for_each(|it| self.touch(it));
+    }
+
     fn newest(&self, shard: ShardKey) -> Option<Incarnation> {
         let all = (shard, 0)..=(shard, Incarnation::MAX);
         self.seen.range(all).next_back().map(|((_, it), _)| *it)
--- a/crates/portfield/src/schedule/peer.rs
+++ b/crates/portfield/src/schedule/peer.rs
@@ -32,6 +32,8 @@
     silent: bool,
     /// Tickets that it has waiting beyond its own free slots, less what was lent since.
     want: u32,
+    /// Its last answer is lost: what is lent to it may be, too.
+    unsure: bool,
     backlog: BTreeSet<WorkspaceId>,
     /// Versions of the counters that it has, and that are on their way.
     acked: u64,
@@ -76,7 +78,8 @@
     /// Returns a peer where a workspace has tickets beyond the peer's own slots.
     pub(super) fn wanting(&self, id: WorkspaceId) -> Option<ShardKey> {
         let mut all = self.peers.iter();
-        all.find(|(_, it)| 0 < it.want && it.backlog.contains(&id)).map(|(key, _)| *key)
+        all.find(|(_, it)| 0 < it.want && !it.unsure && it.backlog.contains(&id))
+            .map(|(key, _)| *key)
     }
 
     /// Records a loan of a slot and returns its number.
@@ -195,6 +198,7 @@
         let Some(to) = frame.to.as_ref().map(ShardKey::from) else { return };
         let Some(peer) = self.peers.peers.get_mut(&to) else { return };
         let sending = peer.sending.take();
+        peer.unsure = arrived == Arrival::Unknown;
         if arrived == Arrival::Confirmed {
             peer.acked = peer.acked.max(sending.unwrap_or(0));
             return;
@@ -210,6 +214,21 @@
         }
     }
 
+    /// Returns the latest ownership of a peer's shard that was heard of.
+    pub(super) fn heard_from(&self, peer: ShardKey) -> Option<Incarnation> {
+        self.peers.peers.get(&peer).map(|it| it.incarnation)
+    }
+
+    /// Goes on under a later number: another host took itself for the owner meanwhile, and
+    /// the peers no longer listen to this one's.
+    pub(super) fn renumber(&mut self, incarnation: Incarnation) {
+        self.counters.seal(self.shard, self.incarnation);
+        self.incarnation = incarnation;
+        for it in self.peers.peers.values_mut() {
+            it.pulls = true;
+        }
+    }
+
     /// Returns whether no peer was heard yet.
     fn is_new(&self) -> bool {
         let own = self.shard;
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -197,7 +197,7 @@
             Event::Peer(frame) => self.hear_peer(now, &frame),
             Event::PeerSent(frame, reply) => self.peer_sent(now, &frame, reply.as_ref()),
             Event::Answered(host, reply) => {
-                self.view.merge(now, &reply.gossip);
+                self.view.merge(now, Some(host), &reply.gossip);
                 if reply.alive {
                     self.probes.answered(now, &mut self.view, host);
                 }
@@ -205,8 +205,9 @@
             }
             Event::Refused(host) => self.probes.refused(now, &mut self.view, host),
             Event::Probed(request) => {
-                self.view.merge(now, &request.gossip);
-                if let Ok(host) = request.from.parse() {
+                let from = request.from.parse().ok();
+                self.view.merge(now, from, &request.gossip);
+                if let Some(host) = from {
                     self.learn_revision(host, request.revision);
                 }
             }
@@ -242,7 +243,16 @@
         let not_owned: Vec<_> =
             frame.shards.iter().filter(is_stray).filter_map(|it| it.to).collect();
         let gossip = if not_owned.is_empty() { Vec::new() } else { self.home_members() };
-        wire::PeerReply { not_owned, gossip }
+        let outdated = frame.shards.iter().filter_map(|it| self.later_owner(it)).collect();
+        wire::PeerReply { not_owned, gossip, outdated }
+    }
+
+    /// Returns the later owner that this host has heard of than the one that sent a frame.
+    fn later_owner(&self, frame: &wire::PeerShard) -> Option<wire::Outdated> {
+        let (from, to) = (frame.from.as_ref()?.into(), frame.to.as_ref()?.into());
+        let incarnation = self.owners.get(&to)?.heard_from(from)?;
+        let outdated = wire::Outdated { shard: frame.from, incarnation };
+        (frame.incarnation < incarnation).then_some(outdated)
     }
 
     fn adopt(&mut self, now: Duration, fleet: Fleet) {
@@ -348,6 +358,20 @@
         }
     }
 
+    /// Takes in which shards have another owner, and which have had a later one.
+    fn hear_reply(&mut self, now: Duration, reply: &wire::PeerReply) {
+        let sender = reply.gossip.first().and_then(|it| it.host.parse().ok());
+        self.view.merge(now, sender, &reply.gossip);
+        for it in &reply.outdated {
+            let shard = it.shard.as_ref().map(ShardKey::from);
+            let Some(shard) = shard.filter(|it| self.owners.contains_key(it)) else { continue };
+            let incarnation = self.new_incarnation(now, Some(it.incarnation));
+            if let Some(owner) = self.owners.get_mut(&shard) {
+                owner.renumber(incarnation);
+            }
+        }
+    }
+
     fn peer_sent(
         &mut self,
         now: Duration,
@@ -355,7 +379,7 @@
         reply: Option<&wire::PeerReply>,
     ) {
         if let Some(it) = reply {
-            self.view.merge(now, &it.gossip);
+            self.hear_reply(now, it);
         }
         for it in &frame.shards {
             let from = it.from.as_ref().map(ShardKey::from);
--- a/crates/portfield/tests/counters.rs
+++ b/crates/portfield/tests/counters.rs
@@ -115,3 +115,19 @@
     it.merge_lifts(&[Lift { workspace: 1, value: 9 }, Lift { workspace: 1, value: 4 }]);
     assert_eq!(it.total(1), 9);
 }
+
+/// Found by the replay `one-way-cut`: an owner that peers had given up goes on under a later
+/// number, and nothing is counted twice.
+#[test]
+fn sealing_keeps_what_was_served() {
+    let mut it = Counters::default();
+    it.serve(1, 30 * SCALE, 0);
+    let before = it.usage_since(0);
+    it.seal(NORTH, 1);
+    it.serve(1, 5 * SCALE, 0);
+    assert_eq!(it.total(1), 35 * SCALE);
+    let mut peer = Counters::default();
+    peer.merge(NORTH, &UsageSet { usage: before, ..set(1, 1, &[]) });
+    peer.merge(NORTH, &UsageSet { usage: it.usage_since(0), ..set(2, 1, &[]) });
+    assert_eq!(peer.total(1), 35 * SCALE);
+}
