feat(claim): at most once by idempotency key, proved on real processes

A key is claimed by a versioned row before the request is sent; writes that come while a transaction is under way go together in the next; a lost answer is resolved by reading the row back; a request that did not run gives its key back, an answered one is replayed from it.

--- a/crates/portfield-router/src/exchange.rs
+++ b/crates/portfield-router/src/exchange.rs
@@ -1,6 +1,9 @@
 //! The way of one request: ticket, grant, upstream, answer; again where that is allowed.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use http::{Response, StatusCode};
 use portfield::route::{Outcome, Phase, Reason, Request, backoff, outcome_of};
@@ -9,6 +12,7 @@
 use crate::{
     answer::{Body, Rejection},
     call::Call,
+    once::{self, Claimed},
     relay,
     shell::{Shell, Verdict},
     ticket::Ticket,
@@ -25,7 +29,7 @@
     let name = format!("workspace {}, service {}", call.workspace.name, call.service.name);
     shell.record(&call.id, 0, format!("accepted: {name}, hint {}", call.hint));
     let id = call.id.clone();
-    match attempts(&shell, call).await {
+    match keyed(&shell, call).await {
         Ok(res) => res,
         Err(it) => {
             let counter = match it.outcome {
@@ -40,6 +44,28 @@
     }
 }
 
+/// Claims the request's key, if it has one, before it is sent.
+async fn keyed(shell: &Arc<Shell>, call: Call) -> Result<Response<Body>, Rejection> {
+    let Some(key) = call.key.clone() else { return attempts(shell, call).await };
+    let held = match once::claim(shell, &call, &key).await? {
+        Claimed::Send(held) => held,
+        Claimed::Replay(res) => {
+            shell.record(&call.id, 0, "answered from its key");
+            return Ok(res);
+        }
+    };
+    shell.record(&call.id, 0, "key claimed");
+    match attempts(shell, call).await {
+        Ok(res) => Ok(once::keep(shell, held, res).await),
+        Err(it) => {
+            if it.outcome == Outcome::NotRun {
+                once::release(shell, held).await;
+            }
+            Err(it)
+        }
+    }
+}
+
 async fn attempts(shell: &Arc<Shell>, call: Call) -> Result<Response<Body>, Rejection> {
     let deadline = clock::now() + call.wait;
     let mut n_ambiguous = 0;
@@ -52,7 +78,7 @@
         shell.record(&call.id, 0, format!("attempt broke: {}", broken.text));
         let certain = broken.phase <= Phase::Declined;
         n_ambiguous += u32::from(!certain);
-        let allowed = certain || call.repeatable;
+        let allowed = certain || call.repeatable && call.key.is_none();
         if !allowed || n + 1 == MAX_ATTEMPTS || !shell.spend_retry() {
             let outcome = outcome_of(broken.phase, n_ambiguous);
             let retry = (outcome == Outcome::NotRun).then_some(backoff(5, 1.0));
@@ -67,7 +93,7 @@
 fn register(
     shell: &Arc<Shell>,
     call: &Call,
-    deadline: std::time::Duration,
+    deadline: Duration,
     n_ambiguous: u32,
 ) -> Result<Ticket, Rejection> {
     let request = Request {
@@ -80,7 +106,7 @@
         deadline,
     };
     let ticket = shell.submit(request).map_err(|_| {
-        let retry = std::time::Duration::from_secs(1);
+        let retry = Duration::from_secs(1);
         refused(Reason::QueueFull, retry, n_ambiguous)
     })?;
     shell.record(&call.id, ticket.id(), "waits for a grant");
@@ -113,7 +139,7 @@
     }
 }
 
-fn refused(reason: Reason, retry: std::time::Duration, n_ambiguous: u32) -> Rejection {
+fn refused(reason: Reason, retry: Duration, n_ambiguous: u32) -> Rejection {
     let (status, text) = match reason {
         Reason::QueueFull => {
             (StatusCode::TOO_MANY_REQUESTS, "the workspace has too much waiting already")
--- a/crates/portfield-router/src/main.rs
+++ b/crates/portfield-router/src/main.rs
@@ -6,12 +6,14 @@
 mod call;
 mod exchange;
 mod front;
+mod once;
 mod relay;
 mod session;
 mod settings;
 mod shell;
 mod ticket;
 mod upstream;
+mod writes;
 
 use std::path::PathBuf;
 
--- a/crates/portfield-router/src/relay.rs
+++ b/crates/portfield-router/src/relay.rs
@@ -194,6 +194,10 @@
         if self.body.is_some() {
             self.shell.counts.hung_up.fetch_add(1, Ordering::Relaxed);
             self.shell.record(&self.id, 0, "the caller hung up");
+            if let Some(stream) = self.stream.take() {
+                let cancel = upstream::cancel(self.shell.clone(), self.place.clone(), stream);
+                self.shell.rt.spawn(cancel);
+            }
         }
     }
 }
--- a/crates/portfield-router/src/shell.rs
+++ b/crates/portfield-router/src/shell.rs
@@ -20,7 +20,7 @@
 use portfield_net::{clock, metrics::Metrics, platform::Platform, rt::Runtime};
 use serde::Serialize;
 
-use crate::{session, settings::Settings, ticket::Ticket};
+use crate::{session, settings::Settings, ticket::Ticket, writes::Writes};
 
 /// Longest sleep between two ticks.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
@@ -87,7 +87,7 @@
     pub address: SocketAddr,
     pub counts: Counts,
     pub metrics: Metrics,
-    pub platform: Platform,
+    pub writes: Writes,
     life: u64,
     n_requests: AtomicU64,
     draining: AtomicBool,
@@ -113,11 +113,11 @@
             records: VecDeque::new(),
         };
         let res = Arc::new(Self {
-            rt,
+            rt: rt.clone(),
             address,
             counts: Counts::default(),
             metrics: Metrics::new("portfield.router", settings.statsd),
-            platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
+            writes: Writes::start(&rt, Platform::new(settings.platform, PLATFORM_TIMEOUT)),
             life,
             n_requests: AtomicU64::new(0),
             draining: AtomicBool::new(false),
--- a/crates/portfield-router/src/upstream.rs
+++ b/crates/portfield-router/src/upstream.rs
@@ -92,6 +92,16 @@
     exchange(shell, place, request).await
 }
 
+/// Tells an engine that nobody reads a stream any more.
+pub(crate) async fn cancel(shell: Arc<Shell>, place: Place, stream: String) {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::DELETE;
+    *request.uri_mut() = format!("/streams/{stream}").parse().unwrap_or_default();
+    if let Err(err) = exchange(&shell, &place, request).await {
+        log::debug!("cancel: {}", err.text);
+    }
+}
+
 async fn exchange(
     shell: &Arc<Shell>,
     place: &Place,
--- a/crates/portfield-standins/src/main.rs
+++ b/crates/portfield-standins/src/main.rs
@@ -83,12 +83,14 @@
                 call: Duration::from_millis(call_ms),
             };
             for address in listen {
-                let (listener, _) = http1::bind(address).await?;
+                let (listener, address) = http1::bind(address).await?;
+                log::info!(address:% = address; "started");
                 rt.spawn(upstream::serve(rt.clone(), listener, pace));
             }
         }
         Role::Platform { listen, hosts } => {
-            let (listener, _) = http1::bind(listen).await?;
+            let (listener, address) = http1::bind(listen).await?;
+            log::info!(address:% = address; "started");
             let text = hosts.map_or(Ok("[]".to_owned()), fs::read_to_string)?;
             let hosts = serde_json::from_str(&text)?;
             rt.spawn(platform::serve(rt.clone(), listener, hosts));
@@ -103,9 +105,12 @@
         Role::Relay { admin, from, centres, delay_us } => {
             let mut listeners = HashMap::new();
             for (name, address) in pairs(&from)? {
-                listeners.insert(name, http1::bind(address.parse()?).await?.0);
+                let (listener, address) = http1::bind(address.parse()?).await?;
+                log::info!(address:% = address, centre = name; "started");
+                listeners.insert(name, listener);
             }
-            let (admin, _) = http1::bind(admin).await?;
+            let (admin, address) = http1::bind(admin).await?;
+            log::info!(address:% = address, centre = ""; "started");
             let delay = Duration::from_micros(delay_us);
             relay::start(&rt, admin, listeners, pairs(&centres)?, delay);
         }
--- /dev/null
+++ b/crates/portfield-standins/tests/fleet/mod.rs
@@ -0,0 +1,526 @@
+//! A fleet of real processes on loopback addresses, for tests that break it.
+//!
+//! Every process binds port 0 and tells its address in its log.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::HashMap,
+    env, fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use portfield::fleet::hash_token;
+use serde_json::{Value, json};
+
+/// Longest wait for a condition; far above what any takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+static N_FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// One process; killed when dropped.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+    pub others: Vec<(String, SocketAddr)>,
+}
+
+impl Process {
+    /// Starts a program of this workspace and reads the addresses it logs.
+    pub fn start(program: &str, args: &[String], n_addresses: usize) -> Self {
+        let mut child = Command::new(binary(program))
+            .args(args)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|err| panic!("{program}: {err}; run `cargo build --workspace --bins`"));
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut found = Vec::new();
+        while found.len() < n_addresses {
+            let line = lines.next().expect("the process ended at its start").unwrap();
+            let Ok(it) = serde_json::from_str::<Value>(&line) else { continue };
+            if it["message"] != "started" {
+                continue;
+            }
+            let kvs = &it["kvs"];
+            for key in ["address", "admin"] {
+                if let Some(address) = kvs[key].as_str() {
+                    let name = kvs["centre"].as_str().unwrap_or(key).to_owned();
+                    found.push((name, address.parse().unwrap()));
+                }
+            }
+        }
+        thread::spawn(move || lines.for_each(drop));
+        Self { child, address: found[0].1, others: found }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// Waits for the process to end by itself and returns its exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(it) = self.child.try_wait().unwrap() {
+                return it.code();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("the process did not end");
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn binary(name: &str) -> PathBuf {
+    let test = env::current_exe().unwrap();
+    test.parent().and_then(|it| it.parent()).unwrap().join(name)
+}
+
+/// One entry host.
+pub struct Host {
+    pub ip: String,
+    pub centre: String,
+    pub scheduler: Process,
+    pub router: Process,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    pub dir: PathBuf,
+    pub platform: Process,
+    pub relay: Process,
+    pub engines: Vec<Process>,
+    pub plains: Vec<Process>,
+    pub hosts: Vec<Host>,
+    pub intent: String,
+}
+
+/// Shape of a fleet: hosts, engines and plain services of each data centre.
+pub struct Shape {
+    pub hosts: Vec<usize>,
+    pub engines: Vec<usize>,
+    pub plains: Vec<usize>,
+    pub slots: u32,
+    /// Queue of each workspace at a router.
+    pub queue: u32,
+    /// Settings added to every router's.
+    pub router: &'static str,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self { hosts: vec![2], engines: vec![1], plains: vec![1], slots: 4, queue: 256, router: "" }
+    }
+}
+
+fn text(it: &str) -> String {
+    it.to_owned()
+}
+
+fn centre(idx: usize) -> String {
+    format!("centre-{idx}")
+}
+
+impl Fleet {
+    /// Starts a fleet, puts a configuration in force and waits until every router is ready.
+    pub fn start(shape: Shape) -> Self {
+        let mut fleet = Self::start_unconfigured(&shape);
+        fleet.intent = fleet.write_intent(&shape);
+        let intent = fleet.intent.clone();
+        fleet.apply(&intent);
+        for host in &fleet.hosts {
+            let admin = host.router.others[1].1;
+            until("ready", || get(admin, "/ready").status == 200);
+        }
+        let slots = u64::from(shape.slots) * (fleet.engines.len() + fleet.plains.len()) as u64;
+        until("all upstreams known", || fleet.n_slots() == slots);
+        fleet
+    }
+
+    fn start_unconfigured(shape: &Shape) -> Self {
+        let number = N_FLEETS.fetch_add(1, Ordering::Relaxed);
+        let dir = env::temp_dir().join(format!("portfield-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        let args = [text("platform"), text("--listen"), text("127.0.0.1:0")];
+        let platform = Process::start("portfield-standins", &args, 1);
+        let relay = start_relay(shape.hosts.len());
+        let upstreams = |n: usize, centre: usize| -> Vec<Process> {
+            (0..n).map(|_| start_upstream(centre)).collect()
+        };
+        let mut res = Self {
+            dir,
+            platform,
+            relay,
+            engines: Vec::new(),
+            plains: Vec::new(),
+            hosts: Vec::new(),
+            intent: String::new(),
+        };
+        for (idx, n) in shape.engines.iter().enumerate() {
+            res.engines.extend(upstreams(*n, idx));
+        }
+        for (idx, n) in shape.plains.iter().enumerate() {
+            res.plains.extend(upstreams(*n, idx));
+        }
+        for (idx, n) in shape.hosts.iter().enumerate() {
+            for host in 0..*n {
+                let it = res.start_host(idx, host, shape);
+                res.hosts.push(it);
+            }
+        }
+        for it in &res.hosts {
+            post(res.platform.address, "/hosts", &it.entry());
+        }
+        res
+    }
+
+    fn start_host(&self, idx: usize, host: usize, shape: &Shape) -> Host {
+        let ip = format!("127.0.{}.{}", idx + 1, host + 1);
+        let name = centre(idx);
+        let scheduler = self.start_scheduler(&ip, &name, "");
+        let router = self.start_router(&ip, &name, scheduler.address, shape.router);
+        Host { ip, centre: name, scheduler, router }
+    }
+
+    /// Starts a scheduler.
+    pub fn start_scheduler(&self, ip: &str, centre: &str, extra: &str) -> Process {
+        let settings = format!(
+            "listen = '{ip}:0'\nadmin = '{ip}:0'\nlist_period_ms = 200\nconfig_period_ms = 500\n\
+             report_period_ms = 100\n{extra}\n{}",
+            self.common(centre)
+        );
+        self.start_with("portfield-scheduler", ip, &settings)
+    }
+
+    /// Starts a router.
+    pub fn start_router(
+        &self,
+        ip: &str,
+        centre: &str,
+        scheduler: SocketAddr,
+        extra: &str,
+    ) -> Process {
+        let settings = format!(
+            "listen = '{ip}:0'\nadmin = '{ip}:0'\nschedulers = ['{scheduler}']\n\
+             drain_ms = 200\n{extra}\n{}",
+            self.common(centre)
+        );
+        self.start_with("portfield-router", ip, &settings)
+    }
+
+    fn common(&self, name: &str) -> String {
+        let relay = self.relay.others.iter().find(|(it, _)| it == name).unwrap().1;
+        let others = self.relay.others.iter().filter(|(it, _)| !it.is_empty() && it != name);
+        let links: String = others.map(|(it, _)| format!("{it} = '{relay}'\n")).collect();
+        let platform = self.platform.address;
+        format!("data_centre = '{name}'\nplatform = '{platform}'\n[links]\n{links}")
+    }
+
+    fn start_with(&self, program: &str, ip: &str, settings: &str) -> Process {
+        let file = self.dir.join(format!("{program}-{ip}.toml"));
+        fs::write(&file, settings).unwrap();
+        let args = [text("--settings"), file.to_str().unwrap().to_owned()];
+        Process::start(program, &args, 2)
+    }
+
+    fn write_intent(&self, shape: &Shape) -> String {
+        let names: Vec<_> = (0..shape.hosts.len()).map(centre).collect();
+        let mut res = format!("data_centres = {names:?}\n");
+        res += "[[service]]\nname = 'scribe'\nkind = 'engine'\nrepeatable = true\n";
+        res += "[[service]]\nname = 'ledger'\nkind = 'plain'\nwait_limit_ms = 10000\n";
+        res += "[[service]]\nname = 'lookup'\nkind = 'plain'\nrepeatable = true\n";
+        for (name, share) in [("large", 4), ("small", 1)] {
+            let hash = hash_token(&format!("token-{name}"));
+            res += &format!(
+                "[[workspace]]\nname = '{name}'\nshare = {share}\nqueue = {}\ntoken_sha256 = '{hash}'\n",
+                shape.queue
+            );
+        }
+        let mut add = |list: &[Process], shape: &[usize], service: &str, slots: u32| {
+            let mut all = list.iter();
+            for (idx, n) in shape.iter().enumerate() {
+                for it in all.by_ref().take(*n) {
+                    res += &format!(
+                        "[[upstream]]\naddress = '{}'\nservice = '{service}'\ndata_centre = '{}'\nslots = {slots}\n",
+                        it.address,
+                        centre(idx)
+                    );
+                }
+            }
+        };
+        add(&self.engines, &shape.engines, "scribe", shape.slots);
+        add(&self.plains, &shape.plains, "ledger", shape.slots);
+        res
+    }
+
+    /// Runs `portfieldctl` and returns whether it succeeded and what it printed.
+    pub fn ctl(&self, args: &[&str]) -> (bool, String) {
+        let out = Command::new(binary("portfieldctl"))
+            .env("PORTFIELD_PLATFORM", self.platform.address.to_string())
+            .env("RUST_BACKTRACE", "0")
+            .args(args)
+            .output()
+            .unwrap();
+        let text = [out.stdout, out.stderr].concat();
+        (out.status.success(), String::from_utf8(text).unwrap())
+    }
+
+    /// Plans an intent and returns the plan's id.
+    pub fn plan(&self, intent: &str) -> String {
+        let file = self.dir.join("intent.toml");
+        fs::write(&file, intent).unwrap();
+        let (ok, text) = self.ctl(&["plan", file.to_str().unwrap()]);
+        assert!(ok, "{text}");
+        let line = text.lines().find_map(|it| it.strip_prefix("plan ")).expect("a plan");
+        line.split(' ').next().unwrap().to_owned()
+    }
+
+    /// Plans and confirms an intent.
+    pub fn apply(&self, intent: &str) {
+        let id = self.plan(intent);
+        let (ok, text) = self.ctl(&["confirm", &id]);
+        assert!(ok, "{text}");
+    }
+
+    /// Returns the revision in force at each process.
+    pub fn revisions(&self) -> Vec<u64> {
+        let admins = self.hosts.iter().flat_map(|it| [&it.router, &it.scheduler]);
+        admins
+            .map(|it| get(it.others[1].1, "/status").json()["revision"].as_u64().unwrap())
+            .collect()
+    }
+
+    /// Returns the shards that some scheduler owns, with its host's number.
+    pub fn shards(&self) -> Vec<(usize, Value)> {
+        let mut res = Vec::new();
+        for (idx, host) in self.hosts.iter().enumerate() {
+            let Some(it) = try_get(host.scheduler.others[1].1, "/status") else { continue };
+            let shards = it.json()["shards"].as_array().cloned().unwrap_or_default();
+            res.extend(shards.into_iter().map(|it| (idx, it)));
+        }
+        res
+    }
+
+    /// Returns the number of the host that owns the shard with the most slots of a service.
+    pub fn owner_of(&self, prefix: &str) -> usize {
+        let shards = self.shards();
+        let it = shards.iter().find(|(_, it)| it["shard"].as_str().unwrap().starts_with(prefix));
+        it.map(|it| it.0).expect("an owner")
+    }
+
+    fn n_slots(&self) -> u64 {
+        self.shards().iter().map(|(_, it)| it["slots"].as_u64().unwrap()).sum()
+    }
+
+    /// Sets faults of the platform.
+    pub fn platform_faults(&self, faults: &Value) {
+        post(self.platform.address, "/faults", faults);
+    }
+
+    /// Cuts or heals the link from one data centre to another.
+    pub fn link(&self, from: usize, to: usize, cut: bool) {
+        let admin = self.relay.others.iter().find(|(name, _)| name.is_empty()).unwrap().1;
+        post(admin, "/", &json!({ "from": centre(from), "to": centre(to), "cut": cut }));
+    }
+
+    /// Sends a call of a workspace to the router of a host.
+    pub fn call(
+        &self,
+        host: usize,
+        workspace: &str,
+        path: &str,
+        body: &str,
+        headers: &str,
+    ) -> Answer {
+        let address = self.hosts[host].router.address;
+        send(address, &request(workspace, path, body, headers))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Host {
+    pub fn entry(&self) -> Value {
+        json!({
+            "scheduler": self.scheduler.address,
+            "scheduler_admin": self.scheduler.others[1].1,
+            "router": self.router.address,
+            "router_admin": self.router.others[1].1,
+            "data_centre": self.centre,
+            "leaving": false,
+        })
+    }
+}
+
+fn start_upstream(centre: usize) -> Process {
+    let listen = format!("127.0.{}.200:0", centre + 1);
+    let args = ["upstream", "--listen", &listen, "--token-ms", "10"].map(text);
+    Process::start("portfield-standins", &args, 1)
+}
+
+fn start_relay(n_centres: usize) -> Process {
+    let mut args = ["relay", "--admin", "127.0.0.1:0", "--delay-us", "500"].map(text).to_vec();
+    for idx in 0..n_centres {
+        args.extend([text("--from"), format!("{}=127.0.0.1:0", centre(idx))]);
+        args.extend([text("--centre"), format!("{}=127.0.{}.", centre(idx), idx + 1)]);
+    }
+    Process::start("portfield-standins", &args, n_centres + 1)
+}
+
+/// An answer as it came over the wire.
+#[derive(Debug, Clone, Default)]
+pub struct Answer {
+    /// Zero where there was none.
+    pub status: u16,
+    pub headers: HashMap<String, String>,
+    pub body: String,
+    /// The body ended as its head said it would.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    pub fn outcome(&self) -> &str {
+        self.header("x-portfield-outcome")
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|err| panic!("{err}: {self:?}"))
+    }
+}
+
+/// Builds a call.
+pub fn request(workspace: &str, path: &str, body: &str, headers: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer token-{workspace}\r\n{headers}\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends bytes and reads the answer.
+pub fn send(address: SocketAddr, bytes: &str) -> Answer {
+    let Ok(mut stream) = TcpStream::connect(address) else { return Answer::default() };
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    if stream.write_all(bytes.as_bytes()).is_err() {
+        return Answer::default();
+    }
+    read_answer(&mut stream)
+}
+
+/// Reads an answer to the connection's end.
+pub fn read_answer(stream: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else { return Answer::default() };
+    let mut lines = head.lines();
+    let status = lines.next().and_then(|it| it.split(' ').nth(1)).and_then(|it| it.parse().ok());
+    let headers: HashMap<_, _> = lines
+        .filter_map(|it| it.split_once(':'))
+        .map(|(name, value)| (name.to_lowercase(), value.trim().to_owned()))
+        .collect();
+    let (body, whole) = if headers.contains_key("transfer-encoding") {
+        unchunk(rest)
+    } else {
+        let length = headers.get("content-length").and_then(|it| it.parse().ok());
+        (rest.to_owned(), length == Some(rest.len()))
+    };
+    Answer { status: status.unwrap_or(0), headers, body, whole }
+}
+
+fn unchunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, tail)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else { break };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(piece) = tail.get(..size) else { break };
+        body += piece;
+        rest = tail.get(size + 2..).unwrap_or("");
+    }
+    (body, false)
+}
+
+pub fn get(address: SocketAddr, path: &str) -> Answer {
+    send(address, &format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"))
+}
+
+/// Like [`get`], but `None` where nobody answers.
+pub fn try_get(address: SocketAddr, path: &str) -> Option<Answer> {
+    Some(get(address, path)).filter(|it| it.status == 200)
+}
+
+pub fn post(address: SocketAddr, path: &str, body: &Value) -> Answer {
+    let body = body.to_string();
+    let res = send(
+        address,
+        &format!(
+            "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        ),
+    );
+    assert_eq!(res.status, 200, "{path}: {res:?}");
+    res
+}
+
+/// Waits for a condition.
+pub fn until(what: &str, mut f: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !f() {
+        assert!(Instant::now() < end, "never came: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Returns the events that a generation of `n` tokens must give.
+pub fn events(echo: &str, n: u32) -> String {
+    (1..=n).map(|it| format!("id: {it}\ndata: {echo} {it}\n\n")).collect()
+}
+
+/// Returns the body of a generation.
+pub fn generation(echo: &str, n: u32) -> String {
+    json!({ "echo": echo, "max_tokens": n }).to_string()
+}
+
+/// Returns how often each order ran at an upstream.
+pub fn orders(upstream: &Process) -> HashMap<String, u64> {
+    let it = get(upstream.address, "/runs").json();
+    serde_json::from_value(it["orders"].clone()).unwrap()
+}
+
+/// Returns the body of an order.
+pub fn order(name: &str) -> String {
+    json!({ "echo": name, "order": name }).to_string()
+}
+
+/// Sets an upstream's switches.
+pub fn switch(upstream: &Process, switches: &Value) {
+    post(upstream.address, "/switches", switches);
+}
--- a/crates/portfield/src/fleet/mod.rs
+++ b/crates/portfield/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 pub use error::{Error, ErrorKind, Mistake};
 pub use intent::{Intent, ServiceIntent, UpstreamIntent, WorkspaceIntent};
+pub(crate) use model::hex;
 pub use model::{DataCentre, Fleet, Kind, Service, Upstream, Workspace, hash_token};
 pub use plan::{Change, Plan};
 pub use revision::Adopted;
