--- a/crates/portfield-router/src/call.rs
+++ b/crates/portfield-router/src/call.rs
@@ -55,7 +55,6 @@
     ///
     /// The answer that says which field is wrong.
     pub(crate) fn parse(id: &str, fleet: &Fleet, parts: Parts) -> Result<Self, Rejection> {
-        check_framing(&parts.headers)?;
         let workspace = find_workspace(fleet, &parts.headers)?;
         let (service, path) = find_service(fleet, &parts.uri)?;
         let repeat = one_of(&parts.headers, REPEAT, ["never", "allowed"])?;
@@ -108,16 +107,6 @@
     })
 }
 
-fn check_framing(headers: &HeaderMap) -> Result<(), Rejection> {
-    let both = headers.contains_key(header::CONTENT_LENGTH)
-        && headers.contains_key(header::TRANSFER_ENCODING);
-    if both {
-        let text = "send Content-Length or Transfer-Encoding, not both";
-        return Err(Rejection::bad(StatusCode::BAD_REQUEST, "transfer-encoding", text));
-    }
-    Ok(())
-}
-
 fn find_workspace<'a>(fleet: &'a Fleet, headers: &HeaderMap) -> Result<&'a Workspace, Rejection> {
     let bad = |text: &str| Rejection::bad(StatusCode::UNAUTHORIZED, "authorization", text);
     let value = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
--- a/crates/portfield-router/src/front.rs
+++ b/crates/portfield-router/src/front.rs
@@ -8,7 +8,7 @@
     io,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
@@ -17,7 +17,7 @@
 use async_channel::Receiver;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use portfield_net::rpc::HyperTimer;
 use smol_hyper::rt::FuturesIo;
@@ -65,10 +65,12 @@
     shell.counts.connections.fetch_add(1, Ordering::Relaxed);
     let _ = stream.set_nodelay(true);
     let automatic = Arc::new(AtomicBool::new(false));
-    let guard = Guard { stream: stream.clone(), automatic: automatic.clone() };
+    let recent = Recent::default();
+    let guard =
+        Guard { stream: stream.clone(), automatic: automatic.clone(), recent: recent.clone() };
     let service = service_fn(|request| {
-        let shell = shell.clone();
-        async move { Ok::<_, Infallible>(answer(shell, request).await) }
+        let (shell, recent) = (shell.clone(), recent.clone());
+        async move { Ok::<_, Infallible>(answer(shell, &recent, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(HyperTimer)
@@ -95,9 +97,9 @@
     }
 }
 
-async fn answer(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
+async fn answer(shell: Arc<Shell>, recent: &Recent, request: Request<Incoming>) -> Response<Body> {
     let id = shell.next_id();
-    match accept(&shell, &id, request).await {
+    match accept(&shell, &id, recent, request).await {
         Ok(call) => exchange::run(shell, call).await,
         Err(it) => {
             shell.counts.rejected.fetch_add(1, Ordering::Relaxed);
@@ -107,7 +109,16 @@
     }
 }
 
-async fn accept(shell: &Shell, id: &str, request: Request<Incoming>) -> Result<Call, Rejection> {
+async fn accept(
+    shell: &Shell,
+    id: &str,
+    recent: &Recent,
+    request: Request<Incoming>,
+) -> Result<Call, Rejection> {
+    if request.headers().contains_key(header::TRANSFER_ENCODING) && recent.has_length() {
+        let text = "send Content-Length or Transfer-Encoding, not both";
+        return Err(Rejection::bad(StatusCode::BAD_REQUEST, "transfer-encoding", text));
+    }
     let fleet = shell.fleet();
     if fleet.revision == 0 {
         let text = "no configuration is in force yet";
@@ -116,6 +127,7 @@
     let (parts, body) = request.into_parts();
     let mut call = Call::parse(id, &fleet, parts)?;
     call.body = read_body(body, shell.settings.body_limit).await?;
+    recent.clear();
     Ok(call)
 }
 
@@ -150,6 +162,40 @@
 struct Guard {
     stream: TcpStream,
     automatic: Arc<AtomicBool>,
+    recent: Recent,
+}
+
+/// The bytes of a connection since its last request was read, up to the longest head.
+///
+/// hyper leaves a Content-Length out that comes after Transfer-Encoding; a request with both
+/// is to be refused (RFC 9112, section 6.1), in whichever order.
+#[derive(Debug, Clone, Default)]
+struct Recent {
+    bytes: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Recent {
+    fn add(&self, bytes: &[u8]) {
+        let mut all = self.lock();
+        let n = bytes.len().min(MAX_HEAD.saturating_sub(all.len()));
+        all.extend_from_slice(&bytes[..n]);
+    }
+
+    fn clear(&self) {
+        self.lock().clear();
+    }
+
+    /// Returns whether the head has a Content-Length.
+    fn has_length(&self) -> bool {
+        let bytes = self.lock();
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        let head = text.split("\r\n\r\n").next().unwrap_or_default();
+        head.lines().any(|it| it.starts_with("content-length:"))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.bytes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl AsyncRead for Guard {
@@ -158,7 +204,11 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let res = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(Ok(n)) = res {
+            self.recent.add(&buf[..n]);
+        }
+        res
     }
 }
 
--- a/crates/portfield-standins/tests/fleet/mod.rs
+++ b/crates/portfield-standins/tests/fleet/mod.rs
@@ -210,6 +210,16 @@
         self.start_with("portfield-scheduler", ip, &settings)
     }
 
+    /// Starts a scheduler at an address that it had before.
+    pub fn restart_scheduler(&self, ip: &str, centre: &str, address: SocketAddr) -> Process {
+        let settings = format!(
+            "listen = '{address}'\nadmin = '{ip}:0'\nlist_period_ms = 200\n\
+             config_period_ms = 500\nreport_period_ms = 100\n{}",
+            self.common(centre)
+        );
+        self.start_with("portfield-scheduler", ip, &settings)
+    }
+
     /// Starts a router.
     pub fn start_router(
         &self,
@@ -273,14 +283,8 @@
 
     /// Runs `portfieldctl` and returns whether it succeeded and what it printed.
     pub fn ctl(&self, args: &[&str]) -> (bool, String) {
-        let out = Command::new(binary("portfieldctl"))
-            .env("PORTFIELD_PLATFORM", self.platform.address.to_string())
-            .env("RUST_BACKTRACE", "0")
-            .args(args)
-            .output()
-            .unwrap();
-        let text = [out.stdout, out.stderr].concat();
-        (out.status.success(), String::from_utf8(text).unwrap())
+        let platform = self.platform.address.to_string();
+        run("portfieldctl", &[&["--platform", platform.as_str()], args].concat())
     }
 
     /// Plans an intent and returns the plan's id.
@@ -389,6 +393,14 @@
     Process::start("portfield-standins", &args, n_centres + 1)
 }
 
+/// Runs a program to its end; returns whether it succeeded and what it printed.
+pub fn run(program: &str, args: &[&str]) -> (bool, String) {
+    let mut command = Command::new(binary(program));
+    let out = command.env("RUST_BACKTRACE", "0").args(args).output().unwrap();
+    let text = [out.stdout, out.stderr].concat();
+    (out.status.success(), String::from_utf8(text).unwrap())
+}
+
 /// An answer as it came over the wire.
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
