feat(replay): slopes for capacity, and a bound on looks per grant

Cause: a grant could walk over every workspace that waits elsewhere. It now looks at 16 at most while something waits here.

--- a/crates/portfield-replay/src/lib.rs
+++ b/crates/portfield-replay/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod gap;
 pub mod measure;
 pub mod sim;
+pub mod slopes;
 pub mod trace;
--- a/crates/portfield-replay/src/main.rs
+++ b/crates/portfield-replay/src/main.rs
@@ -12,7 +12,7 @@
     baseline::{self, Baseline},
     case::Case,
     measure::{Figures, Verdict},
-    sim, trace,
+    sim, slopes, trace,
 };
 
 /// Records and replays traces in virtual time.
@@ -35,6 +35,8 @@
         /// Case files (TOML).
         cases: Vec<PathBuf>,
     },
+    /// Measures the slopes that docs/CAPACITY.md is worked out from.
+    Slopes,
     /// Replays each case under every policy and prints one table.
     Compare {
         /// Case files (TOML).
@@ -47,6 +49,7 @@
         Command::Record { cases } => cases.iter().try_for_each(|it| record(it)),
         Command::Run { cases } => run(&cases),
         Command::Compare { cases } => compare(&cases),
+        Command::Slopes => Ok(std::io::stdout().write_all(slopes::table().as_bytes())?),
     }
 }
 
--- a/crates/portfield-replay/tests/replay.rs
+++ b/crates/portfield-replay/tests/replay.rs
@@ -1,6 +1,9 @@
 //! Replays of recorded traces against their stated outcomes.
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 use portfield_replay::{
     baseline::{self, Baseline},
@@ -20,7 +23,7 @@
     res
 }
 
-fn read(path: &PathBuf) -> (Case, Vec<Arrival>) {
+fn read(path: &Path) -> (Case, Vec<Arrival>) {
     (Case::read(path).unwrap(), trace::read(&path.with_extension("jsonl")).unwrap())
 }
 
--- a/crates/portfield/src/schedule/owner.rs
+++ b/crates/portfield/src/schedule/owner.rs
@@ -21,6 +21,8 @@
 
 /// Grants remembered to say when to come back.
 const RATE_WINDOW: usize = 64;
+/// Workspaces elsewhere that one pick looks at while something waits here.
+const MAX_LOOKS: usize = 16;
 /// Shortest and longest time after which a refused caller is told to come back.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 
@@ -154,7 +156,7 @@
         self.granting
     }
 
-    /// Returns how many steps its decisions took so far, for benches.
+    /// Returns how many workspaces its decisions looked at so far, for benches.
     pub fn steps(&self) -> u64 {
         self.steps
     }
@@ -350,10 +352,12 @@
     }
 
     fn choose(&mut self) -> Option<Choice> {
-        self.steps += 1;
         let local = self.counters.least_local();
         let lead = self.at_mean(self.limits.lend_lead);
-        for (total, id) in self.counters.active() {
+        // Where something waits here, a few looks at workspaces elsewhere must do.
+        let n_looks = if local.is_some() { MAX_LOOKS } else { usize::MAX };
+        for (total, id) in self.counters.active().take(n_looks) {
+            self.steps += 1;
             if self.counters.is_local(id) {
                 return Some(Choice::Local(id));
             }
