--- a/crates/portfield-net/src/http1.rs
+++ b/crates/portfield-net/src/http1.rs
@@ -5,12 +5,17 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use async_io::Async;
 use async_net::{TcpListener, TcpStream};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::{Serialize, de::DeserializeOwned};
+use socket2::{Domain, Socket, Type};
 
 use crate::{clock, dial::Links, rt::Runtime};
 
+/// Connections that may wait to be accepted: many callers may come at one moment.
+const BACKLOG: i32 = 4096;
+
 /// Why an exchange failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
@@ -173,7 +178,11 @@
 ///
 /// Whatever the socket says.
 pub async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(address).await?;
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    let listener = TcpListener::from(Async::new(std::net::TcpListener::from(socket))?);
     let bound = listener.local_addr()?;
     Ok((listener, bound))
 }
