feat(burn): report on service-level burn, metrics from both processes

Routers keep a tally a minute for six hours for each workspace and service; portfield-burn merges all routers over 5 min, 30 min, 1 h and 6 h, judges fast and slow burns by a long and a short window each, names routers that did not answer, and prints a table, JSON or a page. The stub of engine orders is removed: they are not built yet.

--- /dev/null
+++ b/crates/portfield-burn/src/report.rs
@@ -0,0 +1,142 @@
+//! The report: all routers' tallies, merged and judged.
+
+use std::{collections::BTreeMap, fmt::Write};
+
+use hdrhistogram::Histogram;
+use portfield::burn::{Alert, Tally, WINDOWS, alert};
+use serde::{Deserialize, Serialize};
+
+/// What one router tells.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Answer {
+    rows: Vec<AnswerRow>,
+    /// Times to the first byte by service: milliseconds and how often.
+    firsts: BTreeMap<String, Vec<(u64, u64)>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct AnswerRow {
+    workspace: String,
+    service: String,
+    tallies: [Tally; WINDOWS.len()],
+}
+
+/// One workspace's use of one service.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Row {
+    pub workspace: String,
+    pub service: String,
+    pub tallies: [Tally; WINDOWS.len()],
+    pub burns: [f64; WINDOWS.len()],
+    pub alert: Alert,
+}
+
+/// Times to the first byte of one service.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct First {
+    pub service: String,
+    pub p50_ms: u64,
+    pub p95_ms: u64,
+    pub p99_ms: u64,
+}
+
+/// The whole report, the worst first.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct Report {
+    pub rows: Vec<Row>,
+    pub firsts: Vec<First>,
+    /// Hosts whose router did not answer: their requests are missing.
+    pub silent: Vec<String>,
+    pub n_routers: usize,
+    #[serde(skip)]
+    merged: BTreeMap<(String, String), [Tally; WINDOWS.len()]>,
+    #[serde(skip)]
+    histograms: BTreeMap<String, Histogram<u64>>,
+}
+
+impl Report {
+    /// Adds what a router told.
+    pub(crate) fn add(&mut self, answer: Answer) {
+        self.n_routers += 1;
+        for row in answer.rows {
+            let all = self.merged.entry((row.workspace, row.service)).or_default();
+            all.iter_mut().zip(&row.tallies).for_each(|(all, it)| all.add(it));
+        }
+        for (service, counts) in answer.firsts {
+            let histogram = self.histograms.entry(service).or_insert_with(new_histogram);
+            counts.iter().for_each(|(value, n)| histogram.saturating_record_n(*value, *n));
+        }
+    }
+
+    /// Judges and orders what was added.
+    pub(crate) fn finish(mut self) -> Self {
+        for ((workspace, service), tallies) in std::mem::take(&mut self.merged) {
+            let burns = tallies.map(|it| it.burn());
+            let alert = alert(&tallies);
+            self.rows.push(Row { workspace, service, tallies, burns, alert });
+        }
+        let worst = |it: &Row| it.burns.iter().copied().fold(0.0, f64::max);
+        self.rows.sort_by(|a, b| worst(b).total_cmp(&worst(a)));
+        for (service, it) in std::mem::take(&mut self.histograms) {
+            let [p50_ms, p95_ms, p99_ms] = [0.5, 0.95, 0.99].map(|q| it.value_at_quantile(q));
+            self.firsts.push(First { service, p50_ms, p95_ms, p99_ms });
+        }
+        self
+    }
+
+    /// Writes the table.
+    pub(crate) fn table(&self) -> String {
+        let mut res = String::new();
+        for it in &self.silent {
+            let _ = writeln!(res, "! the router at {it} did not answer; its requests are missing");
+        }
+        let _ = writeln!(
+            res,
+            "burn rate of the error budget, 1.00 uses it up exactly; {} routers\n",
+            self.n_routers
+        );
+        let _ = writeln!(
+            res,
+            "{:5} {:22} {:12} {:>9} {:>7} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8}",
+            "alert",
+            "workspace",
+            "service",
+            "requests",
+            "failed",
+            "late",
+            "slow",
+            "5 min",
+            "30 min",
+            "1 h",
+            "6 h"
+        );
+        for it in &self.rows {
+            let all = it.tallies[WINDOWS.len() - 1];
+            let [a, b, c, d] = it.burns;
+            let alert = match it.alert {
+                Alert::None => "",
+                Alert::Slow => "slow",
+                Alert::Fast => "FAST",
+            };
+            let _ = writeln!(
+                res,
+                "{alert:5} {:22} {:12} {:>9} {:>7} {:>6} {:>6} {a:>8.2} {b:>8.2} {c:>8.2} {d:>8.2}",
+                it.workspace, it.service, all.total, all.failed, all.late, all.slow
+            );
+        }
+        let _ = writeln!(res, "\nfirst byte, ms       p50      p95      p99");
+        for it in &self.firsts {
+            let _ = writeln!(
+                res,
+                "{:14} {:>9} {:>8} {:>8}",
+                it.service, it.p50_ms, it.p95_ms, it.p99_ms
+            );
+        }
+        res
+    }
+}
+
+/// Milliseconds to two digits, up to an hour; the bounds are constants that are accepted.
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 3_600_000, 2).unwrap_or_else(|_| unreachable!())
+}
--- a/crates/portfield-net/src/metrics.rs
+++ b/crates/portfield-net/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, UdpSocket};
 
-use cadence::{Counted, Gauged, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{Gauged, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
 
 /// Sends a process's metrics; without an address it sends nothing.
 #[derive(Debug)]
@@ -24,11 +24,6 @@
         Self { client }
     }
 
-    /// Adds to a counter.
-    pub fn count(&self, key: &str, n: i64) {
-        let _ = self.client.count(key, n);
-    }
-
     /// Sets a gauge.
     pub fn gauge(&self, key: &str, value: u64) {
         let _ = self.client.gauge(key, value);
--- a/crates/portfield-router/src/admin.rs
+++ b/crates/portfield-router/src/admin.rs
@@ -28,11 +28,12 @@
             json(status, &json!({ "revision": shell.fleet().revision }))
         }
         "/status" => status(shell),
+        "/burn" => json(200, &shell.burn()),
         "/records" => {
             let id = request.url().query().unwrap_or_default();
             json(200, &shell.records(id))
         }
-        _ => json(404, &json!({ "error": "try /ready, /status or /records?REQUEST-ID" })),
+        _ => json(404, &json!({ "error": "try /ready, /status, /burn or /records?REQUEST-ID" })),
     }
 }
 
--- a/crates/portfield-router/src/call.rs
+++ b/crates/portfield-router/src/call.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use portfield::fleet::{Fleet, Kind, Service, Workspace};
+use portfield_net::clock;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::Rejection;
@@ -34,6 +35,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Call {
     pub id: String,
+    pub arrived: Duration,
     pub workspace: Workspace,
     pub service: Service,
     pub method: Method,
@@ -62,6 +64,7 @@
         let wait = number(&parts.headers, WAIT, 1, longest.as_millis() as u32)?;
         Ok(Self {
             id: id.to_owned(),
+            arrived: clock::now(),
             hint: number(&parts.headers, HINT, 1, MAX_HINT)?.unwrap_or(0),
             batch: one_of(&parts.headers, CLASS, ["batch", "interactive"])? == Some(0),
             wait: wait.map_or(longest, |it| Duration::from_millis(u64::from(it))),
--- a/crates/portfield-router/src/exchange.rs
+++ b/crates/portfield-router/src/exchange.rs
@@ -6,6 +6,7 @@
 };
 
 use http::{Response, StatusCode};
+use portfield::burn::Sample;
 use portfield::route::{Outcome, Phase, Reason, Request, backoff, outcome_of};
 use portfield_net::clock;
 
@@ -28,7 +29,7 @@
     shell.earn_retry();
     let name = format!("workspace {}, service {}", call.workspace.name, call.service.name);
     shell.record(&call.id, 0, format!("accepted: {name}, hint {}", call.hint));
-    let id = call.id.clone();
+    let (id, workspace, service) = (call.id.clone(), call.workspace.id, call.service.clone());
     match keyed(&shell, call).await {
         Ok(res) => res,
         Err(it) => {
@@ -37,6 +38,10 @@
                 Outcome::Unknown => &shell.counts.unknown,
             };
             counter.fetch_add(1, Ordering::Relaxed);
+            // Who floods or repeats a key is refused by rule: the fleet did not fail it.
+            if it.status.is_server_error() {
+                shell.observe(workspace, &service, Sample { first: None, gap: Duration::ZERO });
+            }
             shell.record(&id, 0, format!("given up: {}, outcome {}", it.text, it.outcome));
             log::info!(request = id, outcome:% = it.outcome; "given up: {}", it.text);
             it.answer(&id)
@@ -129,9 +134,8 @@
         return Ok(Err(Broken { phase: Phase::Unsent, text }));
     };
     shell.record(&call.id, ticket.id(), format!("granted: upstream {}", place.address));
-    let sent = clock::now();
     match upstream::send(shell, &place, call).await {
-        Ok(response) => Ok(Ok(relay::start(shell, call, ticket, place, sent, response))),
+        Ok(response) => Ok(Ok(relay::start(shell, call, ticket, place, response))),
         Err(broken) => {
             ticket.fail(0);
             Ok(Err(broken))
--- a/crates/portfield-router/src/main.rs
+++ b/crates/portfield-router/src/main.rs
@@ -59,6 +59,7 @@
     log::info!(address:% = address, admin:% = admin_address; "started");
     rt.spawn(http1::serve(rt.clone(), admin, admin::handler(shell.clone())));
     rt.spawn(shell.clone().keep_time());
+    rt.spawn(shell.clone().send_metrics());
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let front = rt.task(front::serve(shell.clone(), listener, stopped));
     let mut signals = Signals::new([Signal::Term, Signal::Int]).wrap_err("signals")?;
--- a/crates/portfield-router/src/relay.rs
+++ b/crates/portfield-router/src/relay.rs
@@ -12,7 +12,12 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
-use portfield::{fleet::Kind, route::backoff};
+use portfield::{
+    burn::Sample,
+    fleet::{Kind, Service},
+    ids::WorkspaceId,
+    route::backoff,
+};
 use portfield_net::clock;
 
 use crate::{
@@ -36,7 +41,6 @@
     call: &Call,
     ticket: Ticket,
     place: Place,
-    sent: Duration,
     response: Response<Incoming>,
 ) -> Response<Body> {
     let (mut parts, body) = response.into_parts();
@@ -51,7 +55,6 @@
     let relay = Relay {
         shell: shell.clone(),
         id: call.id.clone(),
-        is_engine: call.service.kind == Kind::Engine,
         cost: call.prompt_cost(),
         ticket: Some(ticket),
         place,
@@ -60,7 +63,9 @@
         partial: BytesMut::new(),
         is_events,
         n_events: 0,
-        sent,
+        workspace: call.workspace.id,
+        service: call.service.clone(),
+        arrived: call.arrived,
         first: None,
         body: Some(body),
     };
@@ -78,7 +83,8 @@
 struct Relay {
     shell: Arc<Shell>,
     id: String,
-    is_engine: bool,
+    workspace: WorkspaceId,
+    service: Service,
     /// Cost so far in tokens, the prompt's included.
     cost: u32,
     ticket: Option<Ticket>,
@@ -90,7 +96,7 @@
     partial: BytesMut,
     is_events: bool,
     n_events: u32,
-    sent: Duration,
+    arrived: Duration,
     first: Option<Duration>,
     body: Option<Incoming>,
 }
@@ -132,7 +138,7 @@
 
     fn count(&mut self, bytes: &[u8]) {
         self.first.get_or_insert_with(clock::now);
-        if !self.is_engine || !self.is_events {
+        if self.service.kind == Kind::Plain || !self.is_events {
             return;
         }
         let n = bytes.windows(EVENT_END.len()).filter(|it| *it == EVENT_END).count() as u32;
@@ -153,13 +159,17 @@
             it.finish(self.cost, pace);
         }
         self.shell.counts.answered.fetch_add(1, Ordering::Relaxed);
-        let first_ms = (first - self.sent).as_millis() as u64;
-        self.shell.metrics.time("first_byte_ms", first_ms);
+        let gap = if self.n_events == 0 { Duration::ZERO } else { pace };
+        self.observe(Sample { first: Some(first.saturating_sub(self.arrived)), gap });
         // An event that came without its end is passed on: the answer was whole.
         let rest = self.partial.split().freeze();
         (!rest.is_empty()).then_some(rest)
     }
 
+    fn observe(&self, sample: Sample) {
+        self.shell.observe(self.workspace, &self.service, sample);
+    }
+
     /// Goes on with a stream that broke, after the last event that was relayed.
     async fn mend(&mut self, cause: &str) -> io::Result<()> {
         self.partial.clear();
@@ -183,6 +193,7 @@
             it.fail(self.cost);
         }
         self.shell.counts.unknown.fetch_add(1, Ordering::Relaxed);
+        self.observe(Sample { first: None, gap: Duration::ZERO });
         self.shell.record(&self.id, 0, "answer cut short: outcome unknown");
         log::warn!(request = self.id; "answer cut short: {cause}");
         Err(io::Error::other("the upstream's answer was cut short"))
@@ -205,6 +216,6 @@
 /// Returns the id of the last event that has one.
 fn last_event_id(events: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(events).ok()?;
-    let ids = text.lines().filter_map(|it| it.strip_prefix("id:"));
-    ids.last().map(|it| it.trim().to_owned())
+    let mut ids = text.lines().filter_map(|it| it.strip_prefix("id:"));
+    ids.next_back().map(|it| it.trim().to_owned())
 }
--- a/crates/portfield-router/src/shell.rs
+++ b/crates/portfield-router/src/shell.rs
@@ -1,7 +1,7 @@
 //! The router's decision state behind a lock, and the processes around it.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -11,14 +11,17 @@
 };
 
 use async_channel::{Receiver, Sender};
+use hdrhistogram::Histogram;
 use portfield::{
-    fleet::Fleet,
-    ids::{HostId, TicketId, UpstreamId},
+    burn::{Sample, Windows},
+    fleet::{Fleet, Service},
+    ids::{HostId, ServiceId, TicketId, UpstreamId, WorkspaceId},
     route::{Action, Budget, Full, Reason, Request, Router},
     wire,
 };
-use portfield_net::{clock, metrics::Metrics, platform::Platform, rt::Runtime};
+use portfield_net::{clock, metrics::Metrics, platform::Platform, rpc, rt::Runtime};
 use serde::Serialize;
+use serde_json::{Value, json};
 
 use crate::{session, settings::Settings, ticket::Ticket, writes::Writes};
 
@@ -30,6 +33,8 @@
 const MAX_RECORDS: usize = 16_384;
 /// Time that the last reports to schedulers get at the end.
 const FLUSH: Duration = Duration::from_millis(100);
+/// Time between two sets of metrics.
+const METRICS_PERIOD: Duration = Duration::from_secs(5);
 /// Time in which the platform answers.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -77,6 +82,8 @@
     n_sessions: u64,
     budget: Budget,
     records: VecDeque<Record>,
+    windows: Windows,
+    firsts: BTreeMap<ServiceId, Histogram<u64>>,
 }
 
 /// One router process.
@@ -111,6 +118,8 @@
             n_sessions: 0,
             budget: Budget::full(),
             records: VecDeque::new(),
+            windows: Windows::default(),
+            firsts: BTreeMap::new(),
         };
         let res = Arc::new(Self {
             rt: rt.clone(),
@@ -206,6 +215,43 @@
         }
     }
 
+    /// Counts a request that ended against its service's objectives.
+    pub(crate) fn observe(&self, workspace: WorkspaceId, service: &Service, sample: Sample) {
+        let mut state = self.lock();
+        state.windows.record(clock::now(), workspace, service, sample);
+        let Some(first) = sample.first else { return };
+        let histogram = state.firsts.entry(service.id).or_insert_with(new_histogram);
+        let millis = first.as_millis() as u64;
+        histogram.saturating_record(millis);
+        drop(state);
+        self.metrics.time("first_byte_ms", millis);
+    }
+
+    /// Returns what the burn report reads.
+    pub(crate) fn burn(&self) -> Value {
+        let state = self.lock();
+        let fleet = state.core.fleet();
+        let rows: Vec<_> = state
+            .windows
+            .sums(clock::now())
+            .map(|((workspace, service), tallies)| {
+                let workspace = fleet.workspace(workspace).map_or("", |it| it.name.as_str());
+                let service = fleet.service(service).map_or("", |it| it.name.as_str());
+                json!({ "workspace": workspace, "service": service, "tallies": tallies })
+            })
+            .collect();
+        let firsts: BTreeMap<_, Vec<_>> = state
+            .firsts
+            .iter()
+            .filter_map(|(id, it)| {
+                let counts =
+                    it.iter_recorded().map(|it| (it.value_iterated_to(), it.count_at_value()));
+                fleet.service(*id).map(|service| (service.name.clone(), counts.collect()))
+            })
+            .collect();
+        json!({ "rows": rows, "firsts": firsts })
+    }
+
     /// Returns the remembered steps of a request.
     pub(crate) fn records(&self, request: &str) -> Vec<Record> {
         let state = self.lock();
@@ -224,6 +270,31 @@
         }
     }
 
+    /// Sends metrics now and then.
+    pub(crate) async fn send_metrics(self: Arc<Self>) {
+        loop {
+            clock::sleep(METRICS_PERIOD).await;
+            let (waiting, running) = self.load();
+            self.metrics.gauge("waiting", waiting as u64);
+            self.metrics.gauge("running", running as u64);
+            let counts = &self.counts;
+            for (name, it) in [
+                ("accepted", &counts.accepted),
+                ("answered", &counts.answered),
+                ("not_run", &counts.not_run),
+                ("unknown", &counts.unknown),
+                ("rejected", &counts.rejected),
+                ("hung_up", &counts.hung_up),
+                ("retries", &counts.retries),
+                ("resumed", &counts.resumed),
+            ] {
+                self.metrics.gauge(name, it.load(Ordering::Relaxed));
+            }
+            let (sent, received) = rpc::traffic();
+            self.metrics.gauge("control_bytes", sent + received);
+        }
+    }
+
     /// Gives the last reports time to go out.
     pub(crate) async fn flush(&self) {
         clock::sleep(FLUSH).await;
@@ -273,6 +344,11 @@
     }
 }
 
+/// Milliseconds to two digits, up to an hour; the bounds are constants that are accepted.
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 3_600_000, 2).unwrap_or_else(|_| unreachable!())
+}
+
 fn tell(state: &mut State, id: TicketId, verdict: Verdict) {
     if let Some(it) = state.verdicts.remove(&id) {
         let _ = it.try_send(verdict);
--- a/crates/portfield-scheduler/src/watch.rs
+++ b/crates/portfield-scheduler/src/watch.rs
@@ -4,9 +4,9 @@
 
 use portfield::{
     ids::UpstreamId,
-    schedule::{Event, Health},
+    schedule::{Event, Health, Status},
 };
-use portfield_net::{clock, http1::Target, platform::Platform, rt::Runtime, store};
+use portfield_net::{clock, http1::Target, platform::Platform, rpc, rt::Runtime, store};
 use serde::Deserialize;
 
 use crate::{settings::Settings, shell::Shell};
@@ -16,6 +16,9 @@
 /// Time in which an upstream reports its load.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time between two sets of metrics.
+const METRICS_PERIOD: Duration = Duration::from_secs(5);
+
 /// What an upstream says of itself.
 #[derive(Debug, Deserialize)]
 struct Report {
@@ -30,6 +33,7 @@
     rt.spawn(watch_hosts(shell.clone(), platform.clone(), settings.list_period));
     rt.spawn(watch_fleet(shell.clone(), platform, settings.config_period));
     rt.spawn(watch_upstreams(shell.clone(), settings.report_period));
+    rt.spawn(send_metrics(shell.clone()));
     rt.spawn(join(shell.clone(), settings.seeds.clone()));
 }
 
@@ -73,6 +77,21 @@
     shell.feed(Event::Report(id, health));
 }
 
+async fn send_metrics(shell: Arc<Shell>) {
+    loop {
+        clock::sleep(METRICS_PERIOD).await;
+        let all = shell.read(|it| it.status());
+        let sum = |f: fn(&Status) -> u64| all.iter().map(f).sum();
+        shell.metrics.gauge("shards", all.len() as u64);
+        shell.metrics.gauge("slots", sum(|it| u64::from(it.slots)));
+        shell.metrics.gauge("slots_used", sum(|it| u64::from(it.used)));
+        let waiting = |it: &Status| it.backlog.iter().map(|it| u64::from(it.waiting)).sum();
+        shell.metrics.gauge("waiting", sum(waiting));
+        let (sent, received) = rpc::traffic();
+        shell.metrics.gauge("control_bytes", sent + received);
+    }
+}
+
 /// Asks the seeds for the members until some are known, in case the platform is down.
 async fn join(shell: Arc<Shell>, seeds: Vec<SocketAddr>) {
     while !seeds.is_empty() && shell.read(|it| it.view().iter().count()) < 2 {
--- a/crates/portfield/src/lib.rs
+++ b/crates/portfield/src/lib.rs
@@ -12,7 +12,6 @@
 //! - [`schedule`]: queues, fair order and slots of the shards that a host owns
 //! - [`route`]: tickets, outcomes, retries and admission at the host that took a request
 //! - [`claim`]: at-most-once execution by idempotency key
-//! - [`order`]: orders to engines under a lease with a fencing number
 //! - [`burn`]: service-level objectives and burn rates
 
 pub mod burn;
@@ -20,7 +19,6 @@
 pub mod fleet;
 pub mod ids;
 pub mod member;
-pub mod order;
 pub mod route;
 pub mod schedule;
 pub mod timer;
--- a/crates/portfield/src/order.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
