--- a/crates/portfield-burn/src/html.rs
+++ b/crates/portfield-burn/src/html.rs
@@ -20,7 +20,8 @@
     let mut res = format!(
         "<!doctype html><html lang=en><meta charset=utf-8><title>Burn report</title>\
          <style>{STYLE}</style><h1>How fast error budgets burn</h1>\
-         <p>1.00 uses a budget up exactly. {} routers answered.</p>",
+         <p>1.00 uses a budget up exactly. Failed: not answered. Late: first byte after the \
+         objective. Slow: tokens further apart than the objective. {} routers answered.</p>",
         report.n_routers
     );
     for it in &report.silent {
