perf(scheduler): one thread

Cause: strace over 5 s under the demo's load showed 1,981 futex calls beside 282 writes: tasks woke the second thread for work of microseconds. Tried and reverted: load reports every second in place of half a second, 1.23 -> 1.46 % (noise): not the cause.

--- a/crates/portfield-scheduler/src/main.rs
+++ b/crates/portfield-scheduler/src/main.rs
@@ -20,7 +20,7 @@
 /// Time in which the members and routers learn of a hand-over before the process ends.
 const HAND_OVER: Duration = Duration::from_millis(1500);
 /// Threads beside the main one.
-const N_THREADS: usize = 1;
+const N_THREADS: usize = 0;
 
 /// Owns shards of upstream capacity and grants it in fair order.
 #[derive(Debug, Parser)]
