--- a/crates/portfield-replay/src/main.rs
+++ b/crates/portfield-replay/src/main.rs
@@ -4,6 +4,7 @@
     fs,
     io::Write,
     path::{Path, PathBuf},
+    time::Duration,
 };
 
 use clap::{Parser, Subcommand};
@@ -37,6 +38,12 @@
     },
     /// Measures the slopes that docs/CAPACITY.md is worked out from.
     Slopes,
+    /// Replays the size to design for, in virtual time.
+    Size {
+        /// Seconds of virtual time.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+    },
     /// Replays each case under every policy and prints one table.
     Compare {
         /// Case files (TOML).
@@ -49,6 +56,10 @@
         Command::Record { cases } => cases.iter().try_for_each(|it| record(it)),
         Command::Run { cases } => run(&cases),
         Command::Compare { cases } => compare(&cases),
+        Command::Size { seconds } => {
+            let text = slopes::at_size(Duration::from_secs(seconds));
+            Ok(std::io::stdout().write_all(text.as_bytes())?)
+        }
         Command::Slopes => Ok(std::io::stdout().write_all(slopes::table().as_bytes())?),
     }
 }
--- a/crates/portfield-replay/src/sim/faults.rs
+++ b/crates/portfield-replay/src/sim/faults.rs
@@ -120,7 +120,7 @@
         }
     }
 
-    fn leave(&mut self, at: usize) {
+    pub(super) fn leave(&mut self, at: usize) {
         let id = self.engine_id(at);
         self.fleet.revision += 1;
         self.fleet.upstreams[at].leaving = true;
--- a/crates/portfield-replay/src/sim/mod.rs
+++ b/crates/portfield-replay/src/sim/mod.rs
@@ -90,6 +90,8 @@
     silent: bool,
     tickets: HashMap<TicketId, usize>,
     ticks: (Duration, Duration),
+    /// Control bytes, sent and received.
+    bytes: u64,
 }
 
 /// A replay under way.
@@ -102,6 +104,7 @@
     queue: BTreeMap<(Duration, u64), Event>,
     n_events: u64,
     hosts: Vec<Host>,
+    by_ip: HashMap<HostId, usize>,
     engines: BTreeMap<UpstreamId, Engine>,
     runs: HashMap<u64, Start>,
     n_runs: u64,
@@ -124,7 +127,68 @@
     world.measure.figures(world.now, n_hosts)
 }
 
+/// What a replay at size measured beside its figures.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Size {
+    /// The figures.
+    pub figures: Figures,
+    /// Control bytes a second: mean over hosts, the most, and mean over hosts without a shard.
+    pub control: (f64, f64, f64),
+    /// Hosts that own a shard.
+    pub n_owners: usize,
+    /// From a change of configuration until it was in force at every scheduler.
+    pub in_force: Option<Duration>,
+    /// Control messages sent.
+    pub messages: u64,
+    /// Virtual time that was replayed.
+    pub time: Duration,
+}
+
+/// Replays a part of a trace and stops, for figures at a size where the whole would be long.
+pub fn replay_part(case: &Case, arrivals: &[Arrival], time: Duration) -> Size {
+    let mut world = World::new(case, arrivals);
+    let change = WARM_UP + time / 2;
+    let mut in_force = None;
+    while let Some(((at, _), event)) = world.queue.pop_first() {
+        world.now = at;
+        if WARM_UP + time < at {
+            break;
+        }
+        if world.fleet.revision == 1 && change <= at {
+            world.leave(0);
+        }
+        let looks = matches!(event, Event::Sample);
+        world.handle(event);
+        if looks && in_force.is_none() && 1 < world.fleet.revision && world.is_in_force() {
+            in_force = Some(world.now - change);
+        }
+    }
+    world.size(in_force)
+}
+
 impl<'a> World<'a> {
+    fn is_in_force(&self) -> bool {
+        let mut all = self.hosts.iter().filter_map(|it| it.scheduler.as_ref());
+        all.all(|it| it.fleet().revision == self.fleet.revision)
+    }
+
+    fn size(&self, in_force: Option<Duration>) -> Size {
+        let secs = self.now.as_secs_f64();
+        let rates: Vec<_> = self.hosts.iter().map(|it| it.bytes as f64 / secs).collect();
+        let owns = |it: &Host| it.scheduler.as_ref().is_some_and(|it| !it.status().is_empty());
+        let idle: Vec<_> =
+            self.hosts.iter().filter(|it| !owns(it)).map(|it| it.bytes as f64 / secs).collect();
+        let mean = |all: &[f64]| all.iter().sum::<f64>() / all.len().max(1) as f64;
+        Size {
+            figures: self.measure.figures(self.now, self.hosts.len()),
+            control: (mean(&rates), rates.iter().copied().fold(0.0, f64::max), mean(&idle)),
+            n_owners: self.hosts.len() - idle.len(),
+            in_force,
+            messages: self.measure.messages,
+            time: self.now,
+        }
+    }
+
     fn new(case: &'a Case, arrivals: &'a [Arrival]) -> Self {
         let fleet = fleet::build(case);
         let token = Duration::from_micros(case.deployment.token_us);
@@ -138,6 +202,7 @@
             queue: BTreeMap::new(),
             n_events: 0,
             hosts: Vec::new(),
+            by_ip: HashMap::new(),
             runs: HashMap::new(),
             n_runs: 0,
             sessions: BTreeSet::new(),
@@ -163,6 +228,7 @@
         for (centre, n) in self.case.deployment.hosts.clone().into_iter().enumerate() {
             for idx in 0..n {
                 let ip = HostId::from([127, 0, centre as u8 + 1, idx as u8 + 1]);
+                self.by_ip.insert(ip, self.hosts.len());
                 self.hosts.push(Host {
                     ip,
                     address: SocketAddr::new(ip, 9090),
@@ -174,6 +240,7 @@
                     silent: false,
                     tickets: HashMap::new(),
                     ticks: (Duration::MAX, Duration::MAX),
+                    bytes: 0,
                 });
             }
         }
--- a/crates/portfield-replay/src/sim/net.rs
+++ b/crates/portfield-replay/src/sim/net.rs
@@ -32,17 +32,19 @@
 
     /// Returns the number of a host.
     pub(super) fn host(&self, ip: HostId) -> usize {
-        self.hosts.iter().position(|it| it.ip == ip).unwrap_or(0)
+        self.by_ip.get(&ip).copied().unwrap_or(0)
     }
 
     fn at_address(&self, address: SocketAddr) -> usize {
         self.host(address.ip())
     }
 
-    fn count(&mut self, bytes: usize) {
-        // Both ends handle it.
+    /// Counts a message at both ends.
+    fn count(&mut self, from: usize, to: usize, bytes: usize) {
         self.measure.bytes += 2 * bytes as u64;
         self.measure.messages += 1;
+        self.hosts[from].bytes += bytes as u64;
+        self.hosts[to].bytes += bytes as u64;
     }
 
     /// Returns whether a call reaches a scheduler that answers, and the delay one way.
@@ -68,7 +70,7 @@
             self.after(delay * 2, Event::RouterDown(router, host));
             return;
         };
-        self.count(CALL_COST);
+        self.count(router, scheduler, CALL_COST);
         self.sessions.insert((router, scheduler));
         let ip = self.hosts[router].ip;
         let up = schedule::Event::RouterUp(ip);
@@ -81,7 +83,7 @@
         if !self.sessions.contains(&(router, scheduler)) {
             return;
         }
-        self.count(frame.encoded_len() + FRAME_COST);
+        self.count(router, scheduler, frame.encoded_len() + FRAME_COST);
         let (ip, life) = (self.hosts[router].ip, self.hosts[scheduler].lives.0);
         let event = schedule::Event::Router(ip, frame);
         let delay = self.delay(self.hosts[router].centre, self.hosts[scheduler].centre);
@@ -117,7 +119,7 @@
         if !self.sessions.contains(&(router, from)) {
             return;
         }
-        self.count(frame.encoded_len() + FRAME_COST);
+        self.count(from, router, frame.encoded_len() + FRAME_COST);
         let ip = self.hosts[from].ip;
         let delay = self.delay(self.hosts[from].centre, self.hosts[router].centre);
         self.after(delay, Event::Frame(router, ip, frame));
@@ -125,7 +127,7 @@
 
     fn send_peer(&mut self, from: usize, address: SocketAddr, frame: wire::PeerFrame) {
         let to = self.at_address(address);
-        self.count(frame.encoded_len() + CALL_COST);
+        self.count(from, to, frame.encoded_len() + CALL_COST);
         let own = self.hosts[from].lives.0;
         let (life, delay) = self.reach(from, to);
         let (a, b) = (self.hosts[from].centre, self.hosts[to].centre);
@@ -138,7 +140,7 @@
         let scheduler = self.hosts[to].scheduler.as_ref().filter(|_| life.is_some());
         let reply = scheduler.map(|it| it.peer_reply(&frame));
         let time = if reply.is_some() { delay * 2 } else { CALL_TIMEOUT };
-        self.count(reply.as_ref().map_or(0, wire::PeerReply::encoded_len));
+        self.count(from, to, reply.as_ref().map_or(0, wire::PeerReply::encoded_len));
         let event = schedule::Event::PeerSent(frame, reply);
         self.after(time, Event::Scheduler(from, own, event));
     }
@@ -151,7 +153,7 @@
         request: wire::ProbeRequest,
     ) {
         let to = self.at_address(address);
-        self.count(request.encoded_len() + CALL_COST);
+        self.count(from, to, request.encoded_len() + CALL_COST);
         let (life, delay) = self.reach(from, to);
         let own = self.hosts[from].lives.0;
         let Some(life) = life else {
@@ -172,7 +174,7 @@
         self.after(delay, Event::Scheduler(to, life, probed));
         let Some(scheduler) = self.hosts[to].scheduler.as_mut() else { return };
         let reply = wire::ProbeReply { alive, ..scheduler.probe_reply(&request) };
-        self.count(reply.encoded_len());
+        self.count(from, to, reply.encoded_len());
         let event = schedule::Event::Answered(target, reply);
         self.after(time, Event::Scheduler(from, own, event));
     }
--- a/crates/portfield-replay/src/slopes.rs
+++ b/crates/portfield-replay/src/slopes.rs
@@ -17,6 +17,11 @@
 };
 use prost::Message;
 
+use crate::{
+    case::{Case, Deployment, Hint, Load, Outcome},
+    sim,
+};
+
 /// Tickets that wait while one decision is timed.
 const N_TICKETS: u64 = 10_000;
 /// Upstreams of the shard.
@@ -104,6 +109,75 @@
     Cost { ticket, steps: owner.steps() as f64 / N_TICKETS as f64, bytes }
 }
 
+/// Replays the size to design for in virtual time and returns what it measured.
+///
+/// 390 hosts, 784 engines with 36 slots, 7 data centres, 14 services, 1,200 workspaces of
+/// which a tenth sends more than its share; one change of configuration half-way.
+pub fn at_size(time: Duration) -> String {
+    let case = size_case(time);
+    let arrivals = case.record();
+    let start = Instant::now();
+    let res = sim::replay_part(&case, &arrivals, time);
+    let cpu = start.elapsed().as_secs_f64();
+    let (mean, most, idle) = res.control;
+    let figures = &res.figures;
+    format!(
+        "requests a second               {:.0}\n\
+         hosts that own a shard          {} of 390\n\
+         control, mean of all hosts      {mean:.0} bytes a second\n\
+         control, hosts without a shard  {idle:.0} bytes a second\n\
+         control, busiest host           {most:.0} bytes a second\n\
+         messages                        {:.1} a second for each host\n\
+         change in force everywhere      {}\n\
+         utilisation                     {:.1} %\n\
+         largest gap                     {:.0}, formula {:.0}\n\
+         processor time of all decisions, of the fakes and of the measures: {:.2} % of a core a host\n",
+        arrivals.len() as f64 / time.as_secs_f64(),
+        res.n_owners,
+        res.messages as f64 / res.time.as_secs_f64() / 390.0,
+        res.in_force
+            .map_or("not in this time".to_owned(), |it| format!("{:.2} s", it.as_secs_f64())),
+        figures.utilisation * 100.0,
+        figures.gap,
+        figures.bound,
+        cpu / res.time.as_secs_f64() / 390.0 * 100.0,
+    )
+}
+
+fn size_case(time: Duration) -> Case {
+    let load = |idx: u32| {
+        let busy = idx.is_multiple_of(10);
+        Load {
+            workspace: format!("w{idx}"),
+            share: 1 + idx % 4,
+            service: format!("model-{}", idx % 14),
+            rate: if busy { 17.0 } else { 0.61 },
+            burst: 1,
+            cost: (100, 434),
+            heavy: false,
+            hint: Hint::Rough,
+            batch: false,
+            entries: (0..8).map(|it| (idx as usize * 53 + it * 49) % 390).collect(),
+            prefixes: 0,
+            during: (0.0, time.as_secs_f64()),
+        }
+    };
+    Case {
+        seed: 1,
+        deployment: Deployment {
+            hosts: vec![56, 56, 56, 56, 56, 55, 55],
+            engines: vec![8; 7],
+            slots: 36,
+            near_us: 200,
+            far_us: 5000,
+            token_us: 40_000,
+        },
+        load: (0..1200).map(load).collect(),
+        fault: Vec::new(),
+        outcome: Outcome::default(),
+    }
+}
+
 /// Measures everything and returns a table.
 pub fn table() -> String {
     let mut res = String::from("| slope | at 16 | at 100 | at 400 | at 1,200 workspaces |\n");
--- a/crates/portfield/src/member/view.rs
+++ b/crates/portfield/src/member/view.rs
@@ -223,9 +223,9 @@
         res
     }
 
-    /// Returns all members for the wire.
-    pub fn to_wire(&self) -> Vec<wire::Member> {
-        self.iter().map(|(host, info)| to_wire(host, info)).collect()
+    /// Returns the members that `f` picks for the wire.
+    pub fn to_wire(&self, f: impl FnMut(&(HostId, &Info)) -> bool) -> Vec<wire::Member> {
+        self.iter().filter(f).map(|(host, info)| to_wire(host, info)).collect()
     }
 
     fn is_home(&self, data_centre: &str) -> bool {
--- a/crates/portfield/src/route/router.rs
+++ b/crates/portfield/src/route/router.rs
@@ -293,7 +293,7 @@
 
     /// Takes in a scheduler's frame.
     pub fn hear(&mut self, now: Duration, from: HostId, frame: &wire::OwnerFrame) {
-        self.hear_members(now, &frame.members);
+        let has_news = self.hear_members(now, &frame.members);
         self.hear_revision(from, frame.revision);
         for answer in &frame.answers {
             let Some(shard) = answer.shard.as_ref().map(ShardKey::from) else { continue };
@@ -309,7 +309,8 @@
                 self.refuse(it.ticket, Reason::QueueFull, retry);
             }
         }
-        if !frame.members.is_empty() {
+        // Without news an owner that denied a ticket would deny it again at once.
+        if has_news {
             self.place_all(now);
         }
     }
@@ -412,7 +413,9 @@
         }
     }
 
-    fn hear_members(&mut self, now: Duration, members: &[wire::Member]) {
+    /// Takes in members and returns whether any changed.
+    fn hear_members(&mut self, now: Duration, members: &[wire::Member]) -> bool {
+        let mut has_news = false;
         for it in members {
             let (Ok(host), Ok(address)) = (it.host.parse(), it.address.parse()) else { continue };
             let fresh = Scheduler {
@@ -422,16 +425,20 @@
                 up: false,
                 dialed: None,
             };
-            let old = self.schedulers.entry(host).or_insert_with(|| fresh.clone());
-            if old.incarnation <= it.incarnation {
-                let (up, dialed) = (old.up, old.dialed);
-                *old = Scheduler { up, dialed, ..fresh };
-                if up && it.state == DEAD {
-                    // The connection to a host without power may seem open for long.
-                    self.session_down(now, host);
-                }
+            let old = self.schedulers.get(&host);
+            let known = old.map(|it| (it.incarnation, it.state));
+            if known.is_some_and(|it| fresh.incarnation < it.0) {
+                continue;
+            }
+            has_news |= known != Some((fresh.incarnation, fresh.state));
+            let (up, dialed) = old.map_or((false, None), |it| (it.up, it.dialed));
+            self.schedulers.insert(host, Scheduler { up, dialed, ..fresh });
+            if up && it.state == DEAD {
+                // The connection to a host without power may seem open for long.
+                self.session_down(now, host);
             }
         }
+        has_news
     }
 
     fn hear_revision(&mut self, from: HostId, revision: Revision) {
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -228,7 +228,7 @@
         // A host that has just joined learns everything at once.
         let is_new = request.gossip.len() <= 2 && self.view.iter().count() > 2;
         if is_new && request.revision < self.adopted.revision() {
-            gossip = self.view.to_wire();
+            gossip = self.view.to_wire(|_| true);
         }
         wire::ProbeReply { alive: true, gossip, revision: self.adopted.revision() }
     }
@@ -559,19 +559,16 @@
 
     fn home_members(&self) -> Vec<wire::Member> {
         let home = &self.settings.me.data_centre;
-        let mut all = self.view.to_wire();
-        all.retain(|it| it.data_centre == *home);
-        all
+        self.view.to_wire(|(_, it)| it.data_centre == *home)
     }
 
     /// Tells the routers which members of this data centre changed.
     fn tell_members(&mut self) {
-        let mut fresh = self.home_members();
-        fresh.retain(|it| {
-            let Ok(host) = it.host.parse() else { return false };
-            let Some(info) = self.view.get(host) else { return false };
-            let now = (info.state, info.incarnation);
-            self.told.insert(host, now) != Some(now)
+        let home = &self.settings.me.data_centre;
+        let told = &mut self.told;
+        let fresh = self.view.to_wire(|(host, it)| {
+            let now = (it.state, it.incarnation);
+            it.data_centre == *home && told.insert(*host, now) != Some(now)
         });
         let revision = self.adopted.revision();
         let mut routers: Vec<_> = self.routers.iter().copied().collect();
