perf(schedule): control traffic at the size of 390 hosts

Causes, each found by the kinds of messages in the replay of 390 hosts: 1. a host that had heard of nobody owned every shard of its data centre; now it owns nothing until it knows a host or 3 s have passed; 2. each frame to a successor carried all that the peers had told; now the owner's own changes, and the rest every 5 s; 3. routers were told of members although none had changed; 4. the budget of exchanges left the cost of the calls out. The gap compares only workspaces that share a service.

--- a/crates/portfield-replay/src/gap.rs
+++ b/crates/portfield-replay/src/gap.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Clone)]
 pub struct Gap {
     shares: Vec<f64>,
+    /// Services that each workspace uses, a bit each: only who shares one can be compared.
+    uses: Vec<u64>,
     service: Vec<f64>,
     backlogged: Vec<Backlog>,
     /// Least and largest difference of each pair since both were last idle or not.
@@ -44,12 +46,19 @@
             service: vec![0.0; n],
             backlogged: vec![Backlog::Idle; n],
             ranges: vec![(0.0, 0.0); n * n],
+            uses: vec![1; n],
             shares,
             largest: 0.0,
             pair: (0, 0),
         }
     }
 
+    /// Says which services each workspace uses, a bit each.
+    pub fn with_uses(mut self, uses: Vec<u64>) -> Self {
+        self.uses = uses;
+        self
+    }
+
     /// Notes whether a workspace is backlogged from now on.
     pub fn set_backlogged(&mut self, idx: usize, backlog: Backlog) {
         if self.backlogged[idx] == backlog {
@@ -72,7 +81,8 @@
             return;
         }
         for other in 0..self.shares.len() {
-            if other == idx || self.backlogged[other] == Backlog::Idle {
+            let apart = self.uses[idx] & self.uses[other] == 0;
+            if other == idx || apart || self.backlogged[other] == Backlog::Idle {
                 continue;
             }
             let diff = self.diff(idx, other);
--- a/crates/portfield-replay/src/measure.rs
+++ b/crates/portfield-replay/src/measure.rs
@@ -106,7 +106,7 @@
             owner: arrivals.iter().filter_map(position).collect(),
             arrivals: arrivals.iter().map(|it| Duration::from_millis(it.at)).collect(),
             fates: vec![Fate::Ahead; arrivals.len()],
-            gap: Gap::new(shares.clone()),
+            gap: Gap::new(shares.clone()).with_uses(uses(case, &names)),
             late: None,
             tail,
             waiting: vec![0; n],
@@ -224,6 +224,23 @@
     }
 }
 
+/// Returns the services that each workspace uses, a bit each.
+fn uses(case: &Case, names: &[String]) -> Vec<u64> {
+    let mut services: Vec<&str> = Vec::new();
+    let mut res = vec![0; names.len()];
+    for it in &case.load {
+        let known = services.iter().position(|name| *name == it.service);
+        let bit = known.unwrap_or(services.len());
+        if known.is_none() {
+            services.push(&it.service);
+        }
+        if let Some(idx) = names.iter().position(|name| *name == it.workspace) {
+            res[idx] |= 1 << bit;
+        }
+    }
+    res
+}
+
 impl Figures {
     /// Holds the figures against what a case states; returns a line each and whether all hold.
     pub fn judge(&self, outcome: &Outcome) -> (String, Verdict) {
--- a/crates/portfield/src/schedule/owner.rs
+++ b/crates/portfield/src/schedule/owner.rs
@@ -272,7 +272,9 @@
         if now < self.granting {
             return;
         }
-        self.counters.set_complete();
+        if self.knows_peers(now) {
+            self.counters.set_complete();
+        }
         self.use_borrowed(now);
         while self.slots.any_free(now) {
             let Some(choice) = self.choose() else { break };
--- a/crates/portfield/src/schedule/peer.rs
+++ b/crates/portfield/src/schedule/peer.rs
@@ -22,6 +22,10 @@
 const HELD_PERIOD: Duration = Duration::from_secs(5);
 /// A loan that a complete list leaves out is lost if it is older than this.
 const LOAN_TRANSIT: Duration = Duration::from_secs(2);
+/// Time in which peers tell a new owner all that they know.
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+/// Bytes that a call to a peer costs beside its frame.
+const CALL_COST: usize = 120;
 /// Time between two frames that only carry loans or a new want.
 const URGENT_PAUSE: Duration = Duration::from_millis(2);
 
@@ -30,6 +34,8 @@
     incarnation: Incarnation,
     heard: Duration,
     silent: bool,
+    /// It told all that it knows.
+    told_all: bool,
     /// Tickets that it has waiting beyond its own free slots, less what was lent since.
     want: u32,
     /// Its last answer is lost: what is lent to it may be, too.
@@ -145,6 +151,7 @@
         peer.silent = false;
         peer.want = frame.want.saturating_sub(peer.lends.len() as u32);
         peer.pulls |= frame.pull;
+        peer.told_all |= frame.complete;
         self.hear_usage(from, frame);
         self.hear_loans(now, from, frame);
         self.counters.clamp(self.at_mean(self.limits.catch_up));
@@ -160,7 +167,7 @@
         for key in keys {
             let Some(frame) = self.frame(now, key, want) else { continue };
             if !frame.sets.is_empty() {
-                bytes += frame.encoded_len();
+                bytes += frame.encoded_len() + CALL_COST;
             }
             res.push(frame);
         }
@@ -181,7 +188,9 @@
                 it.sent + IDLE_EXCHANGE
             } else if urgent {
                 it.sent + URGENT_PAUSE
-            } else if it.acked < version || it.pulls {
+            } else if it.pulls {
+                it.sent + URGENT_PAUSE
+            } else if it.acked < version {
                 it.next
             } else {
                 it.next.max(it.sent + IDLE_EXCHANGE)
@@ -229,6 +238,13 @@
         }
     }
 
+    /// Returns whether every peer told all that it knows, or had the time to.
+    pub(super) fn knows_peers(&self, now: Duration) -> bool {
+        let own = self.shard;
+        let mut others = self.peers.peers.iter().filter(|(key, _)| **key != own);
+        self.granting() + PEER_LIMIT <= now || others.all(|(_, it)| it.told_all)
+    }
+
     /// Returns whether no peer was heard yet.
     fn is_new(&self) -> bool {
         let own = self.shard;
@@ -295,11 +311,12 @@
             return None;
         }
         let version = self.counters.version();
-        let regular = peer.next <= now;
+        // Who has just begun needs everything now, whatever the budget says.
+        let regular = peer.next <= now || peer.pulls;
         let stale = peer.acked < version || peer.pulls || peer.sent + IDLE_EXCHANGE <= now;
         let new_want = peer.told_want == 0 && 0 < want;
         let urgent = !peer.lends.is_empty() || !peer.returns.is_empty() || new_want;
-        if !(regular && stale || urgent && peer.sent + URGENT_PAUSE <= now) {
+        if !((regular && stale || urgent) && peer.sent + URGENT_PAUSE <= now) {
             return None;
         }
         let mut res = wire::PeerShard {
@@ -323,7 +340,9 @@
             if tells_held {
                 peer.next_held = now + HELD_PERIOD;
             }
-            self.fill(&mut res, if full { 0 } else { since }, full, to);
+            // The successor also hears now and then what the others told.
+            let is_told_all = full || tells_held && to == self.shard;
+            self.fill(&mut res, if full { 0 } else { since }, is_told_all);
             if tells_held && to != self.shard {
                 res.complete = true;
                 res.held = self.held_from(to);
@@ -334,7 +353,7 @@
     }
 
     /// Adds usage and lifts changed after a version, and in a full frame all that is known.
-    fn fill(&mut self, res: &mut wire::PeerShard, since: u64, full: bool, to: ShardKey) {
+    fn fill(&mut self, res: &mut wire::PeerShard, since: u64, full: bool) {
         self.peers.sequence += 1;
         res.sets.push(wire::UsageSet {
             shard: Some(self.shard.into()),
@@ -343,7 +362,7 @@
             usage: self.counters.usage_since(since),
         });
         res.lifts = self.counters.lifts_since(since);
-        if full || to == self.shard {
+        if full {
             res.sets.extend(self.counters.seen_sets());
         }
     }
@@ -405,7 +424,7 @@
             incarnation: self.incarnation,
             ..Default::default()
         };
-        self.fill(&mut res, 0, true, self.shard);
+        self.fill(&mut res, 0, true);
         res
     }
 }
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -20,6 +20,8 @@
     wire,
 };
 
+/// A host that has heard of no other for this long after its start is alone.
+const JOIN_LIMIT: Duration = Duration::from_secs(3);
 /// Decisions remembered for operators.
 const MAX_DECISIONS: usize = 8192;
 
@@ -102,9 +104,12 @@
     standby: BTreeMap<ShardKey, Standby>,
     routers: HashSet<HostId>,
     told: BTreeMap<HostId, (State, Incarnation)>,
+    told_revision: Revision,
     seen_version: (u64, Revision),
     next_incarnation: Incarnation,
     decisions: VecDeque<Decision>,
+    /// Until then a host that has heard of no other owns nothing.
+    joins_by: Option<Duration>,
     actions: Vec<Action>,
 }
 
@@ -127,9 +132,11 @@
             standby: BTreeMap::new(),
             routers: HashSet::new(),
             told: BTreeMap::new(),
+            told_revision: 0,
             seen_version: (0, 0),
             next_incarnation: settings.incarnation,
             decisions: VecDeque::new(),
+            joins_by: Some(JOIN_LIMIT),
             actions: Vec::new(),
             settings,
         }
@@ -413,8 +420,20 @@
         }
     }
 
+    /// Returns whether this host knows the others, or has waited for them long enough. One
+    /// that took itself for the only host would own every shard of its data centre.
+    fn has_joined(&mut self, now: Duration) -> bool {
+        if 1 < self.view.iter().count() || self.joins_by.is_some_and(|it| it <= now) {
+            self.joins_by = None;
+        }
+        self.joins_by.is_none()
+    }
+
     /// Computes anew which shards this host owns, where members or configuration changed.
     fn reassign(&mut self, now: Duration) {
+        if !self.has_joined(now) {
+            return;
+        }
         let version = (self.view.version(), self.adopted.revision());
         if self.seen_version == version {
             return;
@@ -571,6 +590,10 @@
             it.data_centre == *home && told.insert(*host, now) != Some(now)
         });
         let revision = self.adopted.revision();
+        if fresh.is_empty() && self.told_revision == revision {
+            return;
+        }
+        self.told_revision = revision;
         let mut routers: Vec<_> = self.routers.iter().copied().collect();
         routers.sort_unstable();
         for host in routers {
