--- /dev/null
+++ b/crates/portfield-net/tests/http_choice.rs
@@ -0,0 +1,43 @@
+//! Why callers and upstreams are not served by `async-h1`: what docs/design/http.md says of
+//! it, held against the library. If one of these fails, the choice is to be weighed anew.
+
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use http_types::{Request, Response};
+
+/// Serves one connection, sends `bytes` on it, ends the sending side and returns what came back.
+fn exchange(bytes: &'static [u8]) -> String {
+    future::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = async {
+            let (stream, _) = listener.accept().await.unwrap();
+            let echo = |mut request: Request| async move {
+                let body = request.body_string().await?;
+                Ok(Response::from(format!("got {} bytes", body.len())))
+            };
+            let _ = async_h1::accept(stream, echo).await;
+        };
+        let client = async {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(bytes).await.unwrap();
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            let mut text = String::new();
+            stream.read_to_string(&mut text).await.unwrap();
+            text
+        };
+        future::zip(server, client).await.1
+    })
+}
+
+#[test]
+fn a_body_that_is_cut_short_is_taken_as_whole() {
+    let text = exchange(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc");
+    assert!(text.contains("200 OK") && text.contains("got 3 bytes"), "{text}");
+}
+
+#[test]
+fn a_pipelined_request_is_lost() {
+    let one = b"GET / HTTP/1.1\r\nhost: a\r\n\r\nGET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    assert_eq!(exchange(one).matches("200 OK").count(), 1);
+}
