--- a/crates/portfield-net/src/http1.rs
+++ b/crates/portfield-net/src/http1.rs
@@ -189,6 +189,13 @@
     }
 }
 
+/// Builds a handler for [`serve`] from a function that answers without waiting.
+pub fn at_once(
+    f: impl Fn(&Request) -> Response + Clone,
+) -> impl Fn(Request) -> std::future::Ready<Response> + Clone {
+    move |request| std::future::ready(f(&request))
+}
+
 /// Builds a JSON answer.
 pub fn json(status: u16, value: &impl Serialize) -> Response {
     let mut res = Response::new(status);
--- a/crates/portfield-router/src/admin.rs
+++ b/crates/portfield-router/src/admin.rs
@@ -1,9 +1,6 @@
 //! The admin port: readiness, counters, records of requests.
 
-use std::{
-    pin::Pin,
-    sync::{Arc, atomic::Ordering},
-};
+use std::sync::atomic::Ordering;
 
 use http_types::{Request, Response};
 use portfield_net::{http1::json, rpc};
@@ -11,17 +8,8 @@
 
 use crate::shell::Shell;
 
-type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
-
-/// Returns the handler of the admin port.
-pub(crate) fn handler(shell: Arc<Shell>) -> impl Fn(Request) -> Answer + Clone + Send + Sync {
-    move |request| {
-        let res = answer(&shell, &request);
-        Box::pin(async { res })
-    }
-}
-
-fn answer(shell: &Shell, request: &Request) -> Response {
+/// Answers a request of the admin port.
+pub(crate) fn answer(shell: &Shell, request: &Request) -> Response {
     match request.url().path() {
         "/ready" => {
             let status = if shell.is_ready() { 200 } else { 503 };
--- a/crates/portfield-scheduler/src/admin.rs
+++ b/crates/portfield-scheduler/src/admin.rs
@@ -1,7 +1,5 @@
 //! The admin port: readiness, status, decisions.
 
-use std::{pin::Pin, sync::Arc};
-
 use http_types::{Request, Response};
 use portfield::{member::State, schedule::Scheduler};
 use portfield_net::{http1::json, rpc};
@@ -9,17 +7,8 @@
 
 use crate::shell::Shell;
 
-type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
-
-/// Returns the handler of the admin port.
-pub(crate) fn handler(shell: Arc<Shell>) -> impl Fn(Request) -> Answer + Clone + Send + Sync {
-    move |request| {
-        let res = answer(&shell, &request);
-        Box::pin(async { res })
-    }
-}
-
-fn answer(shell: &Shell, request: &Request) -> Response {
+/// Answers a request of the admin port.
+pub(crate) fn answer(shell: &Shell, request: &Request) -> Response {
     match request.url().path() {
         "/ready" => ready(shell),
         "/status" => json(200, &shell.read(|it| status(it))),
@@ -89,7 +78,9 @@
     };
     let all: Vec<_> = shell.read(|it| {
         let all = it.decisions(host, ticket);
-        all.iter().map(|it| json!({ "at_ms": it.at.as_millis(), "text": it.text })).collect()
+        all.iter()
+            .map(|it| json!({ "at_ms": it.at.as_millis(), "text": it.step.to_string() }))
+            .collect()
     });
     json(200, &all)
 }
--- /dev/null
+++ b/crates/portfield/src/schedule/decision.rs
@@ -0,0 +1,121 @@
+//! Decisions remembered for operators.
+
+use std::{collections::VecDeque, fmt, time::Duration};
+
+use super::key::ShardKey;
+use crate::{
+    ids::{HostId, LoanId, TicketId, UpstreamId},
+    wire,
+};
+
+/// Decisions that are remembered.
+const MAX_DECISIONS: usize = 8192;
+
+/// What was decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// A ticket was queued.
+    Queued {
+        /// The shard.
+        shard: ShardKey,
+        /// Cost hint in tokens.
+        hint: u32,
+    },
+    /// It got a slot.
+    Granted {
+        /// The shard that granted it.
+        shard: ShardKey,
+        /// Whose slot it is.
+        upstream: UpstreamId,
+        /// Reserved cost in tokens.
+        estimate: u32,
+        /// The loan that the slot came by, zero for an own one.
+        loan: LoanId,
+    },
+    /// It was not queued.
+    Refused {
+        /// The shard.
+        shard: ShardKey,
+        /// When to come back.
+        retry: Duration,
+    },
+    /// Its request ended.
+    Ended {
+        /// The shard.
+        shard: ShardKey,
+        /// What it was charged, in tokens.
+        cost: u32,
+        /// The grant was not used to its end.
+        declined: bool,
+    },
+    /// The shard went to another owner.
+    HandedOver {
+        /// The shard.
+        shard: ShardKey,
+    },
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Queued { shard, hint } => write!(f, "queued at {shard}, hint {hint}"),
+            Self::Granted { shard, upstream, estimate, loan } => {
+                write!(f, "granted by {shard} on upstream {upstream}, estimate {estimate}")?;
+                if *loan == 0 { Ok(()) } else { write!(f, ", a borrowed slot") }
+            }
+            Self::Refused { shard, retry } => write!(f, "refused by {shard}, retry in {retry:?}"),
+            Self::Ended { shard, cost, declined } => {
+                write!(f, "ended at {shard}, charged {cost}")?;
+                if *declined { write!(f, ", given up by its router") } else { Ok(()) }
+            }
+            Self::HandedOver { shard } => write!(f, "handed over {shard}"),
+        }
+    }
+}
+
+/// One decision that an operator may ask about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Decision {
+    /// When it was made.
+    pub at: Duration,
+    /// The router concerned.
+    pub host: HostId,
+    /// The ticket concerned, zero for none.
+    pub ticket: TicketId,
+    /// What was decided.
+    pub step: Step,
+}
+
+/// The last decisions, the oldest first.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Decisions {
+    all: VecDeque<Decision>,
+}
+
+impl Decisions {
+    /// Remembers a decision.
+    pub(super) fn push(&mut self, at: Duration, host: HostId, ticket: TicketId, step: Step) {
+        self.all.push_back(Decision { at, host, ticket, step });
+        if MAX_DECISIONS < self.all.len() {
+            self.all.pop_front();
+        }
+    }
+
+    /// Remembers what an answer to a router grants and refuses.
+    pub(super) fn note_answer(&mut self, at: Duration, host: HostId, answer: &wire::ShardAnswer) {
+        let Some(shard) = answer.shard.as_ref().map(ShardKey::from) else { return };
+        for it in &answer.grants {
+            let (upstream, estimate, loan) = (it.upstream, it.estimate, it.loan);
+            self.push(at, host, it.ticket, Step::Granted { shard, upstream, estimate, loan });
+        }
+        for it in &answer.refusals {
+            let retry = Duration::from_millis(it.retry.into());
+            self.push(at, host, it.ticket, Step::Refused { shard, retry });
+        }
+    }
+
+    /// Returns the decisions on a ticket.
+    pub(super) fn on(&self, host: HostId, ticket: TicketId) -> impl Iterator<Item = &Decision> {
+        self.all.iter().filter(move |it| it.host == host && it.ticket == ticket)
+    }
+}
--- a/crates/portfield/src/schedule/mod.rs
+++ b/crates/portfield/src/schedule/mod.rs
@@ -6,6 +6,7 @@
 //! to owners in other data centres whose workspaces are served less, and borrows theirs.
 
 mod counters;
+mod decision;
 mod estimate;
 mod key;
 mod owner;
@@ -13,12 +14,14 @@
 mod queue;
 mod scheduler;
 mod slots;
+mod standby;
 
 pub use counters::{Counters, SCALE, Virtual, to_virtual};
+pub use decision::{Decision, Step};
 pub use estimate::Estimates;
 pub use key::ShardKey;
 pub use owner::{Limits, Owner, Status, WorkspaceStatus};
 pub use peer::Arrival;
 pub use queue::{Queues, Waiting};
-pub use scheduler::{Action, Decision, Event, Scheduler, Settings};
+pub use scheduler::{Action, Event, Scheduler, Settings};
 pub use slots::{Health, Pace, Slots};
--- a/crates/portfield/src/schedule/peer.rs
+++ b/crates/portfield/src/schedule/peer.rs
@@ -186,9 +186,7 @@
             let urgent = !it.lends.is_empty() || !it.returns.is_empty();
             if it.sending.is_some() {
                 it.sent + IDLE_EXCHANGE
-            } else if urgent {
-                it.sent + URGENT_PAUSE
-            } else if it.pulls {
+            } else if urgent || it.pulls {
                 it.sent + URGENT_PAUSE
             } else if it.acked < version {
                 it.next
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -1,17 +1,19 @@
 //! One scheduler process: members, owned shards, sessions with routers and peers.
 
 use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use super::{
+    decision::{Decision, Decisions, Step},
     key::ShardKey,
     owner::{Limits, Owner, Status},
     peer::Arrival,
     slots::Health,
+    standby::Standby,
 };
 use crate::{
     fleet::{Adopted, Fleet},
@@ -22,9 +24,6 @@
 
 /// A host that has heard of no other for this long after its start is alone.
 const JOIN_LIMIT: Duration = Duration::from_secs(3);
-/// Decisions remembered for operators.
-const MAX_DECISIONS: usize = 8192;
-
 /// What a scheduler is told at its start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -80,19 +79,6 @@
     Fetch(SocketAddr),
 }
 
-/// One decision that an operator may ask about.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Decision {
-    /// When it was made.
-    pub at: Duration,
-    /// The router concerned.
-    pub host: HostId,
-    /// The ticket concerned.
-    pub ticket: TicketId,
-    /// What was decided.
-    pub text: String,
-}
-
 /// One scheduler process.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -107,19 +93,12 @@
     told_revision: Revision,
     seen_version: (u64, Revision),
     next_incarnation: Incarnation,
-    decisions: VecDeque<Decision>,
+    decisions: Decisions,
     /// Until then a host that has heard of no other owns nothing.
     joins_by: Option<Duration>,
     actions: Vec<Action>,
 }
 
-/// Another owner's counters, kept for the case that this host succeeds it.
-#[derive(Debug, Default)]
-struct Standby {
-    sets: BTreeMap<(ShardKey, Incarnation), wire::UsageSet>,
-    lifts: BTreeMap<u32, u64>,
-}
-
 impl Scheduler {
     /// Builds a scheduler that knows nothing but itself.
     pub fn new(settings: Settings) -> Self {
@@ -135,7 +114,7 @@
             told_revision: 0,
             seen_version: (0, 0),
             next_incarnation: settings.incarnation,
-            decisions: VecDeque::new(),
+            decisions: Decisions::default(),
             joins_by: Some(JOIN_LIMIT),
             actions: Vec::new(),
             settings,
@@ -190,8 +169,7 @@
 
     /// Returns the remembered decisions on a ticket, the oldest first.
     pub fn decisions(&self, host: HostId, ticket: TicketId) -> Vec<&Decision> {
-        let all = self.decisions.iter();
-        all.filter(|it| it.host == host && it.ticket == ticket).collect()
+        self.decisions.on(host, ticket).collect()
     }
 
     fn apply(&mut self, now: Duration, event: Event) {
@@ -335,11 +313,12 @@
             owner.register(now, host, it);
         }
         for it in &report.tickets {
-            self.decide(now, host, it.id, format!("queued at {shard}, hint {}", it.hint));
+            let step = Step::Queued { shard, hint: it.hint };
+            self.decisions.push(now, host, it.id, step);
         }
         for it in &report.done {
-            let text = format!("ended at {shard}, charged {}, declined {}", it.cost, it.declined);
-            self.decide(now, host, it.id, text);
+            let step = Step::Ended { shard, cost: it.cost, declined: it.declined };
+            self.decisions.push(now, host, it.id, step);
         }
     }
 
@@ -498,7 +477,8 @@
         for host in owner.routers() {
             self.disown(host, shard);
         }
-        self.decide(now, self.view.me(), 0, format!("handed over {shard}"));
+        let me = self.view.me();
+        self.decisions.push(now, me, 0, Step::HandedOver { shard });
     }
 
     fn owner_host(&self, fleet: &Fleet, shard: ShardKey) -> Option<HostId> {
@@ -556,21 +536,7 @@
             }
         }
         for (host, mut frame) in frames {
-            for answer in &frame.answers {
-                let shard = answer.shard.as_ref().map(ShardKey::from);
-                let shard = shard.map(|it| it.to_string()).unwrap_or_default();
-                for it in &answer.grants {
-                    let text = format!(
-                        "granted by {shard} on upstream {}, estimate {}, loan {}",
-                        it.upstream, it.estimate, it.loan
-                    );
-                    self.decide(now, host, it.ticket, text);
-                }
-                for it in &answer.refusals {
-                    let text = format!("refused by {shard}, retry in {} ms", it.retry);
-                    self.decide(now, host, it.ticket, text);
-                }
-            }
+            frame.answers.iter().for_each(|it| self.decisions.note_answer(now, host, it));
             frame.revision = self.adopted.revision();
             self.actions.push(Action::Router(host, frame));
         }
@@ -602,33 +568,4 @@
             self.actions.push(Action::Router(host, frame));
         }
     }
-
-    fn decide(&mut self, now: Duration, host: HostId, ticket: TicketId, text: String) {
-        self.decisions.push_back(Decision { at: now, host, ticket, text });
-        if MAX_DECISIONS < self.decisions.len() {
-            self.decisions.pop_front();
-        }
-    }
-}
-
-impl Standby {
-    fn newest(&self, shard: ShardKey) -> Option<Incarnation> {
-        let all = (shard, 0)..=(shard, Incarnation::MAX);
-        self.sets.range(all).next_back().map(|((_, it), _)| *it)
-    }
-
-    fn keep(&mut self, frame: &wire::PeerShard) {
-        for set in &frame.sets {
-            let Some(shard) = set.shard.as_ref().map(ShardKey::from) else { continue };
-            let old = self.sets.entry((shard, set.incarnation)).or_default();
-            let mut usage: BTreeMap<_, _> =
-                old.usage.iter().map(|it| (it.workspace, *it)).collect();
-            usage.extend(set.usage.iter().map(|it| (it.workspace, *it)));
-            *old = wire::UsageSet { usage: usage.into_values().collect(), ..set.clone() };
-        }
-        for it in &frame.lifts {
-            let old = self.lifts.entry(it.workspace).or_default();
-            *old = it.value.max(*old);
-        }
-    }
 }
