fix(once): a caller that hangs up before anything was sent gives its key back

Cause: the claim was given back only where the router refused; a caller that hung up while its request waited left the key taken, and its repeat was told 409 although nothing had run.

--- a/crates/portfield-router/src/call.rs
+++ b/crates/portfield-router/src/call.rs
@@ -1,6 +1,9 @@
 //! A caller's request, checked.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, header, request::Parts};
@@ -48,6 +51,8 @@
     pub wait: Duration,
     pub repeatable: bool,
     pub key: Option<String>,
+    /// Some attempt may have run.
+    pub sent: Arc<AtomicBool>,
 }
 
 impl Call {
@@ -70,6 +75,7 @@
             wait: wait.map_or(longest, |it| Duration::from_millis(u64::from(it))),
             repeatable: service.repeatable && repeat != Some(0),
             key: key(&parts.headers)?,
+            sent: Arc::default(),
             workspace: workspace.clone(),
             service: service.clone(),
             method: parts.method,
--- a/crates/portfield-router/src/exchange.rs
+++ b/crates/portfield-router/src/exchange.rs
@@ -60,9 +60,12 @@
         }
     };
     shell.record(&call.id, 0, "key claimed");
+    // Dropped with this future where the caller hangs up.
+    let mut guard = once::Guard::new(shell.clone(), held, call.sent.clone());
     match attempts(shell, call).await {
-        Ok(res) => Ok(once::keep(shell, held, res).await),
+        Ok(res) => Ok(once::keep(shell, guard.take(), res).await),
         Err(it) => {
+            let held = guard.take();
             if it.outcome == Outcome::NotRun {
                 once::release(shell, held).await;
             }
@@ -83,6 +86,7 @@
         shell.record(&call.id, 0, format!("attempt broke: {}", broken.text));
         let certain = broken.phase <= Phase::Declined;
         n_ambiguous += u32::from(!certain);
+        call.sent.store(0 < n_ambiguous, Ordering::Relaxed);
         let allowed = certain || call.repeatable && call.key.is_none();
         if !allowed || n + 1 == MAX_ATTEMPTS || !shell.spend_retry() {
             let outcome = outcome_of(broken.phase, n_ambiguous);
@@ -134,6 +138,7 @@
         return Ok(Err(Broken { phase: Phase::Unsent, text }));
     };
     shell.record(&call.id, ticket.id(), format!("granted: upstream {}", place.address));
+    call.sent.store(true, Ordering::Relaxed);
     match upstream::send(shell, &place, call).await {
         Ok(response) => Ok(Ok(relay::start(shell, call, ticket, place, response))),
         Err(broken) => {
--- a/crates/portfield-router/src/once.rs
+++ b/crates/portfield-router/src/once.rs
@@ -1,6 +1,11 @@
 //! Requests with an idempotency key: claimed before they are sent, answered from the key
 //! when they are repeated.
 
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
 use bytes::Bytes;
 use http::{Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -32,6 +37,37 @@
     claim: Claim,
 }
 
+/// Gives a claim back if the request that holds it ends without having been sent, as when
+/// its caller hangs up.
+pub(crate) struct Guard {
+    shell: Arc<Shell>,
+    held: Held,
+    sent: Arc<AtomicBool>,
+    taken: bool,
+}
+
+impl Guard {
+    pub(crate) fn new(shell: Arc<Shell>, held: Held, sent: Arc<AtomicBool>) -> Self {
+        Self { shell, held, sent, taken: false }
+    }
+
+    /// Takes the claim: what becomes of it is decided elsewhere.
+    pub(crate) fn take(&mut self) -> Held {
+        self.taken = true;
+        self.held.clone()
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.taken || self.sent.load(Ordering::Relaxed) {
+            return;
+        }
+        let (shell, held) = (self.shell.clone(), self.held.clone());
+        self.shell.rt.spawn(async move { release(&shell, held).await });
+    }
+}
+
 /// What follows from a request's key.
 pub(crate) enum Claimed {
     /// It may be sent, by this request only.
--- a/crates/portfield-standins/tests/fleet/mod.rs
+++ b/crates/portfield-standins/tests/fleet/mod.rs
@@ -236,6 +236,22 @@
         self.start_with("portfield-router", ip, &settings)
     }
 
+    /// Starts a router at an address that it had before.
+    pub fn restart_router(
+        &self,
+        ip: &str,
+        centre: &str,
+        scheduler: SocketAddr,
+        address: SocketAddr,
+    ) -> Process {
+        let settings = format!(
+            "listen = '{address}'\nadmin = '{ip}:0'\nschedulers = ['{scheduler}']\n\
+             drain_ms = 200\nstall_timeout_ms = 2000\nanswer_timeout_ms = 2000\n{}",
+            self.common(centre)
+        );
+        self.start_with("portfield-router", ip, &settings)
+    }
+
     fn common(&self, name: &str) -> String {
         let relay = self.relay.others.iter().find(|(it, _)| it == name).unwrap().1;
         let others = self.relay.others.iter().filter(|(it, _)| !it.is_empty() && it != name);
--- a/crates/portfield-standins/tests/once.rs
+++ b/crates/portfield-standins/tests/once.rs
@@ -2,11 +2,11 @@
 
 mod fleet;
 
-use std::thread;
+use std::{io::Write, net::TcpStream, thread};
 
 use serde_json::json;
 
-use crate::fleet::{Answer, Fleet, Shape, order, orders, switch, until};
+use crate::fleet::{Answer, Fleet, Shape, get, order, orders, switch, until};
 
 const KEY: &str = "idempotency-key: k1\r\n";
 
@@ -114,3 +114,25 @@
     assert_eq!((again.status, again.outcome()), (409, "unknown"));
     assert_eq!(orders(&fleet.plains[0])["arch"], 1);
 }
+
+/// A caller that hangs up while its keyed request waits: nothing ran, so the key is free.
+#[test]
+fn a_caller_that_hangs_up_before_the_grant_gives_the_key_back() {
+    let fleet =
+        Fleet::start(Shape { slots: 1, router: "answer_timeout_ms = 1500", ..Shape::default() });
+    switch(&fleet.plains[0], &json!({ "fault": "hang", "times": 1 }));
+    let address = fleet.hosts[0].router.address;
+    let first = fleet::request("small", "/ledger/order", &order("first"), "");
+    let running = thread::spawn(move || fleet::send(address, &first));
+    until("it runs", || orders(&fleet.plains[0]).contains_key("first"));
+    let mut stream = TcpStream::connect(address).unwrap();
+    let call = fleet::request("small", "/ledger/order", &order("second"), KEY);
+    stream.write_all(call.as_bytes()).unwrap();
+    let status = || get(fleet.hosts[0].router.others[1].1, "/status").json();
+    until("it waits", || status()["waiting"] == 1);
+    drop(stream);
+    until("it is withdrawn", || status()["waiting"] == 0);
+    assert_eq!(running.join().unwrap().outcome(), "unknown");
+    until("the repeat runs", || buy(&fleet, 1, "second").status == 200);
+    assert_eq!(orders(&fleet.plains[0])["second"], 1);
+}
