--- a/crates/portfield-standins/tests/soak.rs
+++ b/crates/portfield-standins/tests/soak.rs
@@ -8,6 +8,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     env,
+    io::Write,
     net::{SocketAddr, TcpStream},
     sync::{
         Mutex,
@@ -239,7 +240,7 @@
         let most = get(it.address, "/runs").json()["most_running"].clone();
         seen.count(&format!("most at once on engine {idx} (4 slots): {most}"));
     }
-    println!("{:#?}", seen.counts.lock().unwrap());
+    writeln!(std::io::stdout(), "{:#?}", seen.counts.lock().unwrap()).unwrap();
     let violations = seen.violations.lock().unwrap();
     assert!(violations.is_empty(), "{violations:#?}");
 }
