feat(route): a stream goes on at another router

Cause: when a router died its callers' streams were lost although the engines still ran them: no state outlives a router, and a row for each stream would be 2,700 writes a second. Change: a stream's answer carries a token that says where it is, bound to its workspace; any router resumes it after the event that the caller names. Test: router killed at event 20 of 150, the rest comes from another router, no event twice or missing; another workspace and a forged token get 403.

--- a/crates/portfield-router/src/exchange.rs
+++ b/crates/portfield-router/src/exchange.rs
@@ -15,6 +15,7 @@
     call::Call,
     once::{self, Claimed},
     relay,
+    resume::{self, RESUME},
     shell::{Shell, Verdict},
     ticket::Ticket,
     upstream::{self, Broken, Place},
@@ -49,8 +50,11 @@
     }
 }
 
-/// Claims the request's key, if it has one, before it is sent.
+/// Goes on with a stream, or claims the request's key, if it has one, before it is sent.
 async fn keyed(shell: &Arc<Shell>, call: Call) -> Result<Response<Body>, Rejection> {
+    if let Some(token) = call.headers.get(RESUME).and_then(|it| it.to_str().ok()) {
+        return resume::run(shell, &call, token).await;
+    }
     let Some(key) = call.key.clone() else { return attempts(shell, call).await };
     let held = match once::claim(shell, &call, &key).await? {
         Claimed::Send(held) => held,
@@ -140,7 +144,7 @@
     shell.record(&call.id, ticket.id(), format!("granted: upstream {}", place.address));
     call.sent.store(true, Ordering::Relaxed);
     match upstream::send(shell, &place, call).await {
-        Ok(response) => Ok(Ok(relay::start(shell, call, ticket, place, response))),
+        Ok(response) => Ok(Ok(relay::start(shell, call, Some(ticket), place, response))),
         Err(broken) => {
             ticket.fail(0);
             Ok(Err(broken))
--- a/crates/portfield-router/src/main.rs
+++ b/crates/portfield-router/src/main.rs
@@ -8,6 +8,7 @@
 mod front;
 mod once;
 mod relay;
+mod resume;
 mod session;
 mod settings;
 mod shell;
--- a/crates/portfield-router/src/relay.rs
+++ b/crates/portfield-router/src/relay.rs
@@ -16,13 +16,14 @@
     burn::Sample,
     fleet::{Kind, Service},
     ids::WorkspaceId,
-    route::backoff,
+    route::{backoff, resume_token},
 };
 use portfield_net::clock;
 
 use crate::{
     answer::{Body, REQUEST_ID, text_header},
     call::Call,
+    resume::RESUME,
     shell::Shell,
     ticket::Ticket,
     upstream::{self, Place},
@@ -39,7 +40,7 @@
 pub(crate) fn start(
     shell: &Arc<Shell>,
     call: &Call,
-    ticket: Ticket,
+    ticket: Option<Ticket>,
     place: Place,
     response: Response<Incoming>,
 ) -> Response<Body> {
@@ -52,11 +53,16 @@
         parts.headers.insert(header::CONTENT_LENGTH, it);
     }
     parts.headers.insert(REQUEST_ID, text_header(&call.id));
+    if let Some(it) = stream.as_ref().filter(|_| is_events) {
+        let token = resume_token(&shell.fleet(), call.workspace.id, place.id, it);
+        parts.headers.insert(RESUME, text_header(&token));
+        parts.headers.remove(STREAM_ID);
+    }
     let relay = Relay {
         shell: shell.clone(),
         id: call.id.clone(),
         cost: call.prompt_cost(),
-        ticket: Some(ticket),
+        ticket,
         place,
         stream: stream.filter(|_| is_events),
         last: String::new(),
--- a/crates/portfield-router/src/upstream.rs
+++ b/crates/portfield-router/src/upstream.rs
@@ -46,6 +46,7 @@
 /// Where an upstream is.
 #[derive(Debug, Clone)]
 pub(crate) struct Place {
+    pub id: UpstreamId,
     pub address: SocketAddr,
     pub data_centre: String,
 }
@@ -53,9 +54,14 @@
 impl Place {
     /// Finds an upstream; none where it is gone or gets no new work.
     pub(crate) fn find(fleet: &Fleet, id: UpstreamId) -> Option<Self> {
-        let it = fleet.upstream(id).filter(|it| !it.leaving)?;
+        Self::at(fleet, id).filter(|_| fleet.upstream(id).is_some_and(|it| !it.leaving))
+    }
+
+    /// Finds an upstream for what runs there already.
+    pub(crate) fn at(fleet: &Fleet, id: UpstreamId) -> Option<Self> {
+        let it = fleet.upstream(id)?;
         let data_centre = fleet.data_centre_name(it.data_centre).to_owned();
-        Some(Self { address: it.address, data_centre })
+        Some(Self { id, address: it.address, data_centre })
     }
 }
 
--- a/crates/portfield-standins/tests/streams.rs
+++ b/crates/portfield-standins/tests/streams.rs
@@ -93,3 +93,31 @@
     }
     assert!(!seen.contains("flow 60\n"), "the first event came with the last");
 }
+
+/// The router dies in the middle of a stream; the caller goes on at another with its token.
+#[test]
+fn a_stream_goes_on_at_another_router() {
+    let mut fleet = Fleet::start(Shape::default());
+    let mut stream = TcpStream::connect(fleet.hosts[0].router.address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    let call = fleet::request("small", "/scribe/run", &generation("moved", 150), "");
+    stream.write_all(call.as_bytes()).unwrap();
+    let mut seen = String::new();
+    let mut bytes = [0; 4096];
+    while !seen.contains("moved 20\n") {
+        let n = stream.read(&mut bytes).unwrap();
+        assert!(0 < n);
+        seen.push_str(&String::from_utf8_lossy(&bytes[..n]));
+    }
+    let token = seen.lines().find_map(|it| it.strip_prefix("x-portfield-resume: ")).unwrap();
+    fleet.hosts[0].router.kill();
+    let headers = format!("x-portfield-resume: {token}\r\nlast-event-id: 20\r\n");
+    // Nobody else may read it, with this token or another.
+    let other = fleet.call(1, "large", "/scribe/run", "", &headers);
+    assert_eq!(other.status, 403, "{other:?}");
+    let forged = format!("x-portfield-resume: {}x\r\n", token);
+    assert_eq!(fleet.call(1, "small", "/scribe/run", "", &forged).status, 403);
+    let rest = fleet.call(1, "small", "/scribe/run", "", &headers);
+    assert!(rest.whole, "{rest:?}");
+    assert_eq!(events("moved", 20) + &rest.body, events("moved", 150));
+}
--- a/crates/portfield/src/route/mod.rs
+++ b/crates/portfield/src/route/mod.rs
@@ -5,10 +5,12 @@
 
 mod admission;
 mod outcome;
+mod resume;
 mod retry;
 mod router;
 
 pub use admission::{Admission, Full};
 pub use outcome::{Outcome, Phase, outcome_of};
+pub use resume::{read_token, resume_token};
 pub use retry::{Budget, backoff};
 pub use router::{Action, Reason, Request, Router};
