--- a/crates/portfield-replay/src/sim/mod.rs
+++ b/crates/portfield-replay/src/sim/mod.rs
@@ -4,6 +4,10 @@
 mod faults;
 mod fleet;
 mod net;
+mod runs;
+mod size;
+
+pub use size::{Size, replay_part};
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -22,7 +26,7 @@
 
 use crate::{
     case::Case,
-    engine::{Engine, Job, STEP},
+    engine::Engine,
     measure::{Fate, Figures, Measure},
     trace::Arrival,
 };
@@ -125,75 +129,7 @@
     world.measure.figures(world.now, n_hosts)
 }
 
-/// What a replay at size measured beside its figures.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Size {
-    /// The figures.
-    pub figures: Figures,
-    /// Control bytes a second: mean over hosts, the most, and mean over hosts without a shard.
-    pub control: (f64, f64, f64),
-    /// Hosts that own a shard.
-    pub n_owners: usize,
-    /// From a change of configuration until it was in force at every scheduler.
-    pub in_force: Option<Duration>,
-    /// Control messages sent.
-    pub messages: u64,
-    /// Virtual time that was replayed.
-    pub time: Duration,
-}
-
-/// Replays a part of a trace and stops, for figures at a size where the whole would be long.
-pub fn replay_part(case: &Case, arrivals: &[Arrival], time: Duration) -> Size {
-    let mut world = World::new(case, arrivals);
-    let change = WARM_UP + time / 2;
-    let mut in_force = None;
-    // What joining costs is not counted.
-    let mut settled = None;
-    while let Some(((at, _), event)) = world.queue.pop_first() {
-        world.now = at;
-        if WARM_UP + time < at {
-            break;
-        }
-        if settled.is_none() && WARM_UP + time * 3 / 4 <= at {
-            settled = Some((at, world.hosts.iter().map(|it| it.bytes).collect::<Vec<_>>()));
-        }
-        if world.fleet.revision == 1 && change <= at {
-            world.leave(0);
-        }
-        let looks = matches!(event, Event::Sample);
-        world.handle(event);
-        if looks && in_force.is_none() && 1 < world.fleet.revision && world.is_in_force() {
-            in_force = Some(world.now - change);
-        }
-    }
-    let (since, before) = settled.unwrap_or((Duration::ZERO, vec![0; world.hosts.len()]));
-    world.size(in_force, since, &before)
-}
-
 impl<'a> World<'a> {
-    fn is_in_force(&self) -> bool {
-        let mut all = self.hosts.iter().filter_map(|it| it.scheduler.as_ref());
-        all.all(|it| it.fleet().revision == self.fleet.revision)
-    }
-
-    fn size(&self, in_force: Option<Duration>, since: Duration, before: &[u64]) -> Size {
-        let secs = (self.now - since).as_secs_f64();
-        let all = self.hosts.iter().zip(before);
-        let rates: Vec<_> = all.map(|(it, old)| (it.bytes - old) as f64 / secs).collect();
-        let owns = |it: &Host| it.scheduler.as_ref().is_some_and(|it| !it.status().is_empty());
-        let idle = self.hosts.iter().zip(&rates).filter(|(it, _)| !owns(it));
-        let idle: Vec<_> = idle.map(|(_, rate)| *rate).collect();
-        let mean = |all: &[f64]| all.iter().sum::<f64>() / all.len().max(1) as f64;
-        Size {
-            figures: self.measure.figures(self.now, self.hosts.len()),
-            control: (mean(&rates), rates.iter().copied().fold(0.0, f64::max), mean(&idle)),
-            n_owners: self.hosts.len() - idle.len(),
-            in_force,
-            messages: self.measure.messages,
-            time: self.now,
-        }
-    }
-
     fn new(case: &'a Case, arrivals: &'a [Arrival]) -> Self {
         let fleet = fleet::build(case);
         let token = Duration::from_micros(case.deployment.token_us);
@@ -453,104 +389,6 @@
         }
     }
 
-    fn start(&mut self, host: usize, ticket: TicketId, upstream: UpstreamId) {
-        let Some(request) = self.hosts[host].tickets.get(&ticket).copied() else { return };
-        self.measure.turn(self.now, request, Fate::Runs);
-        let life = self.hosts[host].lives.1;
-        let start = Start { host, life, ticket, request, upstream };
-        let delay = self.delay(self.hosts[host].centre, self.engine_centre(upstream));
-        self.after(delay, Event::Begin(start));
-    }
-
-    fn begin(&mut self, start: Start) {
-        let centre = self.engine_centre(start.upstream);
-        let here = self.hosts[start.host].centre;
-        let reachable = !self.is_cut(here, centre) && self.engines[&start.upstream].alive;
-        if !self.is_live(&start) {
-            return;
-        }
-        if !reachable {
-            self.fail(start);
-            return;
-        }
-        if self.left.is_some_and(|(id, at)| id == start.upstream && at + LEAVE_LIMIT < self.now) {
-            self.measure.violate(format!("upstream {} got work while leaving", start.upstream));
-        }
-        self.note_regrant(centre);
-        self.n_runs += 1;
-        let run = self.n_runs;
-        self.runs.insert(run, start);
-        let cost = self.arrivals[start.request].cost;
-        let job = Job { request: start.request, made: 0, cost };
-        let now = self.now;
-        let Some(engine) = self.engines.get_mut(&start.upstream) else { return };
-        engine.start(now, run, job);
-        let time = engine.time(cost.min(STEP));
-        self.after(time, Event::Tokens(start.upstream, run));
-    }
-
-    /// Notes the first work for the first data centre's upstreams after their owner died.
-    fn note_regrant(&mut self, centre: usize) {
-        let Some(since) = self.orphaned.filter(|it| centre == 0 && *it + TRANSIT < self.now) else {
-            return;
-        };
-        self.orphaned = None;
-        self.measure.regrant = self.measure.regrant.max(self.now - since);
-    }
-
-    fn make_tokens(&mut self, upstream: UpstreamId, run: u64) {
-        let Some(start) = self.runs.get(&run).copied() else { return };
-        let now = self.now;
-        if !self.is_live(&start) {
-            // The caller's connection is gone: the engine cancels.
-            self.end_run(upstream, run);
-            return;
-        }
-        let cut = self.is_cut(self.hosts[start.host].centre, self.engine_centre(upstream));
-        let Some(engine) = self.engines.get_mut(&upstream) else { return };
-        let Some(job) = engine.jobs.get_mut(&run) else { return };
-        let step = STEP.min(job.cost - job.made);
-        job.made += step;
-        let (made, left) = (job.made, job.cost - job.made);
-        let time = engine.time(left.min(STEP));
-        self.measure.serve(now, start.request, step);
-        if 0 < left {
-            self.route(start.host, |it| it.progress(start.ticket, made));
-            self.after(time, Event::Tokens(upstream, run));
-        } else if cut {
-            // The rest is resumed once the link is back.
-            self.after(Duration::from_millis(100), Event::Tokens(upstream, run));
-        } else {
-            self.end_run(upstream, run);
-            let pace = self.engines[&upstream].time(1);
-            self.hosts[start.host].tickets.remove(&start.ticket);
-            self.measure.turn(now, start.request, Fate::Answered);
-            self.route(start.host, |it| it.finish(start.ticket, made, pace));
-        }
-    }
-
-    fn end_run(&mut self, upstream: UpstreamId, run: u64) {
-        let now = self.now;
-        self.runs.remove(&run);
-        if let Some(it) = self.engines.get_mut(&upstream) {
-            it.end(now, run);
-        }
-    }
-
-    /// Ends an attempt that broke; the request waits again.
-    fn fail(&mut self, start: Start) {
-        self.hosts[start.host].tickets.remove(&start.ticket);
-        self.route(start.host, |it| it.fail(start.ticket, 0));
-        self.measure.turn(self.now, start.request, Fate::Waits);
-        self.submit(start.host, start.request);
-    }
-
-    /// Returns whether the router that started a request still lives.
-    fn is_live(&self, start: &Start) -> bool {
-        let host = &self.hosts[start.host];
-        host.lives.1 == start.life && host.router.is_some()
-    }
-
     fn sample(&mut self) {
         let (mut busy, mut capacity) = (0, 0);
         for service in &self.fleet.services {
--- /dev/null
+++ b/crates/portfield-replay/src/sim/size.rs
@@ -0,0 +1,76 @@
+//! Replays at the size to design for: a part of a trace, and what it costs each host.
+
+use std::time::Duration;
+
+use super::{Event, Host, WARM_UP, World};
+use crate::{case::Case, measure::Figures, trace::Arrival};
+
+/// What a replay at size measured beside its figures.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Size {
+    /// The figures.
+    pub figures: Figures,
+    /// Control bytes a second: mean over hosts, the most, and mean over hosts without a shard.
+    pub control: (f64, f64, f64),
+    /// Hosts that own a shard.
+    pub n_owners: usize,
+    /// From a change of configuration until it was in force at every scheduler.
+    pub in_force: Option<Duration>,
+    /// Control messages sent.
+    pub messages: u64,
+    /// Virtual time that was replayed.
+    pub time: Duration,
+}
+
+/// Replays a part of a trace and stops, for figures at a size where the whole would be long.
+pub fn replay_part(case: &Case, arrivals: &[Arrival], time: Duration) -> Size {
+    let mut world = World::new(case, arrivals);
+    let change = WARM_UP + time / 2;
+    let mut in_force = None;
+    // What joining costs is not counted.
+    let mut settled = None;
+    while let Some(((at, _), event)) = world.queue.pop_first() {
+        world.now = at;
+        if WARM_UP + time < at {
+            break;
+        }
+        if settled.is_none() && WARM_UP + time * 3 / 4 <= at {
+            settled = Some((at, world.hosts.iter().map(|it| it.bytes).collect::<Vec<_>>()));
+        }
+        if world.fleet.revision == 1 && change <= at {
+            world.leave(0);
+        }
+        let looks = matches!(event, Event::Sample);
+        world.handle(event);
+        if looks && in_force.is_none() && 1 < world.fleet.revision && world.is_in_force() {
+            in_force = Some(world.now - change);
+        }
+    }
+    let (since, before) = settled.unwrap_or((Duration::ZERO, vec![0; world.hosts.len()]));
+    world.size(in_force, since, &before)
+}
+
+impl World<'_> {
+    pub(super) fn is_in_force(&self) -> bool {
+        let mut all = self.hosts.iter().filter_map(|it| it.scheduler.as_ref());
+        all.all(|it| it.fleet().revision == self.fleet.revision)
+    }
+
+    pub(super) fn size(&self, in_force: Option<Duration>, since: Duration, before: &[u64]) -> Size {
+        let secs = (self.now - since).as_secs_f64();
+        let all = self.hosts.iter().zip(before);
+        let rates: Vec<_> = all.map(|(it, old)| (it.bytes - old) as f64 / secs).collect();
+        let owns = |it: &Host| it.scheduler.as_ref().is_some_and(|it| !it.status().is_empty());
+        let idle = self.hosts.iter().zip(&rates).filter(|(it, _)| !owns(it));
+        let idle: Vec<_> = idle.map(|(_, rate)| *rate).collect();
+        let mean = |all: &[f64]| all.iter().sum::<f64>() / all.len().max(1) as f64;
+        Size {
+            figures: self.measure.figures(self.now, self.hosts.len()),
+            control: (mean(&rates), rates.iter().copied().fold(0.0, f64::max), mean(&idle)),
+            n_owners: self.hosts.len() - idle.len(),
+            in_force,
+            messages: self.measure.messages,
+            time: self.now,
+        }
+    }
+}
--- a/crates/portfield/src/route/mod.rs
+++ b/crates/portfield/src/route/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod outcome;
+mod placing;
 mod resume;
 mod retry;
 mod router;
--- /dev/null
+++ b/crates/portfield/src/route/placing.rs
@@ -0,0 +1,137 @@
+//! Where a router's tickets and running requests are registered.
+
+use std::time::Duration;
+
+use super::router::{Action, Router, Stage, Timer};
+use crate::{
+    ids::{HostId, ServiceId, TicketId},
+    member::{choose_part, rank},
+    schedule::ShardKey,
+    wire,
+};
+
+/// Pause before a ticket is registered again with an owner that denied it.
+const REGISTER_PAUSE: Duration = Duration::from_millis(50);
+/// A session that cannot be opened is tried again after this time.
+const DIAL_PAUSE: Duration = Duration::from_millis(200);
+
+impl Router {
+    /// Marks what is registered at a host for a shard it does not own as to be placed.
+    pub(super) fn evict(&mut self, host: HostId, shard: ShardKey) {
+        let here = self
+            .entries
+            .iter()
+            .filter(|(_, it)| it.shard == shard && it.stage.host() == Some(host));
+        let here: Vec<_> = here.map(|(id, _)| *id).collect();
+        self.homeless.extend(here);
+    }
+
+    /// Places everything anew where shards may have changed with the configuration.
+    pub(super) fn evict_all(&mut self) {
+        let moved: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, it)| it.shard != self.home_shard(it.request.service))
+            .map(|(id, _)| *id)
+            .collect();
+        self.homeless.extend(moved);
+    }
+
+    /// Returns the shard of this data centre that this router's requests go to.
+    pub(super) fn home_shard(&self, service: ServiceId) -> ShardKey {
+        let fleet = self.adopted.fleet();
+        let data_centre = fleet.data_centre(&self.data_centre).unwrap_or(0);
+        let n_parts = fleet.n_parts(service, data_centre);
+        let spread = ShardKey { service, data_centre, part: 0 };
+        let part = choose_part(spread, n_parts, self.host);
+        ShardKey { part, ..spread }
+    }
+
+    pub(super) fn place_all(&mut self, now: Duration) {
+        for id in std::mem::take(&mut self.homeless) {
+            self.place(now, id);
+        }
+    }
+
+    /// Registers a ticket or a running request with the shard's owner.
+    pub(super) fn place(&mut self, now: Duration, id: TicketId) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let shard = self.home_shard(entry.request.service);
+        let Some(host) = self.owner(shard) else {
+            self.homeless.insert(id);
+            self.place_later(now);
+            return;
+        };
+        if !self.schedulers[&host].up {
+            self.homeless.insert(id);
+            self.dial(now, host);
+            self.place_later(now);
+            return;
+        }
+        self.unregister(id, shard);
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.shard = shard;
+        let request = &entry.request;
+        match &mut entry.stage {
+            Stage::Runs(at, run) => {
+                *at = host;
+                let running = wire::Running {
+                    id,
+                    workspace: request.workspace.id,
+                    upstream: run.upstream,
+                    cost: run.cost,
+                    estimate: run.estimate,
+                    loan: run.loan,
+                };
+                self.report(host, shard).running.push(running);
+            }
+            stage => {
+                *stage = Stage::Queued(host);
+                let ticket = wire::Ticket {
+                    id,
+                    workspace: request.workspace.id,
+                    hint: request.hint,
+                    class: u32::from(request.batch),
+                    prefix: request.prefix,
+                    waited: now.saturating_sub(entry.since).as_millis() as u32,
+                };
+                self.report(host, shard).tickets.push(ticket);
+            }
+        }
+    }
+
+    /// Takes a ticket back from the shard that it was registered with, if that is another.
+    pub(super) fn unregister(&mut self, id: TicketId, fresh: ShardKey) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let (old, host, stage) = (entry.shard, entry.stage.host(), entry.stage);
+        let Some(host) = host.filter(|_| old != fresh) else { return };
+        match stage {
+            Stage::Runs(_, run) => {
+                let done = wire::Done { id, cost: run.cost, declined: true, ..Default::default() };
+                self.report(host, old).done.push(done);
+            }
+            _ => self.report(host, old).cancels.push(id),
+        }
+    }
+
+    pub(super) fn place_later(&mut self, now: Duration) {
+        if !self.placing {
+            self.placing = true;
+            self.timers.subscribe(now + REGISTER_PAUSE, Timer::Place);
+        }
+    }
+
+    pub(super) fn owner(&self, shard: ShardKey) -> Option<HostId> {
+        let alive = self.schedulers.iter().filter(|(_, it)| it.state <= 1 && 0 < it.incarnation);
+        rank(shard, alive.map(|(host, _)| *host)).first().copied()
+    }
+
+    pub(super) fn dial(&mut self, now: Duration, host: HostId) {
+        let Some(it) = self.schedulers.get_mut(&host) else { return };
+        if it.dialed.is_some_and(|at| now < at + DIAL_PAUSE) {
+            return;
+        }
+        it.dialed = Some(now);
+        self.actions.push(Action::Dial(host, it.address));
+    }
+}
--- a/crates/portfield/src/route/router.rs
+++ b/crates/portfield/src/route/router.rs
@@ -11,7 +11,6 @@
 use crate::{
     fleet::{Adopted, Fleet, Workspace},
     ids::{HostId, Incarnation, Revision, ServiceId, TicketId, UpstreamId},
-    member::{choose_part, rank},
     schedule::ShardKey,
     timer::Timers,
     wire,
@@ -23,10 +22,6 @@
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
 /// Progress in tokens below which a report waits for the next batch.
 const REPORT_QUANTUM: u32 = 16;
-/// Pause before a ticket is registered again with an owner that denied it.
-const REGISTER_PAUSE: Duration = Duration::from_millis(50);
-/// A session that cannot be opened is tried again after this time.
-const DIAL_PAUSE: Duration = Duration::from_millis(200);
 /// Sessions that are kept open even if no shard asks for them.
 const MIN_SESSIONS: usize = 2;
 /// First part of a ticket's number: the life of the router.
@@ -76,7 +71,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
+pub(super) enum Stage {
     /// Not registered, or registration lost.
     Homeless,
     /// In the queue of the owner at a host.
@@ -86,33 +81,33 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Run {
-    upstream: UpstreamId,
-    estimate: u32,
-    loan: u64,
-    cost: u32,
-    reported: u32,
+pub(super) struct Run {
+    pub(super) upstream: UpstreamId,
+    pub(super) estimate: u32,
+    pub(super) loan: u64,
+    pub(super) cost: u32,
+    pub(super) reported: u32,
 }
 
 #[derive(Debug, Clone)]
-struct Entry {
-    request: Request,
-    shard: ShardKey,
-    since: Duration,
-    stage: Stage,
+pub(super) struct Entry {
+    pub(super) request: Request,
+    pub(super) shard: ShardKey,
+    pub(super) since: Duration,
+    pub(super) stage: Stage,
 }
 
 #[derive(Debug, Clone)]
-struct Scheduler {
-    address: SocketAddr,
-    state: u32,
-    incarnation: Incarnation,
-    up: bool,
-    dialed: Option<Duration>,
+pub(super) struct Scheduler {
+    pub(super) address: SocketAddr,
+    pub(super) state: u32,
+    pub(super) incarnation: Incarnation,
+    pub(super) up: bool,
+    pub(super) dialed: Option<Duration>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
+pub(super) enum Timer {
     Report,
     Place,
     Deadline(TicketId),
@@ -121,19 +116,19 @@
 /// The tickets of one router.
 #[derive(Debug)]
 pub struct Router {
-    data_centre: String,
-    host: HostId,
-    adopted: Adopted,
-    schedulers: BTreeMap<HostId, Scheduler>,
-    entries: HashMap<TicketId, Entry>,
-    homeless: BTreeSet<TicketId>,
-    stirred: BTreeSet<TicketId>,
-    admission: Admission,
-    timers: Timers<Timer>,
-    outbox: BTreeMap<HostId, BTreeMap<ShardKey, wire::ShardReport>>,
-    next_id: TicketId,
-    placing: bool,
-    actions: Vec<Action>,
+    pub(super) data_centre: String,
+    pub(super) host: HostId,
+    pub(super) adopted: Adopted,
+    pub(super) schedulers: BTreeMap<HostId, Scheduler>,
+    pub(super) entries: HashMap<TicketId, Entry>,
+    pub(super) homeless: BTreeSet<TicketId>,
+    pub(super) stirred: BTreeSet<TicketId>,
+    pub(super) admission: Admission,
+    pub(super) timers: Timers<Timer>,
+    pub(super) outbox: BTreeMap<HostId, BTreeMap<ShardKey, wire::ShardReport>>,
+    pub(super) next_id: TicketId,
+    pub(super) placing: bool,
+    pub(super) actions: Vec<Action>,
 }
 
 impl Router {
@@ -447,126 +442,7 @@
         }
     }
 
-    /// Marks what is registered at a host for a shard it does not own as to be placed.
-    fn evict(&mut self, host: HostId, shard: ShardKey) {
-        let here = self
-            .entries
-            .iter()
-            .filter(|(_, it)| it.shard == shard && it.stage.host() == Some(host));
-        let here: Vec<_> = here.map(|(id, _)| *id).collect();
-        self.homeless.extend(here);
-    }
-
-    /// Places everything anew where shards may have changed with the configuration.
-    fn evict_all(&mut self) {
-        let moved: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, it)| it.shard != self.home_shard(it.request.service))
-            .map(|(id, _)| *id)
-            .collect();
-        self.homeless.extend(moved);
-    }
-
-    /// Returns the shard of this data centre that this router's requests go to.
-    fn home_shard(&self, service: ServiceId) -> ShardKey {
-        let fleet = self.adopted.fleet();
-        let data_centre = fleet.data_centre(&self.data_centre).unwrap_or(0);
-        let n_parts = fleet.n_parts(service, data_centre);
-        let spread = ShardKey { service, data_centre, part: 0 };
-        let part = choose_part(spread, n_parts, self.host);
-        ShardKey { part, ..spread }
-    }
-
-    fn place_all(&mut self, now: Duration) {
-        for id in std::mem::take(&mut self.homeless) {
-            self.place(now, id);
-        }
-    }
-
-    /// Registers a ticket or a running request with the shard's owner.
-    fn place(&mut self, now: Duration, id: TicketId) {
-        let Some(entry) = self.entries.get(&id) else { return };
-        let shard = self.home_shard(entry.request.service);
-        let Some(host) = self.owner(shard) else {
-            self.homeless.insert(id);
-            self.place_later(now);
-            return;
-        };
-        if !self.schedulers[&host].up {
-            self.homeless.insert(id);
-            self.dial(now, host);
-            self.place_later(now);
-            return;
-        }
-        self.unregister(id, shard);
-        let Some(entry) = self.entries.get_mut(&id) else { return };
-        entry.shard = shard;
-        let request = &entry.request;
-        match &mut entry.stage {
-            Stage::Runs(at, run) => {
-                *at = host;
-                let running = wire::Running {
-                    id,
-                    workspace: request.workspace.id,
-                    upstream: run.upstream,
-                    cost: run.cost,
-                    estimate: run.estimate,
-                    loan: run.loan,
-                };
-                self.report(host, shard).running.push(running);
-            }
-            stage => {
-                *stage = Stage::Queued(host);
-                let ticket = wire::Ticket {
-                    id,
-                    workspace: request.workspace.id,
-                    hint: request.hint,
-                    class: u32::from(request.batch),
-                    prefix: request.prefix,
-                    waited: now.saturating_sub(entry.since).as_millis() as u32,
-                };
-                self.report(host, shard).tickets.push(ticket);
-            }
-        }
-    }
-
-    /// Takes a ticket back from the shard that it was registered with, if that is another.
-    fn unregister(&mut self, id: TicketId, fresh: ShardKey) {
-        let Some(entry) = self.entries.get(&id) else { return };
-        let (old, host, stage) = (entry.shard, entry.stage.host(), entry.stage);
-        let Some(host) = host.filter(|_| old != fresh) else { return };
-        match stage {
-            Stage::Runs(_, run) => {
-                let done = wire::Done { id, cost: run.cost, declined: true, ..Default::default() };
-                self.report(host, old).done.push(done);
-            }
-            _ => self.report(host, old).cancels.push(id),
-        }
-    }
-
-    fn place_later(&mut self, now: Duration) {
-        if !self.placing {
-            self.placing = true;
-            self.timers.subscribe(now + REGISTER_PAUSE, Timer::Place);
-        }
-    }
-
-    fn owner(&self, shard: ShardKey) -> Option<HostId> {
-        let alive = self.schedulers.iter().filter(|(_, it)| it.state <= 1 && 0 < it.incarnation);
-        rank(shard, alive.map(|(host, _)| *host)).first().copied()
-    }
-
-    fn dial(&mut self, now: Duration, host: HostId) {
-        let Some(it) = self.schedulers.get_mut(&host) else { return };
-        if it.dialed.is_some_and(|at| now < at + DIAL_PAUSE) {
-            return;
-        }
-        it.dialed = Some(now);
-        self.actions.push(Action::Dial(host, it.address));
-    }
-
-    fn report(&mut self, host: HostId, shard: ShardKey) -> &mut wire::ShardReport {
+    pub(super) fn report(&mut self, host: HostId, shard: ShardKey) -> &mut wire::ShardReport {
         let reports = self.outbox.entry(host).or_default();
         reports.entry(shard).or_insert_with(|| wire::ShardReport {
             shard: Some(shard.into()),
@@ -576,7 +452,7 @@
 }
 
 impl Stage {
-    fn host(&self) -> Option<HostId> {
+    pub(super) fn host(&self) -> Option<HostId> {
         match self {
             Self::Homeless => None,
             Self::Queued(host) | Self::Runs(host, _) => Some(*host),
--- a/crates/portfield/src/schedule/mod.rs
+++ b/crates/portfield/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod decision;
 mod estimate;
+mod exchange;
 mod key;
 mod owner;
 mod peer;
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -11,14 +11,13 @@
     decision::{Decision, Decisions, Step},
     key::ShardKey,
     owner::{Limits, Owner, Status},
-    peer::Arrival,
     slots::Health,
     standby::Standby,
 };
 use crate::{
     fleet::{Adopted, Fleet},
     ids::{HostId, Incarnation, Revision, TicketId, UpstreamId},
-    member::{ListEntry, Probe, Probes, State, View, rank},
+    member::{ListEntry, Probe, Probes, State, View},
     wire,
 };
 
@@ -82,21 +81,21 @@
 /// One scheduler process.
 #[derive(Debug)]
 pub struct Scheduler {
-    settings: Settings,
-    view: View,
-    probes: Probes,
-    adopted: Adopted,
-    owners: BTreeMap<ShardKey, Owner>,
-    standby: BTreeMap<ShardKey, Standby>,
-    routers: HashSet<HostId>,
-    told: BTreeMap<HostId, (State, Incarnation)>,
-    told_revision: Revision,
-    seen_version: (u64, Revision),
-    next_incarnation: Incarnation,
-    decisions: Decisions,
+    pub(super) settings: Settings,
+    pub(super) view: View,
+    pub(super) probes: Probes,
+    pub(super) adopted: Adopted,
+    pub(super) owners: BTreeMap<ShardKey, Owner>,
+    pub(super) standby: BTreeMap<ShardKey, Standby>,
+    pub(super) routers: HashSet<HostId>,
+    pub(super) told: BTreeMap<HostId, (State, Incarnation)>,
+    pub(super) told_revision: Revision,
+    pub(super) seen_version: (u64, Revision),
+    pub(super) next_incarnation: Incarnation,
+    pub(super) decisions: Decisions,
     /// Until then a host that has heard of no other owns nothing.
-    joins_by: Option<Duration>,
-    actions: Vec<Action>,
+    pub(super) joins_by: Option<Duration>,
+    pub(super) actions: Vec<Action>,
 }
 
 impl Scheduler {
@@ -218,28 +217,6 @@
         wire::ProbeReply { alive: true, gossip, revision: self.adopted.revision() }
     }
 
-    /// Builds the answer to a peer's frame: what in it went to the wrong host.
-    pub fn peer_reply(&self, frame: &wire::PeerFrame) -> wire::PeerReply {
-        let is_stray = |it: &&wire::PeerShard| {
-            let to = it.to.as_ref().map(ShardKey::from);
-            // A frame from a shard to itself is for its successor.
-            it.from != it.to && to.is_some_and(|it| !self.owners.contains_key(&it))
-        };
-        let not_owned: Vec<_> =
-            frame.shards.iter().filter(is_stray).filter_map(|it| it.to).collect();
-        let gossip = if not_owned.is_empty() { Vec::new() } else { self.home_members() };
-        let outdated = frame.shards.iter().filter_map(|it| self.later_owner(it)).collect();
-        wire::PeerReply { not_owned, gossip, outdated }
-    }
-
-    /// Returns the later owner that this host has heard of than the one that sent a frame.
-    fn later_owner(&self, frame: &wire::PeerShard) -> Option<wire::Outdated> {
-        let (from, to) = (frame.from.as_ref()?.into(), frame.to.as_ref()?.into());
-        let incarnation = self.owners.get(&to)?.heard_from(from)?;
-        let outdated = wire::Outdated { shard: frame.from, incarnation };
-        (frame.incarnation < incarnation).then_some(outdated)
-    }
-
     fn adopt(&mut self, now: Duration, fleet: Fleet) {
         if !self.adopted.offer(fleet) {
             return;
@@ -333,53 +310,6 @@
         self.actions.push(Action::Router(host, frame));
     }
 
-    fn hear_peer(&mut self, now: Duration, frame: &wire::PeerFrame) {
-        for it in &frame.shards {
-            let Some(to) = it.to.as_ref().map(ShardKey::from) else { continue };
-            match self.owners.get_mut(&to) {
-                Some(owner) => owner.hear(now, it),
-                None if it.from == it.to => self.standby.entry(to).or_default().keep(it),
-                None => (),
-            }
-        }
-    }
-
-    /// Takes in which shards have another owner, and which have had a later one.
-    fn hear_reply(&mut self, now: Duration, reply: &wire::PeerReply) {
-        let sender = reply.gossip.first().and_then(|it| it.host.parse().ok());
-        self.view.merge(now, sender, &reply.gossip);
-        for it in &reply.outdated {
-            let shard = it.shard.as_ref().map(ShardKey::from);
-            let Some(shard) = shard.filter(|it| self.owners.contains_key(it)) else { continue };
-            let incarnation = self.new_incarnation(now, Some(it.incarnation));
-            if let Some(owner) = self.owners.get_mut(&shard) {
-                owner.renumber(incarnation);
-            }
-        }
-    }
-
-    fn peer_sent(
-        &mut self,
-        now: Duration,
-        frame: &wire::PeerFrame,
-        reply: Option<&wire::PeerReply>,
-    ) {
-        if let Some(it) = reply {
-            self.hear_reply(now, it);
-        }
-        for it in &frame.shards {
-            let from = it.from.as_ref().map(ShardKey::from);
-            let Some(owner) = from.and_then(|it| self.owners.get_mut(&it)) else { continue };
-            let taken =
-                |reply: &wire::PeerReply| it.to.is_some_and(|to| !reply.not_owned.contains(&to));
-            let arrival = match reply.is_some_and(taken) {
-                true => Arrival::Confirmed,
-                false => Arrival::Unknown,
-            };
-            owner.frame_sent(now, it, arrival);
-        }
-    }
-
     fn probe(&mut self, now: Duration) {
         let me = self.view.me();
         for probe in self.probes.tick(now, &mut self.view) {
@@ -456,7 +386,11 @@
 
     /// Returns a number above those of all earlier ownerships: hosts started at different
     /// times, so it counts on from the host's own start, and above what the standby knows.
-    fn new_incarnation(&mut self, now: Duration, earlier: Option<Incarnation>) -> Incarnation {
+    pub(super) fn new_incarnation(
+        &mut self,
+        now: Duration,
+        earlier: Option<Incarnation>,
+    ) -> Incarnation {
         let by_clock = self.settings.incarnation + now.as_millis() as u64;
         let earlier = earlier.unwrap_or(0).max(self.next_incarnation);
         self.next_incarnation = by_clock.max(earlier + 1);
@@ -481,53 +415,6 @@
         self.decisions.push(now, me, 0, Step::HandedOver { shard });
     }
 
-    fn owner_host(&self, fleet: &Fleet, shard: ShardKey) -> Option<HostId> {
-        let name = fleet.data_centre_name(shard.data_centre);
-        rank(shard, self.view.owners(name)).first().copied()
-    }
-
-    /// Returns the host to send a frame to: the owner, or this shard's own successor.
-    fn receiver(&self, fleet: &Fleet, from: ShardKey, to: ShardKey) -> Option<HostId> {
-        if from != to {
-            return self.owner_host(fleet, to);
-        }
-        let name = fleet.data_centre_name(to.data_centre);
-        rank(to, self.view.owners(name)).get(1).copied()
-    }
-
-    fn send_frames(&mut self, now: Duration) {
-        let fleet = self.adopted.fleet().clone();
-        let me = self.view.me();
-        let mut batches: BTreeMap<HostId, Vec<wire::PeerShard>> = BTreeMap::new();
-        let frames: Vec<_> = self.owners.values_mut().flat_map(|it| it.frames(now)).collect();
-        for frame in frames {
-            let keys = (frame.from.as_ref(), frame.to.as_ref());
-            let (Some(from), Some(to)) = keys else { continue };
-            let host = self.receiver(&fleet, from.into(), to.into());
-            match host {
-                Some(host) if host != me => batches.entry(host).or_default().push(frame),
-                Some(_) => self.deliver_here(now, frame),
-                None => self.report_lost(now, frame),
-            }
-        }
-        for (host, shards) in batches {
-            let Some(it) = self.view.get(host) else { continue };
-            let frame = wire::PeerFrame { from: me.to_string(), shards };
-            self.actions.push(Action::Peer(it.address, frame));
-        }
-    }
-
-    fn deliver_here(&mut self, now: Duration, frame: wire::PeerShard) {
-        let frame = wire::PeerFrame { from: String::new(), shards: vec![frame] };
-        self.hear_peer(now, &frame);
-        self.peer_sent(now, &frame, Some(&wire::PeerReply::default()));
-    }
-
-    fn report_lost(&mut self, now: Duration, frame: wire::PeerShard) {
-        let frame = wire::PeerFrame { from: String::new(), shards: vec![frame] };
-        self.peer_sent(now, &frame, None);
-    }
-
     fn send_answers(&mut self, now: Duration) {
         let mut frames: BTreeMap<HostId, wire::OwnerFrame> = BTreeMap::new();
         for owner in self.owners.values_mut() {
@@ -542,7 +429,7 @@
         }
     }
 
-    fn home_members(&self) -> Vec<wire::Member> {
+    pub(super) fn home_members(&self) -> Vec<wire::Member> {
         let home = &self.settings.me.data_centre;
         self.view.to_wire(|(_, it)| it.data_centre == *home)
     }
