refactor(router): attempts end where they are counted; who joins is told by revision

The loop over attempts ended in an unreachable branch, and a joining host was guessed from the length of its gossip.

--- a/crates/portfield-router/src/exchange.rs
+++ b/crates/portfield-router/src/exchange.rs
@@ -81,26 +81,27 @@
 async fn attempts(shell: &Arc<Shell>, call: Call) -> Result<Response<Body>, Rejection> {
     let deadline = clock::now() + call.wait;
     let mut n_ambiguous = 0;
-    for n in 0..MAX_ATTEMPTS {
+    let mut n_broken = 0;
+    loop {
         let ticket = register(shell, &call, deadline, n_ambiguous)?;
         let broken = match attempt(shell, &call, ticket, n_ambiguous).await? {
             Ok(res) => return Ok(res),
             Err(it) => it,
         };
+        n_broken += 1;
         shell.record(&call.id, 0, format!("attempt broke: {}", broken.text));
         let certain = broken.phase <= Phase::Declined;
         n_ambiguous += u32::from(!certain);
         call.sent.store(0 < n_ambiguous, Ordering::Relaxed);
         let allowed = certain || call.repeatable && call.key.is_none();
-        if !allowed || n + 1 == MAX_ATTEMPTS || !shell.spend_retry() {
+        if !allowed || n_broken == MAX_ATTEMPTS || !shell.spend_retry() {
             let outcome = outcome_of(broken.phase, n_ambiguous);
             let retry = (outcome == Outcome::NotRun).then_some(backoff(5, 1.0));
             return Err(Rejection::gave_up(StatusCode::BAD_GATEWAY, outcome, broken.text, retry));
         }
         shell.counts.retries.fetch_add(1, Ordering::Relaxed);
-        clock::sleep(backoff(n, fastrand::f64())).await;
+        clock::sleep(backoff(n_broken - 1, fastrand::f64())).await;
     }
-    unreachable!("the last attempt returns")
 }
 
 fn register(
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -209,9 +209,8 @@
     pub fn probe_reply(&mut self, request: &wire::ProbeRequest) -> wire::ProbeReply {
         let from = request.from.parse().ok();
         let mut gossip = self.view.gossip(from);
-        // A host that has just joined learns everything at once.
-        let is_new = request.gossip.len() <= 2 && self.view.iter().count() > 2;
-        if is_new && request.revision < self.adopted.revision() {
+        // A host that has no configuration yet has just started: it learns everything at once.
+        if request.revision == 0 && 0 < self.adopted.revision() {
             gossip = self.view.to_wire(|_| true);
         }
         wire::ProbeReply { alive: true, gossip, revision: self.adopted.revision() }
