fix(schedule): a borrowed slot of a lost router comes back in doubt

Cause, found by reading: when a router went, the owner gave its borrowed slots back as free, though what it had sent may still run (an engine keeps an unread stream for 5 s); the lender's own slots of such a router are put in doubt, borrowed ones were not. A lender could run one request too many.

--- a/crates/portfield/src/schedule/owner.rs
+++ b/crates/portfield/src/schedule/owner.rs
@@ -255,8 +255,7 @@
             self.counters.release(run.workspace, run.reserved);
             match run.place {
                 Place::Own(id) => self.slots.doubt(now, id),
-                // NOTE: the lender finds out by its own upstream's reports.
-                Place::Borrowed(lender, loan) => self.peers.give_back(lender, loan.id),
+                Place::Borrowed(lender, loan) => self.peers.give_up(lender, loan.id),
             }
         }
         self.outbox.remove(&host);
--- a/crates/portfield/src/schedule/peer.rs
+++ b/crates/portfield/src/schedule/peer.rs
@@ -51,6 +51,8 @@
     next_held: Duration,
     lends: Vec<wire::Loan>,
     returns: Vec<LoanId>,
+    /// Loans to give back whose requests may still run.
+    doubtful: Vec<LoanId>,
     lent: BTreeMap<LoanId, Duration>,
 }
 
@@ -72,6 +74,13 @@
     sequence: u64,
 }
 
+impl Peer {
+    /// Returns whether loans are to be given or given back.
+    fn has_loans(&self) -> bool {
+        !self.lends.is_empty() || !self.returns.is_empty() || !self.doubtful.is_empty()
+    }
+}
+
 impl Peers {
     /// Keeps exactly the given peers.
     pub(super) fn configure(&mut self, list: impl Iterator<Item = ShardKey>) {
@@ -112,6 +121,13 @@
         }
     }
 
+    /// Queues the return of a borrowed slot whose request may still run.
+    pub(super) fn give_up(&mut self, lender: ShardKey, loan: LoanId) {
+        if let Some(it) = self.peers.get_mut(&lender) {
+            it.doubtful.push(loan);
+        }
+    }
+
     /// Takes a borrowed slot that is not used yet.
     pub(super) fn take_borrowed(&mut self) -> Option<(ShardKey, wire::Loan)> {
         self.borrowed.pop_front()
@@ -143,6 +159,7 @@
                 incarnation: frame.incarnation,
                 lent: std::mem::take(&mut peer.lent),
                 returns: std::mem::take(&mut peer.returns),
+                doubtful: std::mem::take(&mut peer.doubtful),
                 pulls: true,
                 ..Peer::default()
             };
@@ -183,7 +200,7 @@
     pub fn next_frame(&self) -> Duration {
         let version = self.counters.version();
         let due = |it: &Peer| {
-            let urgent = !it.lends.is_empty() || !it.returns.is_empty();
+            let urgent = it.has_loans();
             if it.sending.is_some() {
                 it.sent + IDLE_EXCHANGE
             } else if urgent || it.pulls {
@@ -211,6 +228,7 @@
             return;
         }
         peer.returns.extend(&frame.returns);
+        peer.doubtful.extend(&frame.doubtful);
         peer.pulls |= 1 < frame.sets.len();
         if frame.complete {
             peer.next_held = now;
@@ -275,6 +293,12 @@
                 peer.lent.remove(loan);
             }
         }
+        for loan in &frame.doubtful {
+            self.slots.doubt_loan(now, *loan);
+            if let Some(peer) = self.peers.peers.get_mut(&from) {
+                peer.lent.remove(loan);
+            }
+        }
         self.peers.borrowed.extend(frame.lends.iter().map(|it| (from, *it)));
         if frame.complete {
             self.reconcile(now, from, &frame.held);
@@ -313,7 +337,7 @@
         let regular = peer.next <= now || peer.pulls;
         let stale = peer.acked < version || peer.pulls || peer.sent + IDLE_EXCHANGE <= now;
         let new_want = peer.told_want == 0 && 0 < want;
-        let urgent = !peer.lends.is_empty() || !peer.returns.is_empty() || new_want;
+        let urgent = peer.has_loans() || new_want;
         if !((regular && stale || urgent) && peer.sent + URGENT_PAUSE <= now) {
             return None;
         }
@@ -324,6 +348,7 @@
             want,
             lends: std::mem::take(&mut peer.lends),
             returns: std::mem::take(&mut peer.returns),
+            doubtful: std::mem::take(&mut peer.doubtful),
             pull: is_new,
             ..Default::default()
         };
