--- a/crates/portfield-standins/tests/input.rs
+++ b/crates/portfield-standins/tests/input.rs
@@ -86,3 +86,16 @@
         assert!(text.contains(&format!("{key}:")), "{key}: {text}");
     }
 }
+
+#[test]
+fn the_example_settings_are_accepted() {
+    for deployment in ["craigmhor", "karumkaste"] {
+        for program in ["router", "scheduler"] {
+            let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+            let file = format!("{dir}/{deployment}/{program}.toml");
+            let args = ["--check", "--settings", &file];
+            let (ok, text) = fleet::run(&format!("portfield-{program}"), &args);
+            assert!(ok, "{file}: {text}");
+        }
+    }
+}
