refactor: one way to end a loan in doubt, one list of a case's workspaces

Ending a loan in doubt stood three times in peer.rs; the workspaces of a case were gathered by the same loop in the measures and in the baselines, and the baselines had their own copy of the engine's step; the relay asked twice whether a stream is one of events; fields that the split files had opened are closed again where nothing else uses them; a comment named seconds for a Duration.

--- a/crates/portfield-replay/src/baseline.rs
+++ b/crates/portfield-replay/src/baseline.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     case::Case,
+    engine::STEP,
     measure::{Fate, Figures, Measure},
     trace::Arrival,
 };
@@ -23,8 +24,6 @@
 
 /// Time between two exchanges of service among routers.
 const EXCHANGE: Duration = Duration::from_secs(1);
-/// Tokens between two looks at a running request.
-const STEP: u32 = 5;
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
@@ -73,14 +72,7 @@
         let deployment = &case.deployment;
         let n_engines: usize = deployment.engines.iter().sum();
         let n_hosts: usize = deployment.hosts.iter().sum();
-        let mut names: Vec<String> = Vec::new();
-        let mut shares = Vec::new();
-        for it in case.load.iter() {
-            if !names.contains(&it.workspace) {
-                names.push(it.workspace.clone());
-                shares.push(f64::from(it.share));
-            }
-        }
+        let (names, shares) = case.workspaces();
         let total = n_engines as u32 * deployment.slots;
         let n_places = if baseline == Baseline::Fifo { n_engines } else { n_hosts };
         let place = |idx: usize| {
--- a/crates/portfield-replay/src/case.rs
+++ b/crates/portfield-replay/src/case.rs
@@ -181,6 +181,19 @@
         toml::from_str(&text).wrap_err_with(|| path.display().to_string())
     }
 
+    /// Returns the names and shares of the workspaces, in the order in which they are stated.
+    pub fn workspaces(&self) -> (Vec<String>, Vec<f64>) {
+        let mut names: Vec<String> = Vec::new();
+        let mut shares = Vec::new();
+        for it in &self.load {
+            if !names.contains(&it.workspace) {
+                names.push(it.workspace.clone());
+                shares.push(f64::from(it.share));
+            }
+        }
+        (names, shares)
+    }
+
     /// Records the trace: the same case and seed give the same trace to the byte.
     pub fn record(&self) -> Vec<Arrival> {
         let mut rng = fastrand::Rng::with_seed(self.seed);
--- a/crates/portfield-replay/src/measure.rs
+++ b/crates/portfield-replay/src/measure.rs
@@ -88,14 +88,7 @@
 impl Measure {
     /// Builds the measures of a case.
     pub fn new(case: &Case, arrivals: &[Arrival]) -> Self {
-        let mut names: Vec<String> = Vec::new();
-        let mut shares = Vec::new();
-        for it in &case.load {
-            if !names.contains(&it.workspace) {
-                names.push(it.workspace.clone());
-                shares.push(f64::from(it.share));
-            }
-        }
+        let (names, shares) = case.workspaces();
         let position = |it: &Arrival| names.iter().position(|name| *name == it.workspace);
         let end = arrivals.last().map_or(0, |it| it.at);
         let tail = case.outcome.gap_at_end.map(|(_, secs)| {
--- a/crates/portfield-router/src/once.rs
+++ b/crates/portfield-router/src/once.rs
@@ -24,7 +24,7 @@
 
 /// Header that marks the kept answer of an earlier request.
 const REPLAYED: &str = "x-portfield-replayed";
-/// When to come back if the table service doesn't answer, in seconds.
+/// When to come back if the table service doesn't answer.
 const STORE_RETRY: std::time::Duration = std::time::Duration::from_secs(5);
 /// Attempts to write a claim over a row that changes.
 const MAX_ATTEMPTS: u32 = 4;
--- a/crates/portfield-router/src/relay.rs
+++ b/crates/portfield-router/src/relay.rs
@@ -47,13 +47,14 @@
     let (mut parts, body) = response.into_parts();
     let is_events = header_is(&parts.headers, header::CONTENT_TYPE.as_str(), "text/event-stream");
     let stream = parts.headers.get(STREAM_ID).and_then(|it| it.to_str().ok()).map(str::to_owned);
+    let stream = stream.filter(|_| is_events);
     let length = parts.headers.get(header::CONTENT_LENGTH).cloned();
     parts.headers = upstream::forwarded(&parts.headers);
     if let Some(it) = length {
         parts.headers.insert(header::CONTENT_LENGTH, it);
     }
     parts.headers.insert(REQUEST_ID, text_header(&call.id));
-    if let Some(it) = stream.as_ref().filter(|_| is_events) {
+    if let Some(it) = &stream {
         let token = resume_token(&shell.fleet(), call.workspace.id, place.id, it);
         parts.headers.insert(RESUME, text_header(&token));
         parts.headers.remove(STREAM_ID);
@@ -64,7 +65,7 @@
         cost: call.prompt_cost(),
         ticket,
         place,
-        stream: stream.filter(|_| is_events),
+        stream,
         last: String::new(),
         partial: BytesMut::new(),
         is_events,
--- a/crates/portfield/src/schedule/peer.rs
+++ b/crates/portfield/src/schedule/peer.rs
@@ -234,8 +234,7 @@
             peer.next_held = now;
         }
         for loan in &frame.lends {
-            peer.lent.remove(&loan.id);
-            self.slots.doubt_loan(now, loan.id);
+            self.doubt_lent(now, to, loan.id);
         }
     }
 
@@ -294,10 +293,7 @@
             }
         }
         for loan in &frame.doubtful {
-            self.slots.doubt_loan(now, *loan);
-            if let Some(peer) = self.peers.peers.get_mut(&from) {
-                peer.lent.remove(loan);
-            }
+            self.doubt_lent(now, from, *loan);
         }
         self.peers.borrowed.extend(frame.lends.iter().map(|it| (from, *it)));
         if frame.complete {
@@ -321,9 +317,16 @@
             .map(|(id, _)| *id)
             .collect();
         for loan in lost {
-            peer.lent.remove(&loan);
-            self.slots.doubt_loan(now, loan);
+            self.doubt_lent(now, from, loan);
+        }
+    }
+
+    /// Ends a loan of which nobody can say whether its slot is still used.
+    fn doubt_lent(&mut self, now: Duration, peer: ShardKey, loan: LoanId) {
+        if let Some(it) = self.peers.peers.get_mut(&peer) {
+            it.lent.remove(&loan);
         }
+        self.slots.doubt_loan(now, loan);
     }
 
     fn frame(&mut self, now: Duration, to: ShardKey, want: u32) -> Option<wire::PeerShard> {
--- a/crates/portfield/src/schedule/scheduler.rs
+++ b/crates/portfield/src/schedule/scheduler.rs
@@ -81,20 +81,20 @@
 /// One scheduler process.
 #[derive(Debug)]
 pub struct Scheduler {
-    pub(super) settings: Settings,
+    settings: Settings,
     pub(super) view: View,
-    pub(super) probes: Probes,
+    probes: Probes,
     pub(super) adopted: Adopted,
     pub(super) owners: BTreeMap<ShardKey, Owner>,
     pub(super) standby: BTreeMap<ShardKey, Standby>,
-    pub(super) routers: HashSet<HostId>,
-    pub(super) told: BTreeMap<HostId, (State, Incarnation)>,
-    pub(super) told_revision: Revision,
-    pub(super) seen_version: (u64, Revision),
-    pub(super) next_incarnation: Incarnation,
-    pub(super) decisions: Decisions,
+    routers: HashSet<HostId>,
+    told: BTreeMap<HostId, (State, Incarnation)>,
+    told_revision: Revision,
+    seen_version: (u64, Revision),
+    next_incarnation: Incarnation,
+    decisions: Decisions,
     /// Until then a host that has heard of no other owns nothing.
-    pub(super) joins_by: Option<Duration>,
+    joins_by: Option<Duration>,
     pub(super) actions: Vec<Action>,
 }
 
