feat(balance): shares relative to what was taken; learn from first events only

An engine's time to its first event was learned from every event of a stream: base 400 ms where 60 ms is true, so requests were refused at engines that were nearly idle. Traced by the share and estimate of each decision against first_ms of each answer. Ruled out: shares not exchanged (each host's figures agreed). Change: one observation a run; shares relative; a home upstream by hash for parts nobody keeps; a host that ends takes requests until it does.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -15,12 +15,16 @@
 
 use crate::{
     answer::Failure,
+    life,
     state::{Host, hash},
 };
 
 /// When a caller is told to come back to a host that knows no configuration yet.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(300);
 
+/// When a caller is told to come back, to another host, by one that ends.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// A request that may be sent to an upstream.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -37,6 +41,7 @@
     pub workspace: Option<Arc<Workspace>>,
     pub config_version: u64,
     pub job: Job,
+    _held: Arc<()>,
 }
 
 impl Call {
@@ -55,6 +60,9 @@
         let head = request::decode(&parts.headers)
             .map_err(|it| Failure::bad(StatusCode::BAD_REQUEST, it.header, it.hint))?;
         let route = find_route(&catalog, &parts.uri, &parts.headers)?;
+        if route.kind.is_stream() && host.stopping_for().is_some_and(|it| life::TAKE_MOST < it) {
+            return Err(Failure::refused("this host is about to end", STOPPING_RETRY));
+        }
         let workspace = authorize(&catalog, &route, head.key.as_deref())?;
         let service = route.pick(fastrand::f64()).unwrap_or_default().to_owned();
         let body = read_body(body, catalog.limits().body_bytes).await?;
@@ -81,6 +89,7 @@
             workspace,
             config_version: catalog.version(),
             job,
+            _held: host.hold(),
         })
     }
 
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -91,9 +91,10 @@
                 self.host.place(&self.call.job, &self.call.service, &self.tried);
             let (placed, upstream) = match (placement, upstream) {
                 (Placement::Send(placed), Some(upstream)) => (placed, upstream),
-                (Placement::Refuse { reason, retry, estimate }, _) => {
+                (Placement::Refuse { reason, retry, estimate, share }, _) => {
                     log::info!(
-                        request = self.call.id, route = self.call.route.name, reason:?,
+                        request = self.call.id, route = self.call.route.name, reason:?, share,
+                        workspace = self.call.workspace.as_ref().map_or("", |it| it.name.as_str()),
                         estimate_ms = estimate.as_millis() as u64, retry_ms = retry.as_millis() as u64,
                         objective_ms = self.call.route.objective.as_millis() as u64,
                         config = self.call.config_version,
@@ -113,7 +114,7 @@
                 request = self.call.id, route = self.call.route.name, upstream = upstream.entry.id,
                 workspace = self.call.workspace.as_ref().map_or("", |it| it.name.as_str()),
                 estimate_ms = placed.estimate.as_millis() as u64, unread = placed.unread,
-                ahead = placed.ahead, attempt = self.tried.len() + 1,
+                ahead = placed.ahead, share = placed.share, attempt = self.tried.len() + 1,
                 config = self.call.config_version,
                 list = self.host.with_list(|it| it.directory.version()),
                 store_age_ms = self.host.store_age().as_millis() as u64; "placed"
--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -16,13 +16,15 @@
 
 use crate::{front, peers, settings::Settings, state::Host, watch};
 
-/// Part of the grace period in which new requests are still taken: the platform needs two
-/// misses, a second apart, to send callers elsewhere.
-const TAKE_PART: f64 = 0.33;
-/// Longest such time.
-const TAKE_MOST: Duration = Duration::from_millis(2600);
+/// Time for which a host that ends still takes streams: the platform needs two misses, a second
+/// apart, to send callers elsewhere.
+pub(crate) const TAKE_MOST: Duration = Duration::from_millis(2600);
+/// Time between two looks whether all requests are answered.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+/// Time in which idle connections are closed at the end.
+const CLOSE_TIME: Duration = Duration::from_millis(300);
 /// Time before the end of the grace period at which the process ends whatever still runs.
-const END_MARGIN: Duration = Duration::from_millis(500);
+const END_MARGIN: Duration = Duration::from_millis(700);
 
 /// Runs the process until it is told to stop.
 pub(crate) async fn run(rt: Runtime, settings: Settings, path: PathBuf) -> eyre::Result<()> {
@@ -55,11 +57,15 @@
     log::info!(grace_ms = grace.as_millis() as u64; "stopping");
     let told = clock::now();
     host.stop();
-    clock::sleep(grace.mul_f64(TAKE_PART).min(TAKE_MOST)).await;
+    let last = told + grace - END_MARGIN.min(grace);
+    clock::sleep(TAKE_MOST.min(grace / 3)).await;
+    while 0 < host.n_active() && clock::now() < last {
+        clock::sleep(LOOK_PERIOD).await;
+    }
+    let cut = host.n_active();
     drop(stop);
-    let left = (told + grace).saturating_sub(clock::now() + END_MARGIN);
-    let ended = clock::timeout(left, front).await.is_some();
-    log::info!(ended; "stopped");
+    let ended = clock::timeout(CLOSE_TIME, front).await.is_some();
+    log::info!(ended, cut; "stopped");
     clock::sleep(LAST_LINES).await;
     Ok(())
 }
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -47,7 +47,10 @@
     balancer: Mutex<Balancer>,
     budgets: Mutex<HashMap<u32, RetryBudget>>,
     peers: Mutex<HashMap<SocketAddr, Duration>>,
-    stopping: AtomicBool,
+    /// When the process was told to stop, in milliseconds since the start; zero before.
+    stopping: AtomicU64,
+    /// Held by every request that is not answered yet.
+    active: Arc<()>,
     /// When the store last answered, in milliseconds since the start.
     store_heard: AtomicU64,
 }
@@ -67,7 +70,8 @@
             balancer: Mutex::new(Balancer::new(settings.share_window)),
             budgets: Mutex::default(),
             peers: Mutex::new(peers),
-            stopping: AtomicBool::new(false),
+            stopping: AtomicU64::new(0),
+            active: Arc::new(()),
             store_heard: AtomicU64::new(0),
             settings: RwLock::new(Arc::new(settings)),
         })
@@ -103,7 +107,6 @@
         if catalog.version() <= old {
             return;
         }
-        self.balancer().set_capacity(catalog.limits().tokens_rate);
         let version = catalog.version();
         *in_force = Some(InForce { catalog: Arc::new(catalog), bytes });
         log::info!(version, old, source; "configuration in force");
@@ -181,13 +184,16 @@
 
     /// Notes that the store answered.
     pub(crate) fn store_answered(&self) {
-        self.store_heard.store(clock::now().as_millis() as u64, Ordering::Relaxed);
+        let now = clock::now().as_millis() as u64;
+        self.store_heard.store(now.max(1), Ordering::Relaxed);
     }
 
-    /// Returns how long ago the store last answered.
+    /// Returns how long ago the store last answered; for ever if it never did.
     pub(crate) fn store_age(&self) -> Duration {
-        let heard = Duration::from_millis(self.store_heard.load(Ordering::Relaxed));
-        clock::now().saturating_sub(heard)
+        match self.store_heard.load(Ordering::Relaxed) {
+            0 => Duration::MAX,
+            heard => clock::now().saturating_sub(Duration::from_millis(heard)),
+        }
     }
 
     /// Returns whether callers may be sent here.
@@ -198,12 +204,30 @@
 
     /// Returns whether the process was told to stop.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.load(Ordering::Relaxed) != 0
+    }
+
+    /// Returns how long ago the process was told to stop.
+    pub(crate) fn stopping_for(&self) -> Option<Duration> {
+        match self.stopping.load(Ordering::Relaxed) {
+            0 => None,
+            told => Some(clock::now().saturating_sub(Duration::from_millis(told))),
+        }
     }
 
     /// Turns readiness off for good.
     pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stopping.store((clock::now().as_millis() as u64).max(1), Ordering::Relaxed);
+    }
+
+    /// Returns what a request holds until it is answered.
+    pub(crate) fn hold(&self) -> Arc<()> {
+        self.active.clone()
+    }
+
+    /// Returns how many requests are not answered yet.
+    pub(crate) fn n_active(&self) -> usize {
+        Arc::strong_count(&self.active) - 1
     }
 }
 
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::{
     cache::Cache,
     load::{Load, Loads, Node},
@@ -20,9 +22,13 @@
 const REREAD: f64 = 0.1;
 /// Part of the objective that a request may wait behind others even if it can only be late.
 const LATE_WAIT: f64 = 0.25;
-/// Part of the objective that a workspace may wait that has had its share: only upstreams that
-/// would else be idle.
-const OVER_WAIT: f64 = 0.3;
+/// Part of the objective that a workspace may wait that has just had its share; it falls to
+/// [`OVER_LEAST`] for one that has had [`OVER_RANGE`] shares more.
+const OVER_WAIT: f64 = 0.6;
+/// Part of the objective that any workspace may wait: upstreams that would else be idle.
+const OVER_LEAST: f64 = 0.1;
+/// Shares beyond its own at which a workspace gets only idle upstreams.
+const OVER_RANGE: f64 = 0.5;
 /// What an upstream that fails all requests costs, as a multiple of the objective.
 const FAILING: f64 = 3.0;
 /// Longest and shortest time that a caller is told to stay away.
@@ -73,6 +79,8 @@
     pub unread: u32,
     /// Tokens ahead of them.
     pub ahead: u32,
+    /// What its workspace has had, as a multiple of its share; zero where there is plenty.
+    pub share: f64,
 }
 
 /// Why a request is refused.
@@ -99,6 +107,8 @@
         retry: Duration,
         /// The estimate that decided.
         estimate: Duration,
+        /// What its workspace has had, as a multiple of its share; zero where there is plenty.
+        share: f64,
     },
 }
 
@@ -127,6 +137,8 @@
     /// Tokens ahead and its own, for learning.
     behind: f64,
     started: Duration,
+    /// Its first event, or its answer, has come.
+    has_begun: bool,
     is_engine: bool,
     service: u32,
 }
@@ -141,7 +153,6 @@
     times: HashMap<u32, f64>,
     runs: HashMap<RunId, Run>,
     n_runs: RunId,
-    capacity: f64,
     memories: HashMap<u32, u64>,
 }
 
@@ -155,16 +166,10 @@
             times: HashMap::new(),
             runs: HashMap::new(),
             n_runs: 0,
-            capacity: 0.0,
             memories: HashMap::new(),
         }
     }
 
-    /// Sets the engines' capacity together, in tokens a second; zero is unknown.
-    pub fn set_capacity(&mut self, tokens_rate: f64) {
-        self.capacity = tokens_rate;
-    }
-
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, is_known: impl Fn(u32) -> bool) {
         self.loads.retain(&is_known);
@@ -174,14 +179,14 @@
     /// Notes that a request came in; a request that comes again is noted again.
     pub fn ask(&mut self, now: Duration, job: &Job) {
         let Some(prompt) = &job.prompt else { return };
-        let asked = cost(prompt, prompt.parts.last().map_or(prompt.input, |it| it.tokens));
+        let asked = cost(prompt);
         self.shares.note(now, job.workspace, Usage { asked, taken: 0.0 });
     }
 
     /// Picks an upstream for a request, or refuses it.
     pub fn place(&mut self, now: Duration, job: &Job, candidates: &[Candidate]) -> Placement {
         let standing = match job.engine {
-            Some(_) => self.shares.standing(now, job.workspace, self.capacity),
+            Some(_) => self.shares.standing(now, job.workspace),
             None => Standing::Plenty,
         };
         let chain = job.prompt.as_ref().map(Prompt::chain).unwrap_or_default();
@@ -193,18 +198,26 @@
         };
         let limit = self.longest_wait(job, standing, best);
         if best.wait <= limit {
-            return Placement::Send(best.placed());
+            return Placement::Send(best.placed(standing));
         }
         // What the cheapest would answer too late another may answer in time.
         let quick = least(options.iter().filter(open), |it| it.wait + it.own).unwrap_or(best);
         let limit = self.longest_wait(job, standing, quick);
         if quick.wait <= limit {
-            return Placement::Send(quick.placed());
+            return Placement::Send(quick.placed(standing));
         }
-        let reason =
-            if matches!(standing, Standing::Over(_)) { Refusal::Share } else { Refusal::Busy };
+        let reason = if matches!(standing, Standing::Share(it) if 1.0 < it) {
+            Refusal::Share
+        } else {
+            Refusal::Busy
+        };
         let retry = millis(quick.wait - limit).clamp(AWAY.0, AWAY.1);
-        Placement::Refuse { reason, retry, estimate: millis(quick.wait + quick.own) }
+        Placement::Refuse {
+            reason,
+            retry,
+            estimate: millis(quick.wait + quick.own),
+            share: standing.share(),
+        }
     }
 
     /// Notes that a request is sent to an upstream.
@@ -216,6 +229,7 @@
             pending,
             behind: f64::from(placed.ahead) + pending,
             started: now,
+            has_begun: false,
             is_engine: job.engine.is_some(),
             service: job.service,
         };
@@ -232,16 +246,17 @@
             let shared = chain.len().saturating_sub(1);
             let parts = chain.iter().take(shared).map(|it| it.hash).collect();
             self.loads.tell(placed.upstream, parts);
-            let taken = cost(prompt, placed.unread);
+            let taken = cost(prompt);
             self.shares.note(now, job.workspace, Usage { asked: 0.0, taken });
         }
         self.runs.insert(self.n_runs, run);
         self.n_runs
     }
 
-    /// Notes the first event, or the answer, of a request.
+    /// Notes the first event, or the answer, of a request; later ones change nothing.
     pub fn first(&mut self, now: Duration, id: RunId) {
-        let Some(run) = self.runs.get_mut(&id) else { return };
+        let Some(run) = self.runs.get_mut(&id).filter(|it| !it.has_begun) else { return };
+        run.has_begun = true;
         let pending = std::mem::take(&mut run.pending);
         self.loads.node(run.upstream).own.pending -= pending;
         if run.is_engine {
@@ -314,13 +329,14 @@
         let reread = f64::from(unread.saturating_sub(last).min(shared)) * REREAD;
         let objective = job.objective.as_secs_f64() * 1000.0;
         let failing = node.health.failing(now) * FAILING * objective;
+        let home = chain.first().map_or(0.0, |link| rank(link.hash, it.upstream) * HOME);
         Choice {
             upstream: it.upstream,
             wait,
             own,
             unread,
             ahead: load.pending as u32,
-            cost: wait + own + reread + failing + if it.near { 0.0 } else { FAR },
+            cost: wait + own + reread + failing + home + if it.near { 0.0 } else { FAR },
             blocked: node.health.is_blocked(now),
             opens: node.health.blocked_until(),
         }
@@ -363,8 +379,8 @@
         let waited = job.waited.as_secs_f64() * 1000.0;
         let in_time = objective - choice.own - waited;
         match standing {
-            Standing::Over(_) => (in_time * OVER_WAIT).max(0.0),
-            Standing::Plenty | Standing::Under => in_time.max(LATE_WAIT * objective),
+            Standing::Share(it) if 1.0 < it => (in_time * share_factor(it)).max(0.0),
+            Standing::Share(_) | Standing::Plenty => in_time.max(LATE_WAIT * objective),
         }
     }
 
@@ -372,10 +388,13 @@
         let soonest = options.iter().map(|it| it.opens).min();
         let retry = soonest.map_or(AWAY.1, |it| it.saturating_sub(now));
         let retry = retry.clamp(AWAY.0, AWAY.1);
-        Placement::Refuse { reason: Refusal::NoUpstream, retry, estimate: retry }
+        Placement::Refuse { reason: Refusal::NoUpstream, retry, estimate: retry, share: 0.0 }
     }
 }
 
+/// What the upstream costs that hosts agree on least for a prompt, in milliseconds: hosts that
+/// know of no copy of a part yet choose the same upstream for it.
+const HOME: f64 = 15.0;
 /// What another data centre costs, in milliseconds: the bytes between them are paid for.
 const FAR: f64 = 3.0;
 
@@ -394,16 +413,23 @@
 }
 
 impl Choice {
-    fn placed(&self) -> Placed {
+    fn placed(&self, standing: Standing) -> Placed {
         Placed {
             upstream: self.upstream,
             estimate: millis(self.wait + self.own),
             unread: self.unread,
             ahead: self.ahead,
+            share: standing.share(),
         }
     }
 }
 
+/// Returns how an upstream ranks for a prompt, zero to one; the same at every host.
+fn rank(prompt: u32, upstream: u32) -> f64 {
+    let hash = xxh3_64_with_seed(&prompt.to_le_bytes(), u64::from(upstream));
+    (hash >> 32) as f64 / f64::from(u32::MAX)
+}
+
 fn least<'a>(
     options: impl Iterator<Item = &'a Choice>,
     f: impl Fn(&Choice) -> f64,
@@ -415,9 +441,17 @@
     prompt.input.saturating_sub(cache.kept(chain, engine.memory)).max(1)
 }
 
-/// Returns what a request costs: a token read once, a token generated twice.
-fn cost(prompt: &Prompt, unread: u32) -> f64 {
-    f64::from(unread) + 2.0 * f64::from(prompt.output)
+/// Returns what a request counts in its workspace's share: a token of the prompt once, kept or
+/// not, since which part is kept is the fleet's doing; a token generated twice.
+fn cost(prompt: &Prompt) -> f64 {
+    f64::from(prompt.input) + 2.0 * f64::from(prompt.output)
+}
+
+/// Returns the part of the objective that a workspace may wait which has had `share` times its
+/// share, more than one.
+fn share_factor(share: f64) -> f64 {
+    let over = ((share - 1.0) / OVER_RANGE).min(1.0);
+    OVER_WAIT + (OVER_LEAST - OVER_WAIT) * over
 }
 
 fn millis(value: f64) -> Duration {
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -4,18 +4,28 @@
 
 /// Buckets of the window.
 const N_BUCKETS: usize = 8;
-/// Part of the stated capacity above which demand counts as more than there is.
-const SHORT: f64 = 0.9;
+/// Excess of what was asked over what was taken above which the fleet counts as short.
+///
+/// What is asked includes what is still on its way, and refused requests that come again.
+const SHORT: f64 = 1.08;
 
 /// How a workspace stands against its share.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Standing {
     /// There is enough for all.
     Plenty,
-    /// It has had less than its share.
-    Under,
-    /// It has had its share or more; with the multiple.
-    Over(f64),
+    /// What it has had, as a multiple of its share.
+    Share(f64),
+}
+
+impl Standing {
+    /// Returns what the workspace has had as a multiple of its share, zero where there is plenty.
+    pub fn share(self) -> f64 {
+        match self {
+            Self::Plenty => 0.0,
+            Self::Share(it) => it,
+        }
+    }
 }
 
 /// What one workspace asked for and got, in tokens.
@@ -101,28 +111,31 @@
         self.totals.iter().map(|(id, it)| (*id, *it))
     }
 
-    /// Returns how a workspace stands; `capacity` is in tokens a second, zero unknown.
-    pub(crate) fn standing(&mut self, now: Duration, workspace: u32, capacity: f64) -> Standing {
+    /// Returns how a workspace stands.
+    pub(crate) fn standing(&mut self, now: Duration, workspace: u32) -> Standing {
         if self.levelled + LEVEL_PERIOD <= now || self.levelled == Duration::ZERO {
             self.levelled = now;
-            self.level = self.compute(now, capacity);
+            self.level = self.compute(now);
         }
         let Some(level) = self.level else { return Standing::Plenty };
         let taken = self.windows.get(&workspace).map_or(0.0, |it| it.sum().taken);
-        if taken < level { Standing::Under } else { Standing::Over(taken / level.max(1.0)) }
+        Standing::Share(taken / level.max(1.0))
     }
 
     /// Returns the most that a workspace gets in a window, `None` where all get what they ask.
-    fn compute(&mut self, now: Duration, capacity: f64) -> Option<f64> {
+    ///
+    /// What all took together is what there is; the level shares it out by max-min.
+    fn compute(&mut self, now: Duration) -> Option<f64> {
         let bucket = self.bucket(now);
         let mut asked: Vec<f64> = Vec::new();
+        let mut left = 0.0;
         for it in self.windows.values_mut() {
             it.roll(bucket);
             let sum = it.sum();
             asked.push(sum.asked.max(sum.taken));
+            left += sum.taken;
         }
-        let mut left = capacity * self.window.as_secs_f64() * SHORT;
-        if capacity <= 0.0 || asked.iter().sum::<f64>() <= left {
+        if asked.iter().sum::<f64>() <= left * SHORT {
             return None;
         }
         asked.sort_by(f64::total_cmp);
