feat(balance): bound the part of its time that an engine reads; entries held only to the return

Change: reading bounded to 0.8 of an engine's time over a second; entries are held until two seconds after the store's return, not after the news.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -115,7 +115,7 @@
             Some(Err(mut err)) => {
                 if err.take_message().is_none() {
                     run.end(Ending::Broken);
-                    return Sent::Unknown(err.error().to_string());
+                    return Sent::Unknown(explain(err.error()));
                 }
                 // Nothing was sent; a kept connection may have ended since its last answer.
                 if !connection.reused {
@@ -135,6 +135,12 @@
     }
 }
 
+/// Writes an error with its causes.
+pub(crate) fn explain(err: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(err.source(), |it| it.source());
+    causes.fold(err.to_string(), |text, it| format!("{text}: {it}"))
+}
+
 async fn open(host: &Host, upstream: &Upstream) -> Result<Connection, String> {
     host.metrics.count("upstream_connections");
     host.pool.open(upstream.entry.address).await.map_err(|err| err.to_string())
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -38,6 +38,8 @@
     may_have_run: bool,
     /// An error that an upstream gave, if no other answer comes.
     error: Option<Response<Body>>,
+    /// The caller has, or is about to get, the end of the answer.
+    is_over: bool,
 }
 
 /// Serves a request to its end.
@@ -52,6 +54,7 @@
         n_turned: 0,
         may_have_run: false,
         error: None,
+        is_over: false,
     };
     exchange.finish().await
 }
@@ -166,7 +169,8 @@
     }
 
     /// Logs the end of an answered request.
-    pub(crate) fn answered(&self, status: StatusCode, first: Duration, n_events: u64) {
+    pub(crate) fn answered(&mut self, status: StatusCode, first: Duration, n_events: u64) {
+        self.is_over = true;
         let now = clock::now();
         let total = now.saturating_sub(self.call.arrived);
         log::info!(
@@ -225,8 +229,9 @@
         }
     }
 
-    fn give_up(self, failure: Failure) -> Response<Body> {
-        if let Some(res) = self.error {
+    fn give_up(mut self, failure: Failure) -> Response<Body> {
+        self.is_over = true;
+        if let Some(res) = self.error.take() {
             self.host.metrics.count("errors_passed_on");
             return res;
         }
@@ -246,7 +251,7 @@
             Some(Ok(it)) => it.to_bytes(),
             broken => {
                 let cause = match broken {
-                    Some(Err(err)) => err.to_string(),
+                    Some(Err(err)) => attempt::explain(&err),
                     _ => "the answer did not end in time".to_owned(),
                 };
                 run.end(Ending::Broken);
@@ -276,3 +281,17 @@
         Ok(res)
     }
 }
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        log::info!(
+            request = self.call.id, may_have_run = self.may_have_run,
+            waited_ms = clock::now().saturating_sub(self.call.arrived).as_millis() as u64,
+            left_ms = self.call.left().as_millis() as u64; "not finished"
+        );
+        self.host.metrics.count("not_finished");
+    }
+}
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -10,7 +10,12 @@
 use portfield::balance::Ending;
 use portfield_net::clock;
 
-use crate::{answer::Body, attempt::Live, exchange::Exchange, state::number};
+use crate::{
+    answer::Body,
+    attempt::{Live, explain},
+    exchange::Exchange,
+    state::number,
+};
 
 /// End of a server-sent event.
 const EVENT_END: &[u8] = b"\n\n";
@@ -92,7 +97,7 @@
                     }
                     return Ok(Some(whole));
                 }
-                Some(Some(Err(err))) => err.to_string(),
+                Some(Some(Err(err))) => explain(&err),
                 None if self.exchange.call.left().is_zero() => "the route's time was up".to_owned(),
                 None => "the upstream fell silent".to_owned(),
             };
@@ -173,7 +178,7 @@
         Ok(())
     }
 
-    fn log_end(&self, status: StatusCode) {
+    fn log_end(&mut self, status: StatusCode) {
         let first = self.first.unwrap_or(self.exchange.call.arrived);
         self.exchange.answered(status, first, self.n_events);
     }
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use portfield::catalog::{Change, Source};
+use portfield::catalog::{Change, RETURN_GRACE, Source};
 use portfield_net::{clock, http1::Error};
 use portfield_platform::{
     store::{self, Row, Rows, Store},
@@ -75,9 +75,11 @@
                 heard = now;
                 host.store_answered();
                 pause = PAUSE;
-                let is_recent =
-                    returned.is_some_and(|it| now < it + portfield::catalog::RETURN_GRACE);
-                let source = if is_recent { Source::AfterOutage } else { Source::Current };
+                let recent = returned.filter(|it| now < *it + RETURN_GRACE);
+                let source = match recent {
+                    Some(returned) => Source::AfterOutage { returned },
+                    None => Source::Current,
+                };
                 let is_whole = version.is_none();
                 version = Some(newest);
                 take(&host, News { rows, version: newest, is_whole, source });
@@ -157,16 +159,15 @@
     raw: HashMap<String, Bytes>,
     version: &Version,
 ) {
-    let now = clock::now();
     let before: HashMap<String, _> = states(listed);
     if version.is_whole {
         let entries = changes.into_iter().filter_map(|it| match it {
             Change::Set(entry) => Some(entry),
             Change::Gone(_) => None,
         });
-        listed.directory.replace(now, version.number, entries.collect(), version.source);
+        listed.directory.replace(version.number, entries.collect(), version.source);
     } else {
-        listed.directory.apply(now, version.number, changes, version.source);
+        listed.directory.apply(version.number, changes, version.source);
     }
     listed.entries.extend(raw);
     let after = states(listed);
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,7 +6,7 @@
 
 use super::{
     cache::Cache,
-    load::{Load, Loads, Node},
+    load::{Flow, Load, Loads, Node},
     prompt::{Link, Prompt},
     shares::{Shares, Standing, Usage},
     speed::Speed,
@@ -240,6 +240,8 @@
             let chain = prompt.chain();
             let read = pending + f64::from(prompt.output);
             node.read += read;
+            node.prompt += pending;
+            node.flow.add(now, pending);
             node.cache.read(read);
             node.cache.touch(chain.iter().map(|it| it.hash), engine.memory);
             self.memories.insert(placed.upstream, engine.memory);
@@ -321,7 +323,7 @@
         let node = self.loads.get(it.upstream).unwrap_or(&empty);
         let load = node.total();
         let (wait, own, unread) = match (&job.prompt, job.engine) {
-            (Some(prompt), Some(engine)) => self.engine(job, prompt, chain, engine, node, load),
+            (Some(prompt), Some(engine)) => self.engine(now, job, prompt, chain, engine, node),
             _ => self.plain(job, it, load),
         };
         let shared: u32 = chain.iter().rev().skip(1).map(|it| it.tokens).sum();
@@ -345,13 +347,14 @@
     /// Returns the wait, the own time (ms) and the unread tokens of a request at an engine.
     fn engine(
         &self,
+        now: Duration,
         job: &Job,
         prompt: &Prompt,
         chain: &[Link],
         engine: EngineSpec,
         node: &Node,
-        load: Load,
     ) -> (f64, f64, u32) {
+        let load = node.total();
         let unread = unread(prompt, &node.cache, chain, engine);
         let first = Speed::default();
         let speed = self.speeds.get(&job.service).unwrap_or(&first);
@@ -359,7 +362,10 @@
         let over = load.running - f64::from(engine.slots) + 1.0;
         let time = self.times.get(&job.service).copied().unwrap_or(0.0);
         let slot = if over <= 0.0 { 0.0 } else { over * time / f64::from(engine.slots) };
-        (load.pending / speed.rate() + slot, own, unread)
+        // Reading all the time would leave no time to generate: streams would run out of time.
+        let most = READING * speed.rate() * Flow::span();
+        let rest = (node.flow.sum(now) - most).max(0.0) / speed.rate();
+        (load.pending / speed.rate() + slot + rest, own, unread)
     }
 
     fn plain(&self, job: &Job, it: &Candidate, load: Load) -> (f64, f64, u32) {
@@ -395,6 +401,9 @@
 /// What the upstream costs that hosts agree on least for a prompt, in milliseconds: hosts that
 /// know of no copy of a part yet choose the same upstream for it.
 const HOME: f64 = 15.0;
+/// Part of its time that an engine may read prompts; the rest is for the tokens of the requests
+/// that run. At 0.8 a token takes some 30 ms where reading takes 20 us a token.
+const READING: f64 = 0.8;
 /// What another data centre costs, in milliseconds: the bytes between them are paid for.
 const FAR: f64 = 3.0;
 
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -24,6 +24,36 @@
     pub pending: f64,
 }
 
+/// Time in which what was sent comes to count a third: about as long as callers wait for a first
+/// event, so that one large prompt is no overload.
+const FLOW_TIME: Duration = Duration::from_millis(1000);
+
+/// A sum that fades.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Flow {
+    sum: f64,
+    at: Duration,
+}
+
+impl Flow {
+    /// Adds to the sum.
+    pub(crate) fn add(&mut self, now: Duration, tokens: f64) {
+        self.sum = self.sum(now) + tokens;
+        self.at = now;
+    }
+
+    /// Returns what is left of the sum; of a steady flow, what comes in [`FLOW_TIME`].
+    pub(crate) fn sum(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at);
+        self.sum * (-age.as_secs_f64() / FLOW_TIME.as_secs_f64()).exp()
+    }
+
+    /// Returns the milliseconds that a steady flow is counted over.
+    pub(crate) fn span() -> f64 {
+        FLOW_TIME.as_secs_f64() * 1000.0
+    }
+}
+
 /// One upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Node {
@@ -31,6 +61,10 @@
     pub others: Load,
     /// Tokens that this host's requests brought into its memory.
     pub read: f64,
+    /// Tokens of prompts among them.
+    pub prompt: f64,
+    /// Prompt tokens that all hosts sent of late.
+    pub flow: Flow,
     pub cache: Cache,
     pub health: Health,
 }
@@ -101,6 +135,7 @@
             running: it.own.running as u32,
             pending: it.own.pending.max(0.0) as u32,
             read: it.read as u64,
+            prompt: it.prompt as u64,
         };
         let is_used = |it: &(&u32, &Node)| 0.0 < it.1.own.running || 0.0 < it.1.read;
         let loads = self.nodes.iter().filter(is_used).map(load).collect();
@@ -131,11 +166,12 @@
         peer.heard = now;
         let old = std::mem::take(&mut peer.loads);
         for it in &digest.loads {
-            let before = old.get(&it.upstream).map_or(it.read, |old| old.read);
+            let before = old.get(&it.upstream).copied().unwrap_or(*it);
             let node = self.nodes.entry(it.upstream).or_default();
             node.others.running += f64::from(it.running);
             node.others.pending += f64::from(it.pending);
-            node.cache.read(it.read.saturating_sub(before) as f64);
+            node.cache.read(it.read.saturating_sub(before.read) as f64);
+            node.flow.add(now, it.prompt.saturating_sub(before.prompt) as f64);
             peer.loads.insert(it.upstream, *it);
         }
         remove(&mut self.nodes, old);
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -59,7 +59,10 @@
     /// They are gone: the store answered all the while.
     Current,
     /// They may have lapsed while the store was away, and may come back.
-    AfterOutage,
+    AfterOutage {
+        /// When the store answered again.
+        returned: Duration,
+    },
 }
 
 /// The upstreams known, as of a version of the store.
@@ -85,7 +88,6 @@
     /// Applies changes up to a version of the store; an older version changes nothing.
     pub fn apply(
         &mut self,
-        now: Duration,
         version: u64,
         changes: impl IntoIterator<Item = Change>,
         source: Source,
@@ -100,9 +102,9 @@
                 (Change::Gone(id), Source::Current) => {
                     self.known.remove(&id);
                 }
-                (Change::Gone(id), Source::AfterOutage) => {
+                (Change::Gone(id), Source::AfterOutage { returned }) => {
                     if let Some(it) = self.known.get_mut(&id) {
-                        it.until.get_or_insert(now + RETURN_GRACE);
+                        it.until.get_or_insert(returned + RETURN_GRACE);
                     }
                 }
             }
@@ -110,7 +112,7 @@
     }
 
     /// Takes a whole list as of a version of the store; an older version changes nothing.
-    pub fn replace(&mut self, now: Duration, version: u64, list: Vec<Entry>, source: Source) {
+    pub fn replace(&mut self, version: u64, list: Vec<Entry>, source: Source) {
         if version < self.version {
             return;
         }
@@ -118,12 +120,10 @@
         let ids: Vec<String> = list.iter().map(|it| it.id.clone()).collect();
         match source {
             Source::Current => self.known.retain(|id, _| ids.contains(id)),
-            Source::AfterOutage => {
-                let until = now + RETURN_GRACE;
-                for (id, it) in &mut self.known {
-                    if !ids.contains(id) && it.until.is_none() {
-                        it.until = Some(until);
-                    }
+            Source::AfterOutage { returned } => {
+                let missing = self.known.iter_mut().filter(|it| !ids.contains(it.0));
+                for (_, it) in missing {
+                    it.until.get_or_insert(returned + RETURN_GRACE);
                 }
             }
         }
