--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -29,14 +29,17 @@
 /// Runs the process until it is told to stop.
 pub(crate) async fn run(rt: Runtime, settings: Settings, path: PathBuf) -> eyre::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).wrap_err("signals")?;
-    let (listener, _) = http1::bind(settings.listen).await.wrap_err("listen")?;
-    let (ready, _) = http1::bind(settings.ready).await.wrap_err("ready")?;
-    let (metrics, _) = http1::bind(settings.metrics).await.wrap_err("metrics")?;
-    let (control, _) = http1::bind(settings.peers).await.wrap_err("peers")?;
+    let mut settings = settings;
+    let (listener, listen) = http1::bind(settings.listen).await.wrap_err("listen")?;
+    let (ready, ready_address) = http1::bind(settings.ready).await.wrap_err("ready")?;
+    let (metrics, metrics_address) = http1::bind(settings.metrics).await.wrap_err("metrics")?;
+    let (control, peers_address) = http1::bind(settings.peers).await.wrap_err("peers")?;
+    settings.peers = peers_address;
     let datagrams = Async::<std::net::UdpSocket>::bind(settings.peers).wrap_err("peers")?;
     let host = Host::new(rt.clone(), settings);
     log::info!(
-        name = host.settings().name, incarnation = host.incarnation,
+        name = host.settings().name, incarnation = host.incarnation, listen:% = listen,
+        ready:% = ready_address, metrics:% = metrics_address, peers:% = peers_address,
         version = env!("CARGO_PKG_VERSION"); "started"
     );
     let state = host.clone();
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -132,7 +132,7 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Picks an upstream that was not tried yet.
+    /// Picks an upstream, one that was not tried yet if there is any.
     pub(crate) fn place(
         &self,
         job: &Job,
@@ -140,10 +140,12 @@
         tried: &[u32],
     ) -> (Placement, Option<Arc<Upstream>>) {
         let here = self.settings().data_centre.clone();
-        let ready: Vec<Arc<Upstream>> = self.with_list(|it| {
-            let ready = it.directory.ready(service);
-            ready.filter(|it| !tried.contains(&number(it))).cloned().collect()
-        });
+        let mut ready: Vec<Arc<Upstream>> =
+            self.with_list(|it| it.directory.ready(service).cloned().collect());
+        // Where no other is left, the same upstream may be asked again.
+        if ready.iter().any(|it| !tried.contains(&number(it))) {
+            ready.retain(|it| !tried.contains(&number(it)));
+        }
         let candidate = |it: &Arc<Upstream>| Candidate {
             upstream: number(it),
             slots: it.entry.slots,
--- /dev/null
+++ b/crates/portfield-host/tests/knowledge.rs
@@ -0,0 +1,136 @@
+//! What hosts know: configuration and upstreams, through outages of the store.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, config, request, until};
+use portfield_standins::users::StoreFault;
+use serde_json::json;
+
+/// A configuration in which the route for checks is gone.
+fn without_checks(version: u64) -> serde_json::Value {
+    let mut res = config(version);
+    res["routes"].as_array_mut().unwrap().remove(0);
+    res
+}
+
+#[test]
+fn a_change_is_in_force_within_two_seconds_and_no_older_one_follows() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    assert_eq!(host.send(&request("check", "r1")).status, 200);
+    fleet.store.put("op", "config", &without_checks(7));
+    until("the route is gone", || host.send(&request("check", "r2")).status == 404);
+    fleet.store.put("op", "config", &config(3));
+    let after = host.metric("portfield_list_version");
+    fleet.store.put("servers", "x", &fleet.plains[0].entry("other", "ready"));
+    until("a later change is seen", || after < host.metric("portfield_list_version"));
+    assert_eq!(host.metric("portfield_config_version"), 7.0);
+    assert_eq!(host.send(&request("check", "r3")).status, 404);
+}
+
+#[test]
+fn requests_go_on_while_the_store_is_away() {
+    for fault in [
+        StoreFault::Busy,
+        StoreFault::Many,
+        StoreFault::Reset,
+        StoreFault::Silent,
+        StoreFault::Slow(900),
+    ] {
+        let mut fleet = Fleet::new(1, 0);
+        let host = fleet.host();
+        fleet.store.set_fault(fault);
+        until("the loss is logged", || {
+            fault == StoreFault::Slow(900) || !host.logged("store lost").is_empty()
+        });
+        assert_eq!(host.send(&request("order", "r1")).status, 200, "{fault:?}");
+        assert!(host.is_ready(), "{fault:?}");
+        fleet.store.set_fault(StoreFault::None);
+        fleet.store.put("op", "config", &without_checks(2));
+        until("the change is in force", || host.send(&request("check", "r2")).status == 404);
+    }
+}
+
+#[test]
+fn a_forgotten_history_is_read_anew() {
+    let mut fleet = Fleet::new(2, 0);
+    let host = fleet.host();
+    fleet.store.set_fault(StoreFault::Busy);
+    until("the loss is logged", || !host.logged("store lost").is_empty());
+    fleet.store.remove("servers", "plain-0");
+    fleet.store.forget_history();
+    fleet.store.set_fault(StoreFault::None);
+    until("the upstream is gone", || {
+        host.logged("upstream gone").iter().any(|it| it["upstream"] == "plain-0")
+            || !host.logged("upstream did not come back").is_empty()
+    });
+    for n in 0..4 {
+        assert_eq!(host.send(&request("order", &format!("r{n}"))).text(), "from plain-1");
+    }
+}
+
+#[test]
+fn who_drains_gets_no_new_request() {
+    let mut fleet = Fleet::new(2, 0);
+    let host = fleet.host();
+    let entry = fleet.plains[0].entry("desk", "draining");
+    fleet.store.put("servers", "plain-0", &entry);
+    until("the news is there", || {
+        host.logged("upstream changed").iter().any(|it| it["state"] == "Draining")
+    });
+    for n in 0..6 {
+        assert_eq!(host.send(&request("order", &format!("r{n}"))).text(), "from plain-1");
+    }
+}
+
+#[test]
+fn a_host_that_starts_while_the_store_is_down_learns_from_the_others() {
+    let mut fleet = Fleet::new(1, 0);
+    let first = fleet.host();
+    let known = fleet.store.keys("portfield_hosts");
+    until("the first host has written its address", || {
+        !fleet.store.keys("portfield_hosts").is_empty()
+    });
+    drop(known);
+    let seed = fleet.store.keys("portfield_hosts")[0].clone();
+    fleet.store.set_fault(StoreFault::Busy);
+    let second = fleet.start(&format!("seeds = ['{seed}']"));
+    until("the second host is ready", || second.is_ready());
+    assert_eq!(second.send(&request("order", "r1")).status, 200);
+    assert_eq!(second.metric("portfield_config_version"), first.metric("portfield_config_version"));
+}
+
+#[test]
+fn a_host_that_the_store_turns_away_learns_a_change_from_the_others() {
+    let mut fleet = Fleet::new(1, 0);
+    let first = fleet.host();
+    let second = fleet.host();
+    until("they hear each other", || 2.0 <= first.metric("portfield_hosts"));
+    // The second host's own view of the store ends: its socket is all that it has.
+    second.signal("-STOP");
+    fleet.store.put("op", "config", &without_checks(5));
+    until("the first host knows", || first.metric("portfield_config_version") == 5.0);
+    fleet.store.set_fault(StoreFault::Silent);
+    second.signal("-CONT");
+    until("the second host knows", || second.metric("portfield_config_version") == 5.0);
+    assert_eq!(second.send(&request("check", "r1")).status, 404);
+}
+
+#[test]
+fn readiness_waits_for_configuration_and_upstreams() {
+    let mut fleet = Fleet::new(0, 0);
+    let host = fleet.start("");
+    until("the configuration is there", || host.metric("portfield_config_version") == 1.0);
+    assert!(!host.is_ready());
+    fleet.store.put(
+        "servers",
+        "s",
+        &json!({
+            "service": "desk", "addr": "127.0.0.1:9", "zone": "north", "slots": 1, "state": "ready",
+        }),
+    );
+    until("the host is ready", || host.is_ready());
+    std::thread::sleep(Duration::ZERO);
+}
--- /dev/null
+++ b/crates/portfield-host/tests/requests.rs
@@ -0,0 +1,245 @@
+//! What a caller and an upstream see of a request, with and without faults of the upstream.
+
+mod fleet;
+
+use std::{
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+
+use fleet::{Fleet, exchange, read_answer, request, until};
+use portfield_standins::users::UpstreamFault;
+
+#[test]
+fn a_request_reaches_its_upstream_as_it_was_sent() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    let answer = host.send(&request("order", "r1"));
+    assert_eq!((answer.status, answer.text().as_str()), (200, "from plain-0"));
+    assert_eq!(answer.header("replica-signature"), Some("plain-0"));
+    assert_eq!(answer.header("attempt-id"), Some("r1"));
+    let seen = &fleet.plains[0].seen()[0];
+    assert_eq!(seen.line, "POST /order/one?q=1 HTTP/1.1");
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.header("host"), Some("x.example"));
+    assert_eq!(seen.header("tenant"), Some("a"));
+    assert_eq!(seen.header("expect-replica"), Some("plain-0"));
+    assert_eq!(seen.header("authorization"), None);
+    let left: u64 = seen.header("deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=1200).contains(&left), "{left}");
+}
+
+#[test]
+fn bad_requests_are_told_what_is_wrong() {
+    let mut fleet = Fleet::new(1, 1);
+    let host = fleet.host();
+    let good = request("check", "r1");
+    for (from, to, status, text) in [
+        ("/check/", "/nowhere/", 404, "path"),
+        ("key-a", "key-x", 401, "authorization"),
+        ("deadline-ms: 1200", "deadline-ms: soon", 400, "Deadline-Ms"),
+        ("tenant: forged", "token-count: many", 400, "Token-Count"),
+    ] {
+        let answer = host.send(&good.replace(from, to));
+        assert_eq!(answer.status, status, "{to}");
+        assert!(answer.text().contains(text), "{}", answer.text());
+        assert_eq!(answer.header("replica-signature"), None);
+    }
+    let long = good.replace("content-length: 4", "content-length: 2000");
+    let answer = host.send(&long.replace("body", &"b".repeat(2000)));
+    assert_eq!(answer.status, 413);
+    assert_eq!(fleet.n_run(), 0);
+    let open = good.replace("/check/", "/public/").replace("authorization: Token key-a\r\n", "");
+    assert_eq!(host.send(&open).status, 200);
+    assert_eq!(fleet.plains[0].seen()[0].header("tenant"), None);
+}
+
+#[test]
+fn a_host_without_configuration_refuses_and_is_not_ready() {
+    let mut fleet = Fleet::new(1, 0);
+    fleet.store.remove("op", "config");
+    let host = fleet.start("");
+    assert!(!host.is_ready());
+    let answer = host.send(&request("check", "r1"));
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn a_refusal_is_true_and_what_may_have_run_is_not_repeated() {
+    for (fault, status, n_run) in [
+        (UpstreamFault::Shed, 503, 0),
+        (UpstreamFault::CloseRun, 502, 1),
+        (UpstreamFault::Cut, 502, 1),
+        (UpstreamFault::WrongId, 502, 1),
+        (UpstreamFault::Unsigned, 502, 1),
+        (UpstreamFault::Error, 500, 1),
+    ] {
+        let mut fleet = Fleet::new(2, 0);
+        let host = fleet.host();
+        fleet.plains.iter().for_each(|it| it.set_fault(fault));
+        let answer = host.send(&request("order", "r1"));
+        assert_eq!(answer.status, status, "{fault:?}");
+        assert_eq!(fleet.n_run(), n_run, "{fault:?}");
+        assert!(answer.is_whole);
+    }
+}
+
+#[test]
+fn a_safe_request_is_repeated_elsewhere() {
+    for fault in [
+        UpstreamFault::Shed,
+        UpstreamFault::CloseRun,
+        UpstreamFault::Hang,
+        UpstreamFault::Cut,
+        UpstreamFault::WrongId,
+        UpstreamFault::Error,
+    ] {
+        let mut fleet = Fleet::new(2, 0);
+        let host = fleet.host();
+        fleet.plains[0].set_fault(fault);
+        for n in 0..4 {
+            let answer = host.send(&request("check", &format!("r{n}")));
+            assert_eq!(answer.status, 200, "{fault:?}");
+            assert_eq!(answer.text(), "from plain-1", "{fault:?}");
+        }
+    }
+}
+
+#[test]
+fn an_unframed_answer_is_passed_on_whole() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    fleet.plains[0].set_fault(UpstreamFault::Unframed);
+    let answer = host.send(&request("order", "r1"));
+    assert_eq!((answer.status, answer.text().as_str()), (200, "from plain-0"));
+}
+
+#[test]
+fn an_answer_that_nobody_asked_for_reaches_nobody() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    fleet.plains[0].set_fault(UpstreamFault::Extra);
+    for n in 0..5 {
+        let id = format!("r{n}");
+        let answer = host.send(&request("check", &id));
+        assert_eq!(answer.header("attempt-id"), Some(id.as_str()));
+    }
+}
+
+#[test]
+fn connections_to_upstreams_are_kept_and_lost_ones_harm_nobody() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    for n in 0..5 {
+        assert_eq!(host.send(&request("order", &format!("r{n}"))).status, 200);
+    }
+    assert_eq!(fleet.plains[0].n_connections(), 1);
+    fleet.plains[0].set_fault(UpstreamFault::CloseKept);
+    assert_eq!(host.send(&request("check", "r9")).status, 200);
+}
+
+#[test]
+fn another_incarnation_at_the_address_does_not_run_the_request() {
+    let mut fleet = Fleet::new(1, 0);
+    let mut entry = fleet.plains[0].entry("desk", "ready");
+    fleet.store.remove("servers", "plain-0");
+    entry["addr"] = fleet.plains[0].address().to_string().into();
+    fleet.store.put("servers", "gone-0", &entry);
+    let host = fleet.host();
+    let answer = host.send(&request("order", "r1"));
+    assert_eq!((answer.status, fleet.n_run()), (503, 0));
+}
+
+#[test]
+fn a_stream_is_passed_on_event_by_event() {
+    let mut fleet = Fleet::new(0, 1);
+    let host = fleet.host();
+    let answer = host.send(&request("draft", "r1"));
+    assert_eq!(answer.events(), (1..=8).collect::<Vec<_>>());
+    assert!(answer.is_whole);
+    let placed = host.logged("placed");
+    assert_eq!(placed[0]["request"], "r1");
+    assert_eq!(placed[0]["unread"], 30);
+    until("the end is logged", || !host.logged("answered").is_empty());
+    assert_eq!(host.logged("answered")[0]["events"], 8);
+}
+
+#[test]
+fn a_broken_stream_never_looks_whole() {
+    for fault in [UpstreamFault::Cut, UpstreamFault::Mute] {
+        let mut fleet = Fleet::new(0, 2);
+        let host = fleet.host();
+        fleet.engines.iter().for_each(|it| it.set_fault(fault));
+        let answer = host.send(&request("draft", "r1"));
+        assert!(!answer.is_whole, "{fault:?}");
+        assert_eq!(answer.events(), [1, 2, 3], "{fault:?}");
+        assert_eq!(fleet.n_run(), 1, "{fault:?}");
+    }
+}
+
+#[test]
+fn a_resumable_stream_goes_on_elsewhere_with_nothing_missing() {
+    for fault in [UpstreamFault::Cut, UpstreamFault::Mute] {
+        let mut fleet = Fleet::new(0, 2);
+        let host = fleet.host();
+        fleet.engines.iter().for_each(|it| it.set_fault(fault));
+        let addresses: Vec<_> = fleet.engines.clone();
+        let watch = thread::spawn(move || {
+            // The second engine asked is well.
+            until("a stream begins", || addresses.iter().any(|it| it.n_run() == 1));
+            for it in addresses.iter().filter(|it| it.n_run() == 0) {
+                it.set_fault(UpstreamFault::None);
+            }
+        });
+        let answer = host.send(&request("digest", "r1"));
+        watch.join().unwrap();
+        assert!(answer.is_whole, "{fault:?}");
+        assert_eq!(answer.events(), (1..=8).collect::<Vec<_>>(), "{fault:?}");
+        let again = fleet.engines.iter().flat_map(|it| it.seen());
+        let last = again.filter_map(|it| it.header("last-event-id").map(str::to_owned));
+        assert_eq!(last.collect::<Vec<_>>(), ["3"], "{fault:?}");
+    }
+}
+
+#[test]
+fn who_leaves_takes_the_upstream_work_along() {
+    let mut fleet = Fleet::new(0, 1);
+    let host = fleet.host();
+    let mut stream = TcpStream::connect(host.listen).unwrap();
+    let long = request("draft", "r1").replace("30,24", "30,2400");
+    stream.write_all(long.as_bytes()).unwrap();
+    until("the stream begins", || fleet.n_run() == 1);
+    drop(stream);
+    let left = Instant::now();
+    until("the engine is left", || fleet.engines[0].n_abandoned() == 1);
+    assert!(left.elapsed() < Duration::from_millis(500));
+    until("it is logged", || !host.logged("not finished").is_empty());
+}
+
+#[test]
+fn a_route_s_time_is_kept_with_a_final_answer() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    fleet.plains[0].set_fault(UpstreamFault::Hang);
+    let sent = Instant::now();
+    let patient = request("order", "r1").replace("deadline-ms: 1200", "deadline-ms: 9000");
+    assert_eq!(host.send(&patient).status, 504);
+    let time = sent.elapsed();
+    assert!(Duration::from_millis(1400) < time && time < Duration::from_millis(2000), "{time:?}");
+}
+
+#[test]
+fn two_requests_on_one_connection_are_answered_in_order() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    let mut stream = TcpStream::connect(host.listen).unwrap();
+    for id in ["r1", "r2", "r3"] {
+        stream.write_all(request("order", id).as_bytes()).unwrap();
+        let answer = read_answer(&mut stream).unwrap();
+        assert_eq!(answer.header("attempt-id"), Some(id));
+    }
+    assert!(exchange(host.listen, b"GARBAGE\r\n\r\n").is_none_or(|it| it.status == 400));
+}
--- a/crates/portfield-standins/src/lib.rs
+++ b/crates/portfield-standins/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod platform;
 pub mod relay;
 pub mod upstream;
+pub mod users;
--- /dev/null
+++ b/crates/portfield-standins/src/users/mod.rs
@@ -0,0 +1,9 @@
+//! Stand-ins that speak the users' platform's protocol: its store and its upstreams.
+//!
+//! They run inside a test and are switched by their handles.
+
+mod store;
+mod upstream;
+
+pub use store::{StoreFault, UsersStore};
+pub use upstream::{Seen, UpstreamFault, UsersUpstream};
--- /dev/null
+++ b/crates/portfield-standins/src/users/upstream.rs
@@ -0,0 +1,309 @@
+//! An upstream of the users: a plain service, or an engine that streams events.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use portfield_net::{clock, rt::Runtime};
+use serde_json::{Value, json};
+
+/// Longest head that is read.
+const MAX_HEAD: usize = 64 << 10;
+
+/// How an upstream misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum UpstreamFault {
+    /// It doesn't.
+    #[default]
+    None,
+    /// It turns requests away: 503, not run.
+    Shed,
+    /// It runs the request and closes without an answer.
+    CloseRun,
+    /// It runs the request and never answers.
+    Hang,
+    /// It runs the request and answers 500.
+    Error,
+    /// It closes within the body, or within an event.
+    Cut,
+    /// It stops sending in the middle of a stream, and keeps the connection.
+    Mute,
+    /// Its answer names another request.
+    WrongId,
+    /// Its answer has no signature.
+    Unsigned,
+    /// It sends a second answer after each.
+    Extra,
+    /// Its answer has no length and ends with the connection.
+    Unframed,
+    /// It closes its idle connections when the next request comes.
+    CloseKept,
+}
+
+/// A request that came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// Method and target as sent.
+    pub line: String,
+    /// Names in lower case, with values.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// It ran.
+    pub has_run: bool,
+}
+
+impl Seen {
+    /// Returns a header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|it| it.0 == name).map(|it| it.1.as_str())
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fault: UpstreamFault,
+    seen: Vec<Seen>,
+    n_connections: u32,
+    n_abandoned: u32,
+    n_done: u32,
+}
+
+/// An upstream with its switches.
+#[derive(Debug, Clone)]
+pub struct UsersUpstream {
+    /// Its incarnation.
+    pub id: String,
+    address: SocketAddr,
+    /// Time that a call takes, or one event.
+    pace: Duration,
+    state: Arc<Mutex<State>>,
+}
+
+impl UsersUpstream {
+    /// Starts an upstream on any free port.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the socket says.
+    pub async fn start(rt: &Runtime, id: &str, pace: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let res = Self { id: id.to_owned(), address, pace, state: Arc::default() };
+        let (upstream, task) = (res.clone(), rt.clone());
+        rt.spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let upstream = upstream.clone();
+                upstream.lock().n_connections += 1;
+                task.spawn(async move {
+                    // A host that leaves is counted where a request was running.
+                    let _ = upstream.connection(stream).await;
+                });
+            }
+        });
+        Ok(res)
+    }
+
+    /// Returns its entry for the store.
+    pub fn entry(&self, service: &str, state: &str) -> Value {
+        json!({
+            "service": service, "addr": self.address.to_string(), "zone": "north",
+            "version": "v1", "slots": 4, "state": state, "cold_remaining_ms": 0, "seq": 1,
+        })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Switches a fault on, or off.
+    pub fn set_fault(&self, fault: UpstreamFault) {
+        self.lock().fault = fault;
+    }
+
+    /// Returns the requests that came.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Returns how many requests ran.
+    pub fn n_run(&self) -> usize {
+        self.lock().seen.iter().filter(|it| it.has_run).count()
+    }
+
+    /// Returns how many connections came.
+    pub fn n_connections(&self) -> u32 {
+        self.lock().n_connections
+    }
+
+    /// Returns how many requests were left by the host before their end.
+    pub fn n_abandoned(&self) -> u32 {
+        self.lock().n_abandoned
+    }
+
+    async fn connection(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut n_served = 0;
+        loop {
+            let Some(request) = read_request(&mut stream).await? else { return Ok(()) };
+            if self.fault() == UpstreamFault::CloseKept && 0 < n_served {
+                return Ok(());
+            }
+            n_served += 1;
+            let mut writer = stream.clone();
+            let running = self.answer(&mut writer, request);
+            let left = async {
+                let mut rest = [0; 1];
+                match stream.read(&mut rest).await {
+                    Ok(0) | Err(_) => {
+                        self.lock().n_abandoned += 1;
+                        Ok(false)
+                    }
+                    Ok(_) => Err(io::Error::other("a request before the answer to the last one")),
+                }
+            };
+            if !future::or(running, left).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Answers a request; tells whether the connection may be used again.
+    async fn answer(&self, stream: &mut TcpStream, mut seen: Seen) -> io::Result<bool> {
+        let fault = self.fault();
+        let id = seen.header("attempt-id").unwrap_or_default().to_owned();
+        let other = seen.header("expect-replica").is_some_and(|it| it != self.id);
+        if other || fault == UpstreamFault::Shed {
+            self.lock().seen.push(seen);
+            let status = if other { 421 } else { 503 };
+            let head = format!(
+                "HTTP/1.1 {status} No\r\nnot-executed: 1\r\nattempt-id: {id}\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await?;
+            return Ok(true);
+        }
+        seen.has_run = true;
+        let tokens = seen.header("token-count").map(str::to_owned);
+        let last = seen.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
+        self.lock().seen.push(seen);
+        match fault {
+            UpstreamFault::Hang => return future::pending().await,
+            UpstreamFault::CloseRun => return Ok(false),
+            _ => {}
+        }
+        let id = if fault == UpstreamFault::WrongId { "another".to_owned() } else { id };
+        let signature = match fault {
+            UpstreamFault::Unsigned => String::new(),
+            _ => format!("replica-signature: {}\r\n", self.id),
+        };
+        let common = format!("attempt-id: {id}\r\n{signature}");
+        let res = match tokens {
+            Some(it) => self.stream(stream, &common, &it, last, fault).await,
+            None => self.call(stream, &common, fault).await,
+        };
+        self.lock().n_done += 1;
+        res
+    }
+
+    async fn call(
+        &self,
+        stream: &mut TcpStream,
+        common: &str,
+        fault: UpstreamFault,
+    ) -> io::Result<bool> {
+        clock::sleep(self.pace).await;
+        let status = if fault == UpstreamFault::Error { "500 Error" } else { "200 OK" };
+        let body = format!("from {}", self.id);
+        if fault == UpstreamFault::Unframed {
+            let text = format!("HTTP/1.1 {status}\r\n{common}connection: close\r\n\r\n{body}");
+            stream.write_all(text.as_bytes()).await?;
+            return Ok(false);
+        }
+        let head = format!("HTTP/1.1 {status}\r\n{common}content-length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).await?;
+        if fault == UpstreamFault::Cut {
+            stream.write_all(&body.as_bytes()[..body.len() / 2]).await?;
+            return Ok(false);
+        }
+        stream.write_all(body.as_bytes()).await?;
+        if fault == UpstreamFault::Extra {
+            let extra = format!("{head}{body}");
+            stream.write_all(extra.as_bytes()).await?;
+        }
+        Ok(true)
+    }
+
+    async fn stream(
+        &self,
+        stream: &mut TcpStream,
+        common: &str,
+        tokens: &str,
+        last: u32,
+        fault: UpstreamFault,
+    ) -> io::Result<bool> {
+        let total = tokens.split(',').nth(1).and_then(|it| it.parse().ok()).unwrap_or(3) / 3;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{common}content-type: text/event-stream\r\n\
+             transfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        for n in last + 1..=total {
+            clock::sleep(self.pace).await;
+            let event = format!("id: {n}\ndata: piece {n}\n\n");
+            let is_middle = n == last + total.saturating_sub(last).div_ceil(2);
+            if is_middle && fault == UpstreamFault::Cut {
+                let half = &event[..event.len() / 2];
+                stream.write_all(format!("{:x}\r\n{half}\r\n", half.len()).as_bytes()).await?;
+                return Ok(false);
+            }
+            if is_middle && fault == UpstreamFault::Mute {
+                return future::pending().await;
+            }
+            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+        Ok(true)
+    }
+
+    fn fault(&self) -> UpstreamFault {
+        self.lock().fault
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reads one request with a length; `None` at the connection's end.
+async fn read_request(stream: &mut TcpStream) -> io::Result<Option<Seen>> {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await? == 0 {
+            return Ok(None);
+        }
+        head.push(byte[0]);
+        if MAX_HEAD < head.len() {
+            return Err(io::Error::other("the head is too long"));
+        }
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let mut lines = head.split("\r\n").filter(|it| !it.is_empty());
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|it| it.split_once(':'))
+        .map(|it| (it.0.to_lowercase(), it.1.trim().to_owned()))
+        .collect();
+    let length = headers.iter().find(|it| it.0 == "content-length");
+    let length = length.and_then(|it| it.1.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    Ok(Some(Seen { line, headers, body, has_run: false }))
+}
