feat(balance): no shared part is read again while the fleet is short

Change: the second choice only where nobody is refused. Tests of placement, learning, digest, shares, health and budget.

--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -200,10 +200,11 @@
         if best.wait <= limit {
             return Placement::Send(best.placed(standing));
         }
-        // What the cheapest would answer too late another may answer in time.
+        // What the cheapest would answer too late another may answer in time; but reading shared
+        // parts again takes from all, so not while the fleet is short.
         let quick = least(options.iter().filter(open), |it| it.wait + it.own).unwrap_or(best);
         let limit = self.longest_wait(job, standing, quick);
-        if quick.wait <= limit {
+        if standing == Standing::Plenty && quick.wait <= limit {
             return Placement::Send(quick.placed(standing));
         }
         let reason = if matches!(standing, Standing::Share(it) if 1.0 < it) {
--- /dev/null
+++ b/crates/portfield/tests/balance.rs
@@ -0,0 +1,248 @@
+//! Placement, admission, shares, health and the digest, without I/O.
+
+use std::time::Duration;
+
+use portfield::{
+    balance::{
+        Balancer, Candidate, Ending, Job, Part, Placed, Placement, Prompt, Refusal, RetryBudget,
+    },
+    catalog::EngineSpec,
+    wire::Digest,
+};
+
+const OBJECTIVE: Duration = Duration::from_millis(800);
+const WINDOW: Duration = Duration::from_secs(4);
+const MEMORY: u64 = 500_000;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(1_000 + millis)
+}
+
+fn job(workspace: u32, shared: u64, tokens: u32) -> Job {
+    let parts = vec![
+        Part { id: shared, tokens: 10_000 },
+        Part { id: u64::from(tokens) << 32 | shared, tokens },
+    ];
+    Job {
+        workspace,
+        service: 1,
+        prompt: Some(Prompt { input: 10_000 + tokens, output: 100, parts }),
+        objective: OBJECTIVE,
+        waited: Duration::ZERO,
+        engine: Some(EngineSpec { slots: 64, memory: MEMORY, event_tokens: 3 }),
+    }
+}
+
+fn plain() -> Job {
+    Job { prompt: None, engine: None, ..job(1, 1, 1) }
+}
+
+fn engines(n: u32) -> Vec<Candidate> {
+    (1..=n).map(|it| Candidate { upstream: it, slots: 64, near: true }).collect()
+}
+
+fn sent(it: Placement) -> Placed {
+    match it {
+        Placement::Send(it) => it,
+        Placement::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+    }
+}
+
+fn report(it: &mut Balancer, now: Duration, host: u64, sequence: u64) -> Digest {
+    let mut res = Digest { host, incarnation: host + 1, sequence, ..Digest::default() };
+    it.report(now, &mut res);
+    res
+}
+
+#[test]
+fn a_prompt_goes_where_its_shared_part_is_kept() {
+    let mut it = Balancer::new(WINDOW);
+    let first = sent(it.place(at(0), &job(1, 7, 500), &engines(9)));
+    assert_eq!(first.unread, 10_500);
+    let run = it.start(at(0), &job(1, 7, 500), &first);
+    it.first(at(300), run);
+    it.end(at(600), run, Ending::Done);
+    let again = sent(it.place(at(700), &job(1, 7, 400), &engines(9)));
+    assert_eq!((again.upstream, again.unread), (first.upstream, 400));
+}
+
+#[test]
+fn hosts_that_know_nothing_choose_the_same_engine_for_a_part() {
+    let place = || sent(Balancer::new(WINDOW).place(at(0), &job(1, 7, 500), &engines(9))).upstream;
+    assert_eq!(place(), place());
+    let others: Vec<u32> = (0..40)
+        .map(|it| sent(Balancer::new(WINDOW).place(at(0), &job(1, it, 9), &engines(9))).upstream)
+        .collect();
+    assert!((1..=9).all(|it| others.contains(&it)), "{others:?}");
+}
+
+#[test]
+fn a_request_that_would_be_late_is_refused_with_a_time_to_come_back() {
+    let mut it = Balancer::new(WINDOW);
+    let mut n = 0;
+    let retry = loop {
+        match it.place(at(0), &job(1, n, 5_000), &engines(2)) {
+            Placement::Send(placed) => {
+                it.start(at(0), &job(1, n, 5_000), &placed);
+            }
+            Placement::Refuse { reason, retry, .. } => {
+                assert_eq!(reason, Refusal::Busy);
+                break retry;
+            }
+        }
+        n += 1;
+    };
+    assert!((2..10).contains(&n), "{n} requests were taken by two engines");
+    assert!(Duration::ZERO < retry && retry <= Duration::from_secs(2));
+}
+
+#[test]
+fn a_prompt_that_can_only_be_late_is_taken_by_an_idle_engine() {
+    let mut it = Balancer::new(WINDOW);
+    let placed = sent(it.place(at(0), &job(1, 7, 60_000), &engines(1)));
+    assert!(OBJECTIVE < placed.estimate);
+}
+
+/// Every event of a stream counted as a first one: the estimate for an idle engine rose to 400 ms
+/// where 60 ms was true, and requests were refused at idle engines.
+#[test]
+fn only_the_first_event_of_a_run_is_learned_from() {
+    let mut it = Balancer::new(WINDOW);
+    for n in 0..300 {
+        let now = at(n * 1_000);
+        let job = job(1, n, 1_000);
+        let placed = sent(it.place(now, &job, &engines(1)));
+        let run = it.start(now, &job, &placed);
+        for event in 0..10 {
+            it.first(now + Duration::from_millis(335 + event * 50), run);
+        }
+        it.end(now + Duration::from_millis(900), run, Ending::Done);
+    }
+    let small = Job { prompt: Some(Prompt { input: 10, ..Prompt::default() }), ..job(1, 1, 1) };
+    let placed = sent(it.place(at(400_000), &small, &engines(1)));
+    assert!(placed.estimate < Duration::from_millis(120), "{:?}", placed.estimate);
+}
+
+#[test]
+fn another_host_s_requests_count_until_it_falls_silent() {
+    let (mut one, mut two) = (Balancer::new(WINDOW), Balancer::new(WINDOW));
+    let placed = sent(one.place(at(0), &job(1, 7, 2_000), &engines(1)));
+    one.start(at(0), &job(1, 7, 2_000), &placed);
+    let digest = report(&mut one, at(10), 1, 1);
+    two.merge(at(20), &digest);
+    two.merge(at(25), &digest);
+    let seen = sent(two.place(at(30), &job(1, 7, 100), &engines(1)));
+    assert_eq!((seen.ahead, seen.unread), (12_000, 100), "a repeated digest counts once");
+    assert_eq!(two.n_hosts(at(30)), 2);
+    let mut own = Digest::default();
+    two.report(at(4_000), &mut own);
+    let later = sent(two.place(at(4_000), &job(1, 7, 100), &engines(1)));
+    assert_eq!(later.ahead, 0);
+    assert_eq!(two.n_hosts(at(4_000)), 1);
+}
+
+#[test]
+fn a_digest_that_comes_late_or_from_an_earlier_life_is_replaced() {
+    let (mut one, mut two) = (Balancer::new(WINDOW), Balancer::new(WINDOW));
+    let placed = sent(one.place(at(0), &job(1, 7, 2_000), &engines(1)));
+    let run = one.start(at(0), &job(1, 7, 2_000), &placed);
+    let old = report(&mut one, at(10), 1, 1);
+    one.end(at(15), run, Ending::Cancelled);
+    let new = report(&mut one, at(20), 1, 2);
+    two.merge(at(30), &new);
+    two.merge(at(31), &old);
+    assert_eq!(sent(two.place(at(32), &job(1, 7, 100), &engines(1))).ahead, 0);
+    let restarted = Digest { host: 1, incarnation: 99, sequence: 1, ..Digest::default() };
+    two.merge(at(40), &old);
+    two.merge(at(41), &restarted);
+    assert_eq!(sent(two.place(at(42), &job(1, 7, 100), &engines(1))).ahead, 0);
+}
+
+/// Two workspaces at two hosts, one asking ten times what the other asks: the large one is
+/// refused first, and the small one is not refused at all.
+#[test]
+fn who_has_had_its_share_is_refused_before_who_has_not() {
+    let mut hosts = [Balancer::new(WINDOW), Balancer::new(WINDOW)];
+    let (mut taken, mut refused) = ([0, 0], [0, 0]);
+    for step in 0..400_u64 {
+        let now = at(step * 12);
+        for (idx, it) in hosts.iter_mut().enumerate() {
+            let workspace = if step % 10 == idx as u64 { 1 } else { 0 };
+            let job = job(workspace, u64::from(workspace) * 100 + step % 3, 4_000 + step as u32);
+            it.ask(now, &job);
+            match it.place(now, &job, &engines(2)) {
+                Placement::Send(placed) => {
+                    let run = it.start(now, &job, &placed);
+                    let time = Duration::from_millis(60 + u64::from(placed.unread) / 40);
+                    it.first(now + time, run);
+                    it.end(now + time, run, Ending::Done);
+                    taken[workspace as usize] += 1;
+                }
+                Placement::Refuse { .. } => refused[workspace as usize] += 1,
+            }
+        }
+        let digests: Vec<Digest> = hosts
+            .iter_mut()
+            .enumerate()
+            .map(|it| report(it.1, now, it.0 as u64, step + 1))
+            .collect();
+        hosts[0].merge(now, &digests[1]);
+        hosts[1].merge(now, &digests[0]);
+    }
+    let part = |it: usize| f64::from(refused[it]) / f64::from(taken[it] + refused[it]);
+    assert!(0.3 < part(0), "the load is too small: {taken:?} {refused:?}");
+    assert!(part(1) < 0.3 * part(0), "{taken:?} {refused:?}");
+}
+
+#[test]
+fn an_upstream_that_cannot_be_reached_is_left_alone_for_a_growing_time() {
+    let mut it = Balancer::new(WINDOW);
+    let one = [Candidate { upstream: 1, slots: 6, near: true }];
+    let two = [one[0], Candidate { upstream: 2, slots: 6, near: false }];
+    let mut now = at(0);
+    let mut pauses = Vec::new();
+    for _ in 0..3 {
+        let placed = sent(it.place(now, &plain(), &one));
+        let run = it.start(now, &plain(), &placed);
+        it.end(now, run, Ending::Unreachable);
+        assert_eq!(sent(it.place(now, &plain(), &two)).upstream, 2);
+        let Placement::Refuse { reason, retry, .. } = it.place(now, &plain(), &one) else {
+            panic!("placed at an upstream that is left alone");
+        };
+        assert_eq!(reason, Refusal::NoUpstream);
+        pauses.push(retry);
+        now += retry;
+    }
+    assert!(pauses.is_sorted() && pauses[0] < pauses[2], "{pauses:?}");
+}
+
+#[test]
+fn an_upstream_that_fails_half_of_its_requests_gets_few() {
+    let mut it = Balancer::new(WINDOW);
+    let candidates = [1, 2, 3].map(|upstream| Candidate { upstream, slots: 6, near: true });
+    let mut n = [0; 4];
+    for step in 0..300_u64 {
+        let now = at(step * 10);
+        let placed = sent(it.place(now, &plain(), &candidates));
+        n[placed.upstream as usize] += 1;
+        let run = it.start(now, &plain(), &placed);
+        let fails = placed.upstream == 2 && n[2] % 2 == 0;
+        it.end(now, run, if fails { Ending::Error } else { Ending::Done });
+    }
+    assert!(n[2] < 60, "{n:?}");
+}
+
+#[test]
+fn repeats_keep_to_the_fleet_s_budget_whatever_the_hosts_hear() {
+    let (ratio, extra, n_hosts) = (0.2, 50.0, 9);
+    let window = Duration::from_secs(10);
+    let mut budgets = vec![RetryBudget::new(ratio, extra, window); n_hosts];
+    let mut repeats = 0;
+    for step in 0..900_u64 {
+        let now = Duration::from_millis(step * 10);
+        let it = &mut budgets[(step % n_hosts as u64) as usize];
+        it.earn(now);
+        repeats += usize::from(it.spend(now, n_hosts));
+    }
+    assert!(0 < repeats && repeats as f64 <= ratio * 900.0 + extra, "{repeats}");
+}
