--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -45,7 +45,6 @@
 /// Serves a request to its end.
 pub(crate) async fn run(host: Arc<Host>, call: Call) -> Response<Body> {
     host.earn_retry(call.job.service);
-    host.balancer().ask(clock::now(), &call.job);
     let exchange = Exchange {
         host: host.clone(),
         call,
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -176,13 +176,6 @@
         self.memories.retain(|id, _| is_known(*id));
     }
 
-    /// Notes that a request came in; a request that comes again is noted again.
-    pub fn ask(&mut self, now: Duration, job: &Job) {
-        let Some(prompt) = &job.prompt else { return };
-        let asked = cost(prompt);
-        self.shares.note(now, job.workspace, Usage { asked, taken: 0.0 });
-    }
-
     /// Picks an upstream for a request, or refuses it.
     pub fn place(&mut self, now: Duration, job: &Job, candidates: &[Candidate]) -> Placement {
         let standing = match job.engine {
@@ -213,6 +206,10 @@
             Refusal::Busy
         };
         let retry = millis(quick.wait - limit).clamp(AWAY.0, AWAY.1);
+        if let Some(prompt) = &job.prompt {
+            let asked = cost(prompt);
+            self.shares.note(now, job.workspace, Usage { asked, taken: 0.0 });
+        }
         Placement::Refuse {
             reason,
             retry,
@@ -250,7 +247,7 @@
             let parts = chain.iter().take(shared).map(|it| it.hash).collect();
             self.loads.tell(placed.upstream, parts);
             let taken = cost(prompt);
-            self.shares.note(now, job.workspace, Usage { asked: 0.0, taken });
+            self.shares.note(now, job.workspace, Usage { asked: taken, taken });
         }
         self.runs.insert(self.n_runs, run);
         self.n_runs
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -4,9 +4,8 @@
 
 /// Buckets of the window.
 const N_BUCKETS: usize = 8;
-/// Excess of what was asked over what was taken above which the fleet counts as short.
-///
-/// What is asked includes what is still on its way, and refused requests that come again.
+/// Excess of what was asked over what was taken above which the fleet counts as short; a refused
+/// request that comes again is asked again.
 const SHORT: f64 = 1.08;
 
 /// How a workspace stands against its share.
