--- a/crates/portfield-net/tests/settings_page.rs
+++ b/crates/portfield-net/tests/settings_page.rs
@@ -28,6 +28,7 @@
     for (heading, path) in [
         ("## Scheduler", "crates/portfield-scheduler/src/settings.rs"),
         ("## Router", "crates/portfield-router/src/settings.rs"),
+        ("## Host on the platform", "crates/portfield-host/src/settings.rs"),
     ] {
         let code = keys_in_code(path);
         assert!(5 < code.len(), "{code:?}");
