feat(balance): one choice, and shares by the configured capacity while short

Change: the cheapest engine or a refusal; the level of the shares is bounded by the configured rate; a digest tells only upstreams in use or with news.

--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -107,6 +107,7 @@
         if catalog.version() <= old {
             return;
         }
+        self.balancer().set_capacity(catalog.limits().tokens_rate);
         let version = catalog.version();
         *in_force = Some(InForce { catalog: Arc::new(catalog), bytes });
         log::info!(version, old, source; "configuration in force");
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Sets what all engines handle together, in tokens a second; zero is unknown.
+    pub fn set_capacity(&mut self, tokens_rate: f64) {
+        self.shares.set_capacity(tokens_rate);
+    }
+
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, is_known: impl Fn(u32) -> bool) {
         self.loads.retain(&is_known);
@@ -193,19 +198,12 @@
         if best.wait <= limit {
             return Placement::Send(best.placed(standing));
         }
-        // What the cheapest would answer too late another may answer in time; but reading shared
-        // parts again takes from all, so not while the fleet is short.
-        let quick = least(options.iter().filter(open), |it| it.wait + it.own).unwrap_or(best);
-        let limit = self.longest_wait(job, standing, quick);
-        if standing == Standing::Plenty && quick.wait <= limit {
-            return Placement::Send(quick.placed(standing));
-        }
         let reason = if matches!(standing, Standing::Share(it) if 1.0 < it) {
             Refusal::Share
         } else {
             Refusal::Busy
         };
-        let retry = millis(quick.wait - limit).clamp(AWAY.0, AWAY.1);
+        let retry = millis(best.wait - limit).clamp(AWAY.0, AWAY.1);
         if let Some(prompt) = &job.prompt {
             let asked = cost(prompt);
             self.shares.note(now, job.workspace, Usage { asked, taken: 0.0 });
@@ -213,7 +211,7 @@
         Placement::Refuse {
             reason,
             retry,
-            estimate: millis(quick.wait + quick.own),
+            estimate: millis(best.wait + best.own),
             share: standing.share(),
         }
     }
@@ -236,11 +234,7 @@
         node.own.pending += pending;
         if let (Some(prompt), Some(engine)) = (&job.prompt, job.engine) {
             let chain = prompt.chain();
-            let read = pending + f64::from(prompt.output);
-            node.read += read;
-            node.prompt += pending;
-            node.flow.add(now, pending);
-            node.cache.read(read);
+            node.note_read(now, pending, f64::from(prompt.output));
             node.cache.touch(chain.iter().map(|it| it.hash), engine.memory);
             self.memories.insert(placed.upstream, engine.memory);
             let shared = chain.len().saturating_sub(1);
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -60,16 +60,27 @@
     pub own: Load,
     pub others: Load,
     /// Tokens that this host's requests brought into its memory.
-    pub read: f64,
+    read: f64,
     /// Tokens of prompts among them.
-    pub prompt: f64,
+    prompt: f64,
     /// Prompt tokens that all hosts sent of late.
     pub flow: Flow,
+    /// Digests that the sums above are still to be told in.
+    n_told: u32,
     pub cache: Cache,
     pub health: Health,
 }
 
 impl Node {
+    /// Notes tokens of this host's request, `prompt` of them to be read.
+    pub(crate) fn note_read(&mut self, now: Duration, prompt: f64, output: f64) {
+        self.read += prompt + output;
+        self.prompt += prompt;
+        self.cache.read(prompt + output);
+        self.flow.add(now, prompt);
+        self.n_told = REPEATS;
+    }
+
     /// Returns the load from all hosts.
     pub(crate) fn total(&self) -> Load {
         Load {
@@ -137,8 +148,10 @@
             read: it.read as u64,
             prompt: it.prompt as u64,
         };
-        let is_used = |it: &(&u32, &Node)| 0.0 < it.1.own.running || 0.0 < it.1.read;
-        let loads = self.nodes.iter().filter(is_used).map(load).collect();
+        // What nobody uses and everybody knows is left out: a digest grows with what goes on.
+        let is_news = |it: &(&u32, &Node)| 0.0 < it.1.own.running || 0 < it.1.n_told;
+        let loads = self.nodes.iter().filter(is_news).map(load).collect();
+        self.nodes.values_mut().for_each(|it| it.n_told = it.n_told.saturating_sub(1));
         let told = self.told.iter().map(|it| it.prefix.clone()).collect();
         self.told.iter_mut().for_each(|it| it.n_left -= 1);
         self.told.retain(|it| 0 < it.n_left);
@@ -155,47 +168,55 @@
         memory: impl Fn(u32) -> u64,
     ) -> Vec<wire::WorkspaceUsage> {
         let peer = self.peers.entry(digest.host).or_default();
-        if peer.incarnation != digest.incarnation {
+        let is_first = peer.incarnation != digest.incarnation;
+        if is_first {
             // Requests of the host's earlier life ended with it.
-            remove(&mut self.nodes, peer.loads.drain());
+            peer.loads.values().for_each(|it| add(&mut self.nodes, it, -1.0));
             *peer = Peer { incarnation: digest.incarnation, ..Peer::default() };
         } else if digest.sequence <= peer.sequence {
             return Vec::new();
         }
         peer.sequence = digest.sequence;
         peer.heard = now;
-        let old = std::mem::take(&mut peer.loads);
+        for it in peer.loads.values_mut() {
+            add(&mut self.nodes, it, -1.0);
+            (it.running, it.pending) = (0, 0);
+        }
         for it in &digest.loads {
-            let before = old.get(&it.upstream).copied().unwrap_or(*it);
+            add(&mut self.nodes, it, 1.0);
+            // The first word of a life is a sum from before: it says nothing of the last seconds.
+            let unknown = wire::UpstreamLoad { upstream: it.upstream, ..Default::default() };
+            let unknown = if is_first { *it } else { unknown };
+            let before = peer.loads.insert(it.upstream, *it).unwrap_or(unknown);
             let node = self.nodes.entry(it.upstream).or_default();
-            node.others.running += f64::from(it.running);
-            node.others.pending += f64::from(it.pending);
             node.cache.read(it.read.saturating_sub(before.read) as f64);
             node.flow.add(now, it.prompt.saturating_sub(before.prompt) as f64);
-            peer.loads.insert(it.upstream, *it);
         }
-        remove(&mut self.nodes, old);
         for it in &digest.prefixes {
             let node = self.nodes.entry(it.upstream).or_default();
             node.cache.touch(it.parts.iter().copied(), memory(it.upstream));
         }
         let grown = |it: &wire::WorkspaceUsage| {
-            // The first word of a life is a sum from before: it says nothing of the last seconds.
-            let old = peer.usage.insert(it.workspace, *it)?;
-            Some(wire::WorkspaceUsage {
+            let unknown = wire::WorkspaceUsage { workspace: it.workspace, ..Default::default() };
+            let unknown = if is_first { *it } else { unknown };
+            let old = peer.usage.insert(it.workspace, *it).unwrap_or(unknown);
+            wire::WorkspaceUsage {
                 workspace: it.workspace,
                 asked: it.asked.saturating_sub(old.asked),
                 taken: it.taken.saturating_sub(old.taken),
-            })
+            }
         };
-        digest.usage.iter().filter_map(grown).collect()
+        digest.usage.iter().map(grown).collect()
     }
 
     /// Drops what hosts said that have been silent for [`STALE`].
     pub(crate) fn expire(&mut self, now: Duration) {
         for peer in self.peers.values_mut() {
             if peer.heard + STALE <= now {
-                remove(&mut self.nodes, peer.loads.drain());
+                for it in peer.loads.values_mut() {
+                    add(&mut self.nodes, it, -1.0);
+                    (it.running, it.pending) = (0, 0);
+                }
             }
         }
     }
@@ -206,14 +227,9 @@
     }
 }
 
-fn remove(
-    nodes: &mut HashMap<u32, Node>,
-    loads: impl IntoIterator<Item = (u32, wire::UpstreamLoad)>,
-) {
-    for (id, it) in loads {
-        if let Some(node) = nodes.get_mut(&id) {
-            node.others.running = (node.others.running - f64::from(it.running)).max(0.0);
-            node.others.pending = (node.others.pending - f64::from(it.pending)).max(0.0);
-        }
-    }
+/// Adds another host's requests to an upstream's, or takes them away with `sign` -1.
+fn add(nodes: &mut HashMap<u32, Node>, it: &wire::UpstreamLoad, sign: f64) {
+    let others = &mut nodes.entry(it.upstream).or_default().others;
+    others.running = (others.running + sign * f64::from(it.running)).max(0.0);
+    others.pending = (others.pending + sign * f64::from(it.pending)).max(0.0);
 }
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -72,6 +72,8 @@
     windows: HashMap<u32, Window>,
     /// What this host's own requests came to since its start.
     totals: HashMap<u32, Usage>,
+    /// What there is by the configuration, in tokens a second; zero is unknown.
+    capacity: f64,
     level: Option<f64>,
     levelled: Duration,
 }
@@ -86,11 +88,17 @@
             window,
             windows: HashMap::new(),
             totals: HashMap::new(),
+            capacity: 0.0,
             level: None,
             levelled: Duration::ZERO,
         }
     }
 
+    /// Sets what there is by the configuration, in tokens a second; zero is unknown.
+    pub(crate) fn set_capacity(&mut self, capacity: f64) {
+        self.capacity = capacity;
+    }
+
     /// Notes what one of this host's requests asked for or took.
     pub(crate) fn note(&mut self, now: Duration, workspace: u32, usage: Usage) {
         let total = self.totals.entry(workspace).or_default();
@@ -137,6 +145,9 @@
         if asked.iter().sum::<f64>() <= left * SHORT {
             return None;
         }
+        if 0.0 < self.capacity {
+            left = left.min(self.capacity * self.window.as_secs_f64());
+        }
         asked.sort_by(f64::total_cmp);
         let mut n_left = asked.len() as f64;
         for it in asked {
