test(host): a randomized soak of real processes under faults from outside

Change: a loopback proxy (delay, reset, one-way cuts, silence); the soak kills, stops, pauses, reloads and restarts hosts, harms proxies, upstreams and the store, changes the configuration, and judges from what callers and upstreams saw: at most once, true refusals, own answers, events in order and whole, nothing changed on its way, service after the last fault.

--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -55,6 +55,11 @@
         lines.iter().filter(|it| it["message"] == message).map(|it| it["kvs"].clone()).collect()
     }
 
+    /// Returns every line of its log.
+    pub fn all_lines(&self) -> Vec<Value> {
+        self.lines.lock().unwrap().clone()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
--- a/crates/portfield-standins/src/users/mod.rs
+++ b/crates/portfield-standins/src/users/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! They run inside a test and are switched by their handles.
 
+mod proxy;
 mod store;
 mod upstream;
 
+pub use proxy::{Harm, Proxy};
 pub use store::{StoreFault, UsersStore};
 pub use upstream::{Seen, UpstreamFault, UsersUpstream};
--- a/crates/portfield-standins/src/users/upstream.rs
+++ b/crates/portfield-standins/src/users/upstream.rs
@@ -111,8 +111,13 @@
 
     /// Returns its entry for the store.
     pub fn entry(&self, service: &str, state: &str) -> Value {
+        self.entry_at(self.address, service, state)
+    }
+
+    /// Returns its entry for the store, with the address of a proxy before it.
+    pub fn entry_at(&self, address: SocketAddr, service: &str, state: &str) -> Value {
         json!({
-            "service": service, "addr": self.address.to_string(), "zone": "north",
+            "service": service, "addr": address.to_string(), "zone": "north",
             "version": "v1", "slots": 4, "state": state, "cold_remaining_ms": 0, "seq": 1,
         })
     }
