feat(balance): silent engines are avoided at once; unreachable ones are tried without a request

Cause: an engine that falls silent got requests until its connections broke 1.8 s later, and each request that tried an unreachable upstream lost 400 ms of its 800. Change: overdue first events count against their engine; a background connection tells when an upstream can be reached again.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::{
     call::Call,
     pool::Connection,
+    reach,
     state::{Host, number},
 };
 
@@ -141,9 +142,13 @@
     causes.fold(err.to_string(), |text, it| format!("{text}: {it}"))
 }
 
-async fn open(host: &Host, upstream: &Upstream) -> Result<Connection, String> {
+async fn open(host: &Arc<Host>, upstream: &Arc<Upstream>) -> Result<Connection, String> {
     host.metrics.count("upstream_connections");
-    host.pool.open(upstream.entry.address).await.map_err(|err| err.to_string())
+    let res = host.pool.open(upstream.entry.address).await;
+    if res.is_err() {
+        reach::start(host, upstream);
+    }
+    res.map_err(|err| err.to_string())
 }
 
 fn build(call: &Call, upstream: &Upstream, last_event: Option<&str>) -> Request<Full<Bytes>> {
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod peers;
 mod pool;
+mod reach;
 mod relay;
 mod settings;
 mod state;
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -18,7 +18,7 @@
 use portfield_net::{clock, rt::Runtime};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{metrics::Metrics, pool::Pool, settings::Settings};
+use crate::{metrics::Metrics, pool::Pool, reach::Trying, settings::Settings};
 
 /// A configuration and the bytes that it was read from.
 #[derive(Debug, Clone)]
@@ -41,6 +41,7 @@
     pub settings: RwLock<Arc<Settings>>,
     pub metrics: Metrics,
     pub pool: Pool,
+    pub trying: Trying,
     pub incarnation: u64,
     in_force: RwLock<Option<InForce>>,
     listed: RwLock<Listed>,
@@ -62,6 +63,7 @@
         let peers = peers.map(|it| (*it, Duration::ZERO)).collect();
         Arc::new(Self {
             pool: Pool::new(rt.clone()),
+            trying: Trying::default(),
             rt,
             metrics: Metrics::default(),
             incarnation: fastrand::u64(1..),
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -33,6 +33,12 @@
 const FAILING: f64 = 3.0;
 /// Longest and shortest time that a caller is told to stay away.
 const AWAY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Time after twice its estimate at which a first event is overdue: beyond what estimates are wrong
+/// by on a sound engine (a tenth of first events come 300 ms late), below the 1.8 s after which a
+/// connection to a silent one breaks.
+const OVERDUE: Duration = Duration::from_millis(400);
+/// What each overdue request adds to its upstream's cost, as a multiple of the objective.
+const OVERDUE_COST: f64 = 2.0;
 /// Requests that wait at a plain upstream for each that runs, before it counts as full.
 const PLAIN_QUEUE: f64 = 3.0;
 /// Time that a plain service takes before any was seen.
@@ -137,6 +143,8 @@
     /// Tokens ahead and its own, for learning.
     behind: f64,
     started: Duration,
+    /// When its first event, or its answer, is overdue.
+    due: Duration,
     /// Its first event, or its answer, has come.
     has_begun: bool,
     is_engine: bool,
@@ -225,6 +233,7 @@
             pending,
             behind: f64::from(placed.ahead) + pending,
             started: now,
+            due: now + placed.estimate * 2 + OVERDUE,
             has_begun: false,
             is_engine: job.engine.is_some(),
             service: job.service,
@@ -278,9 +287,15 @@
         }
     }
 
+    /// Notes that a connection to an upstream could be opened.
+    pub fn reachable(&mut self, upstream: u32) {
+        self.loads.node(upstream).health.reachable();
+    }
+
     /// Writes what this host did into a digest for the others.
     pub fn report(&mut self, now: Duration, digest: &mut wire::Digest) {
         self.loads.expire(now);
+        self.count_overdue(now);
         (digest.loads, digest.prefixes) = self.loads.report();
         let usage = |(workspace, it): (u32, Usage)| wire::WorkspaceUsage {
             workspace,
@@ -310,6 +325,13 @@
         self.speeds.get(&service).map(Speed::rate)
     }
 
+    fn count_overdue(&mut self, now: Duration) {
+        self.loads.nodes_mut().for_each(|it| it.n_overdue = 0);
+        for run in self.runs.values().filter(|it| !it.has_begun && it.due < now) {
+            self.loads.node(run.upstream).n_overdue += 1;
+        }
+    }
+
     fn weigh(&self, now: Duration, job: &Job, chain: &[Link], it: &Candidate) -> Choice {
         let empty = Node::default();
         let node = self.loads.get(it.upstream).unwrap_or(&empty);
@@ -322,7 +344,8 @@
         let last = chain.last().map_or(0, |it| it.tokens);
         let reread = f64::from(unread.saturating_sub(last).min(shared)) * REREAD;
         let objective = job.objective.as_secs_f64() * 1000.0;
-        let failing = node.health.failing(now) * FAILING * objective;
+        let failing = node.health.failing(now) * FAILING + f64::from(node.n_overdue) * OVERDUE_COST;
+        let failing = failing * objective;
         let home = chain.first().map_or(0.0, |link| rank(link.hash, it.upstream) * HOME);
         Choice {
             upstream: it.upstream,
--- a/crates/portfield/src/balance/health.rs
+++ b/crates/portfield/src/balance/health.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-/// Time for which an upstream that could not be reached is left alone at first.
-const FIRST_BLOCK: Duration = Duration::from_millis(200);
-/// Longest such time: a live upstream is found again within it.
-const LONGEST_BLOCK: Duration = Duration::from_secs(2);
+/// Time for which an upstream that could not be reached is left alone at first, unless it is found
+/// to be reachable again before: a request that tries in vain loses half of its objective.
+const FIRST_BLOCK: Duration = Duration::from_millis(1000);
+/// Longest such time.
+const LONGEST_BLOCK: Duration = Duration::from_secs(4);
 /// Time in which a failure comes to count half.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -41,8 +42,7 @@
     pub(crate) fn succeed(&mut self, now: Duration) {
         self.decay(now);
         self.good += 1.0;
-        self.n_unreachable = 0;
-        self.blocked_until = Duration::ZERO;
+        self.reachable();
     }
 
     /// Notes a request that broke, was answered with an error, or was turned away.
@@ -59,6 +59,12 @@
         self.blocked_until = now + block.min(LONGEST_BLOCK);
     }
 
+    /// Notes that a connection could be opened.
+    pub(crate) fn reachable(&mut self) {
+        self.n_unreachable = 0;
+        self.blocked_until = Duration::ZERO;
+    }
+
     fn fade(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at);
         0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -69,6 +69,8 @@
     n_told: u32,
     pub cache: Cache,
     pub health: Health,
+    /// This host's requests whose first event is overdue.
+    pub n_overdue: u32,
 }
 
 impl Node {
@@ -121,6 +123,11 @@
         self.nodes.entry(upstream).or_default()
     }
 
+    /// Returns all upstreams.
+    pub(crate) fn nodes_mut(&mut self) -> impl Iterator<Item = &mut Node> {
+        self.nodes.values_mut()
+    }
+
     /// Returns an upstream that is known.
     pub(crate) fn get(&self, upstream: u32) -> Option<&Node> {
         self.nodes.get(&upstream)
