fix(balance): who is far behind the best served may use a second engine

Change: the standing compares with the best served too (0.6); who is behind may use the engine of least wait.

--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -206,6 +206,13 @@
         if best.wait <= limit {
             return Placement::Send(best.placed(standing));
         }
+        // Reading shared parts again takes from all: only for who has had far less than another.
+        if matches!(standing, Standing::Behind(_)) {
+            let quick = least(options.iter().filter(open), |it| it.wait + it.own).unwrap_or(best);
+            if quick.wait <= self.longest_wait(job, standing, quick) {
+                return Placement::Send(quick.placed(standing));
+            }
+        }
         let reason = if matches!(standing, Standing::Share(it) if 1.0 < it) {
             Refusal::Share
         } else {
@@ -401,7 +408,9 @@
         let in_time = objective - choice.own - waited;
         match standing {
             Standing::Share(it) if 1.0 < it => (in_time * share_factor(it)).max(0.0),
-            Standing::Share(_) | Standing::Plenty => in_time.max(LATE_WAIT * objective),
+            Standing::Share(_) | Standing::Behind(_) | Standing::Plenty => {
+                in_time.max(LATE_WAIT * objective)
+            }
         }
     }
 
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -8,11 +8,17 @@
 /// request that comes again is asked again.
 const SHORT: f64 = 1.08;
 
+/// Part of what the best served workspace has had below which another is behind: the users call it
+/// unfair at a half.
+const BEHIND: f64 = 0.6;
+
 /// How a workspace stands against its share.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Standing {
     /// There is enough for all.
     Plenty,
+    /// What it has had, as a multiple of its share, where another has had far more.
+    Behind(f64),
     /// What it has had, as a multiple of its share.
     Share(f64),
 }
@@ -22,7 +28,7 @@
     pub fn share(self) -> f64 {
         match self {
             Self::Plenty => 0.0,
-            Self::Share(it) => it,
+            Self::Behind(it) | Self::Share(it) => it,
         }
     }
 }
@@ -34,6 +40,15 @@
     pub taken: f64,
 }
 
+/// What a window has for each, in tokens.
+#[derive(Debug, Clone, Copy)]
+struct Level {
+    /// The most that a workspace is owed.
+    level: f64,
+    /// The most that one has had.
+    best: f64,
+}
+
 #[derive(Debug, Default, Clone)]
 struct Window {
     buckets: [Usage; N_BUCKETS],
@@ -74,7 +89,7 @@
     totals: HashMap<u32, Usage>,
     /// What there is by the configuration, in tokens a second; zero is unknown.
     capacity: f64,
-    level: Option<f64>,
+    level: Option<Level>,
     levelled: Duration,
 }
 
@@ -126,21 +141,23 @@
         }
         let Some(level) = self.level else { return Standing::Plenty };
         let taken = self.windows.get(&workspace).map_or(0.0, |it| it.sum().taken);
-        Standing::Share(taken / level.max(1.0))
+        let share = taken / level.level.max(1.0);
+        if taken < level.best * BEHIND { Standing::Behind(share) } else { Standing::Share(share) }
     }
 
     /// Returns the most that a workspace gets in a window, `None` where all get what they ask.
     ///
     /// What all took together is what there is; the level shares it out by max-min.
-    fn compute(&mut self, now: Duration) -> Option<f64> {
+    fn compute(&mut self, now: Duration) -> Option<Level> {
         let bucket = self.bucket(now);
         let mut asked: Vec<f64> = Vec::new();
-        let mut left = 0.0;
+        let (mut left, mut best) = (0.0, 0.0_f64);
         for it in self.windows.values_mut() {
             it.roll(bucket);
             let sum = it.sum();
             asked.push(sum.asked.max(sum.taken));
             left += sum.taken;
+            best = best.max(sum.taken);
         }
         if asked.iter().sum::<f64>() <= left * SHORT {
             return None;
@@ -152,7 +169,7 @@
         let mut n_left = asked.len() as f64;
         for it in asked {
             if left / n_left <= it {
-                return Some(left / n_left);
+                return Some(Level { level: left / n_left, best });
             }
             left -= it;
             n_left -= 1.0;
