feat(host): few hosts follow the store; a host that falls behind sends callers elsewhere

Change: above twelve hosts two of each data centre follow the store, chosen by hash among those it answers; entries held after an outage are handed on with their time. A governor watches how late timers fire: above 15 ms the host is not ready and closes connections after their answers, above 12 ms it refuses a growing part; a bound on requests at once.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -63,6 +63,12 @@
         if route.kind.is_stream() && host.stopping_for().is_some_and(|it| life::TAKE_MOST < it) {
             return Err(Failure::refused("this host is about to end", STOPPING_RETRY));
         }
+        if host.governor().refuses(fastrand::f64())
+            || host.settings().active_limit < host.n_active()
+        {
+            host.metrics.count("refused{reason=\"Overload\"}");
+            return Err(Failure::refused("this host is overloaded", STOPPING_RETRY));
+        }
         let workspace = authorize(&catalog, &route, head.key.as_deref())?;
         let service = route.pick(fastrand::f64()).unwrap_or_default().to_owned();
         let body = read_body(body, catalog.limits().body_bytes).await?;
--- a/crates/portfield-host/src/front.rs
+++ b/crates/portfield-host/src/front.rs
@@ -96,7 +96,7 @@
             it.answer(&id)
         }
     };
-    if host.is_stopping() {
+    if host.sheds() {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     res
--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -50,6 +50,7 @@
     rt.spawn(http1::serve(rt.clone(), metrics, answer));
     rt.spawn(rpc::serve(rt.clone(), control, PeersServer::new(peers::Server::new(host.clone()))));
     peers::start(&host, datagrams);
+    rt.spawn(watch_load(host.clone()));
     watch::start(&host);
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let front = rt.task(front::serve(host.clone(), listener, stopped));
@@ -73,6 +74,28 @@
     Ok(())
 }
 
+/// Time between two looks at how late timers fire.
+const LOAD_PERIOD: Duration = Duration::from_millis(25);
+
+/// Tells the governor how late timers fire, and logs where callers are sent elsewhere.
+async fn watch_load(host: Arc<Host>) {
+    let mut was_busy = false;
+    loop {
+        let due = clock::now() + LOAD_PERIOD;
+        clock::sleep(LOAD_PERIOD).await;
+        let now = clock::now();
+        let (is_busy, late) = {
+            let mut governor = host.governor();
+            governor.observe(now, now.saturating_sub(due));
+            (governor.is_busy(), governor.late())
+        };
+        if is_busy != was_busy {
+            was_busy = is_busy;
+            log::warn!(is_busy, late_ms = late, active = host.n_active(); "own load");
+        }
+    }
+}
+
 /// Time that the last log lines get to be written.
 const LAST_LINES: Duration = Duration::from_millis(20);
 
@@ -114,6 +137,8 @@
         ("list_version", host.with_list(|it| it.directory.version()) as f64),
         ("store_age_ms", host.store_age().as_millis() as f64),
         ("hosts", n_hosts),
+        ("late_ms", host.governor().late()),
+        ("active", host.n_active() as f64),
     ];
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::PLAIN);
--- a/crates/portfield-host/src/peers.rs
+++ b/crates/portfield-host/src/peers.rs
@@ -14,7 +14,10 @@
 use async_io::Async;
 use async_net::TcpStream;
 use bytes::Bytes;
-use portfield::catalog::{Change, Source};
+use portfield::{
+    balance::Follower,
+    catalog::{Change, Source},
+};
 use portfield_net::{clock, rpc};
 use portfield_platform::upstreams;
 use portfield_wire::{
@@ -22,10 +25,9 @@
 };
 use prost::Message;
 use tonic::{Request, Response, Status};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    state::Host,
+    state::{Host, hash},
     watch::{Version, take_list},
 };
 
@@ -41,11 +43,6 @@
 const MAX_DATAGRAM: usize = 60_000;
 /// Time in which another host tells what is newer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-/// Silence of the store after which the list of upstreams is taken from other hosts.
-///
-/// Longer than the store holds a call in which nothing changes.
-const STORE_SILENT: Duration = Duration::from_millis(2000);
-
 /// Starts the tasks; the socket is bound to the address that names this host.
 pub(crate) fn start(host: &Arc<Host>, socket: Async<std::net::UdpSocket>) {
     let socket = Arc::new(socket);
@@ -54,7 +51,7 @@
 }
 
 async fn tell(host: Arc<Host>, socket: Arc<Async<std::net::UdpSocket>>) {
-    let me = host.settings().peers;
+    let data_centre = hash(&host.settings().data_centre);
     let mut sequence = 0;
     loop {
         let n_peers = host.peers().len() as u32;
@@ -62,11 +59,13 @@
         sequence += 1;
         let now = clock::now();
         let mut digest = Digest {
-            host: xxh3_64(me.to_string().as_bytes()),
+            host: host.own_hash(),
             incarnation: host.incarnation,
             sequence,
             config_version: host.config_version(),
             list_version: host.with_list(|it| it.directory.version()),
+            data_centre,
+            store_age: host.store_age().as_millis().min(u128::from(u32::MAX)) as u32,
             ..Digest::default()
         };
         host.balancer().report(now, &mut digest);
@@ -107,10 +106,16 @@
         if heard.is_none_or(|it| it + SILENT < now) {
             log::info!(host:% = address, incarnation = digest.incarnation; "host heard");
         }
+        host.hear(Follower {
+            host: digest.host,
+            data_centre: digest.data_centre,
+            store_age: Duration::from_millis(u64::from(digest.store_age)),
+            heard: now,
+        });
         host.balancer().merge(now, &digest);
         let newer_config = host.config_version() < digest.config_version;
         let list_version = host.with_list(|it| it.directory.version());
-        let newer_list = list_version < digest.list_version && STORE_SILENT < host.store_age();
+        let newer_list = list_version < digest.list_version && host.needs_list();
         if (newer_config || newer_list) && !fetching.swap(true, Ordering::Relaxed) {
             let (task, fetching) = (host.clone(), fetching.clone());
             host.rt.spawn(async move {
@@ -136,18 +141,26 @@
     if !reply.config.is_empty() {
         host.adopt(Bytes::from(reply.config), "host");
     }
-    if reply.list.is_empty() || host.store_age() < STORE_SILENT {
+    if reply.list.is_empty() || !host.needs_list() {
         return Ok(());
     }
     let mut changes = Vec::new();
     let mut raw = HashMap::new();
+    let mut held = Vec::new();
     for it in reply.list {
+        if 0 < it.held {
+            let until = clock::now() + Duration::from_millis(u64::from(it.held));
+            held.push((it.id.clone(), until));
+        }
         changes.push(Change::Set(upstreams::decode(&it.id, &it.entry)?));
         raw.insert(it.id, Bytes::from(it.entry));
     }
-    // The other host holds entries back itself where they may only have lapsed.
+    // The other host tells which entries may only have lapsed.
     let version = Version { number: reply.list_version, is_whole: true, source: Source::Current };
-    host.update_list(|it| take_list(it, changes, raw, &version));
+    host.update_list(|it| {
+        take_list(it, changes, raw, &version);
+        held.iter().for_each(|(id, until)| it.directory.hold(id, *until));
+    });
     Ok(())
 }
 
@@ -181,9 +194,15 @@
         self.host.with_list(|it| {
             reply.list_version = it.directory.version();
             if request.list_version < reply.list_version {
+                let now = clock::now();
+                let held = |id: &str| match it.directory.held_until(id) {
+                    Some(until) => (until.saturating_sub(now).as_millis() as u32).max(1),
+                    None => 0,
+                };
                 let entry = |(id, entry): (&String, &Bytes)| ListedUpstream {
                     id: id.clone(),
                     entry: entry.to_vec(),
+                    held: held(id),
                 };
                 reply.list = it.entries.iter().map(entry).collect();
             }
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use portfield::{
-    balance::{Balancer, Candidate, Job, Placement, RetryBudget},
+    balance::{Balancer, Candidate, Follower, Governor, Job, Placement, Readers, RetryBudget},
     catalog::{Catalog, Directory, Upstream},
 };
 use portfield_net::{clock, rt::Runtime};
@@ -20,6 +20,11 @@
 
 use crate::{metrics::Metrics, pool::Pool, reach::Trying, settings::Settings};
 
+/// Silence of the store after which the list of upstreams is taken from other hosts.
+///
+/// Longer than the store holds a call in which nothing changes.
+const STORE_SILENT: Duration = Duration::from_millis(2000);
+
 /// A configuration and the bytes that it was read from.
 #[derive(Debug, Clone)]
 pub(crate) struct InForce {
@@ -48,6 +53,8 @@
     balancer: Mutex<Balancer>,
     budgets: Mutex<HashMap<u32, RetryBudget>>,
     peers: Mutex<HashMap<SocketAddr, Duration>>,
+    readers: Mutex<Readers>,
+    governor: Mutex<Governor>,
     /// When the process was told to stop, in milliseconds since the start; zero before.
     stopping: AtomicU64,
     /// Held by every request that is not answered yet.
@@ -72,6 +79,8 @@
             balancer: Mutex::new(Balancer::new(settings.share_window)),
             budgets: Mutex::default(),
             peers: Mutex::new(peers),
+            readers: Mutex::default(),
+            governor: Mutex::default(),
             stopping: AtomicU64::new(0),
             active: Arc::new(()),
             store_heard: AtomicU64::new(0),
@@ -187,6 +196,33 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns this host's own load.
+    pub(crate) fn governor(&self) -> MutexGuard<'_, Governor> {
+        self.governor.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether a caller's connection is to be closed after its answer.
+    pub(crate) fn sheds(&self) -> bool {
+        self.is_stopping() || self.governor().is_busy()
+    }
+
+    /// Returns the hash that names this host among the others.
+    pub(crate) fn own_hash(&self) -> u64 {
+        xxh3_64(self.settings().peers.to_string().as_bytes())
+    }
+
+    /// Notes what another host said of itself.
+    pub(crate) fn hear(&self, it: Follower) {
+        self.readers.lock().unwrap_or_else(PoisonError::into_inner).hear(it);
+    }
+
+    /// Returns whether this host is to follow the store itself.
+    pub(crate) fn is_reader(&self) -> bool {
+        let data_centre = hash(&self.settings().data_centre);
+        let readers = self.readers.lock().unwrap_or_else(PoisonError::into_inner);
+        readers.is_reader(clock::now(), self.own_hash(), data_centre)
+    }
+
     /// Notes that the store answered.
     pub(crate) fn store_answered(&self) {
         let now = clock::now().as_millis() as u64;
@@ -201,10 +237,15 @@
         }
     }
 
+    /// Returns whether the list of upstreams is to be taken from other hosts.
+    pub(crate) fn needs_list(&self) -> bool {
+        STORE_SILENT < self.store_age() || !self.is_reader()
+    }
+
     /// Returns whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.in_force().is_some() && !self.with_list(|it| it.directory.is_empty());
-        known && !self.is_stopping()
+        known && !self.is_stopping() && !self.governor().is_busy()
     }
 
     /// Returns whether the process was told to stop.
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -16,7 +16,7 @@
 ///
 /// A cut hides changes until a held call is given up, so this and [`CALL_TIMEOUT`] together stay
 /// under the three seconds after which a host counts as in touch again.
-const HOLD: Duration = Duration::from_millis(1500);
+const HOLD: Duration = Duration::from_millis(1200);
 /// Time in which the store answers a call beyond that.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Pause after a call that failed; grows by half of itself up to [`LONGEST_PAUSE`].
@@ -26,6 +26,8 @@
 /// Silence of the store after which upstreams' entries may have lapsed: shorter than the three
 /// heartbeats of 1.2 s after which the platform removes one.
 const OUTAGE: Duration = Duration::from_millis(2000);
+/// Time between two looks whether this host is to follow the store.
+const IDLE_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two looks at the table of hosts; hosts learn of new ones from digests before.
 const HOSTS_PERIOD: Duration = Duration::from_secs(15);
 /// Time between two looks for entries that did not come back.
@@ -58,6 +60,12 @@
     let mut returned = None::<Duration>;
     let mut is_lost = false;
     loop {
+        if version.is_some() && !host.is_reader() {
+            // What changed meanwhile is told from this version on, or read anew.
+            clock::sleep(IDLE_PERIOD).await;
+            heard = clock::now();
+            continue;
+        }
         let res = match version {
             None => store.read(table).await,
             Some(it) => store.changes(table, it, HOLD).await,
--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -55,6 +55,10 @@
         lines.iter().filter(|it| it["message"] == message).map(|it| it["kvs"].clone()).collect()
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns every line of its log.
     pub fn all_lines(&self) -> Vec<Value> {
         self.lines.lock().unwrap().clone()
--- /dev/null
+++ b/crates/portfield/src/balance/governor.rs
@@ -0,0 +1,73 @@
+//! Whether this host itself keeps up, by how late its own timers fire.
+
+use std::time::Duration;
+
+/// Weight of one more observation; with one each 25 ms it remembers about a tenth of a second.
+const SMOOTH: f64 = 0.25;
+/// Lateness above which callers are sent elsewhere: a sound host is late by less than one
+/// millisecond, and events that are late by more than some tens are worth a tenth.
+const BUSY: f64 = 15.0;
+/// Lateness below which it takes callers again.
+const CALM: f64 = 5.0;
+/// Time for which it has to be that calm: callers that left need some seconds to come back.
+const CALM_TIME: Duration = Duration::from_millis(1500);
+/// Lateness above which requests are refused, and the one at which nearly all are.
+const REFUSING: (f64, f64) = (12.0, 60.0);
+/// Largest part of the requests that is refused.
+const MOST: f64 = 0.95;
+
+/// The host's own load.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::balance::Governor;
+/// use std::time::Duration;
+///
+/// let mut governor = Governor::default();
+/// for n in 0..100 {
+///     governor.observe(Duration::from_millis(n * 125), Duration::from_millis(100));
+/// }
+/// assert!(governor.is_busy());
+/// assert!(governor.refuses(0.0) && !governor.refuses(0.99));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Governor {
+    /// Average lateness, in milliseconds.
+    late: f64,
+    is_busy: bool,
+    /// When it was last late.
+    last_late: Duration,
+}
+
+impl Governor {
+    /// Notes by how much a timer fired late.
+    pub fn observe(&mut self, now: Duration, late: Duration) {
+        let late = late.as_secs_f64() * 1000.0;
+        self.late += SMOOTH * (late - self.late);
+        if CALM < self.late {
+            self.last_late = now;
+        }
+        if BUSY < self.late {
+            self.is_busy = true;
+        } else if self.last_late + CALM_TIME < now {
+            self.is_busy = false;
+        }
+    }
+
+    /// Returns whether callers are better served elsewhere.
+    pub fn is_busy(&self) -> bool {
+        self.is_busy
+    }
+
+    /// Returns the average lateness, in milliseconds.
+    pub fn late(&self) -> f64 {
+        self.late
+    }
+
+    /// Returns whether a new request is refused; `draw` is uniform from zero to one.
+    pub fn refuses(&self, draw: f64) -> bool {
+        let part = (self.late - REFUSING.0) / (REFUSING.1 - REFUSING.0);
+        draw < part.min(MOST)
+    }
+}
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -7,19 +7,25 @@
 //! - `load`: what is on its way to each upstream, from all hosts
 //! - `health`: upstreams that fail
 //! - `shares`: max-min shares of the workspaces
+//! - [`Governor`]: whether this host itself keeps up
+//! - [`Readers`]: which hosts follow the store
 //! - `budget`: how many requests may be sent a second time
 //! - [`Balancer`]: the decision
 
 mod balancer;
 mod budget;
 mod cache;
+mod governor;
 mod health;
 mod load;
 mod prompt;
+mod readers;
 mod shares;
 mod speed;
 
 pub use balancer::{Balancer, Candidate, Ending, Job, Placed, Placement, Refusal, RunId};
 pub use budget::RetryBudget;
+pub use governor::Governor;
 pub use prompt::{Part, Prompt};
+pub use readers::{Follower, Readers};
 pub use shares::Standing;
--- /dev/null
+++ b/crates/portfield/src/balance/readers.rs
@@ -0,0 +1,69 @@
+//! Which hosts follow the platform's store, so that not every host calls it.
+
+use std::{collections::HashMap, time::Duration};
+
+/// Up to so many hosts all of them follow the store: what they would save is under a hundredth of
+/// what they earn, and each learns of a change by itself.
+const ALL: usize = 12;
+/// Hosts of a data centre that follow the store where there are more.
+const PER_DATA_CENTRE: usize = 2;
+/// Age of a host's last word from the store above which it counts as cut off from it: above the
+/// time that the store holds a call, and below the two seconds in which a change must be in force.
+const FRESH: Duration = Duration::from_millis(1700);
+
+/// What another host last said of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Follower {
+    /// Hash of the host's address.
+    pub host: u64,
+    /// Hash of its data centre's name.
+    pub data_centre: u32,
+    /// Age of its last word from the store when it said so.
+    pub store_age: Duration,
+    /// When it said so.
+    pub heard: Duration,
+}
+
+/// The other hosts by address hash.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::balance::{Follower, Readers};
+/// use std::time::Duration;
+///
+/// let mut readers = Readers::default();
+/// for host in 1..=20 {
+///     let store_age = Duration::from_millis(100);
+///     readers.hear(Follower { host, data_centre: 1, store_age, heard: Duration::ZERO });
+/// }
+/// let now = Duration::from_millis(500);
+/// assert!(!readers.is_reader(now, 21, 1));
+/// assert!(readers.is_reader(now, 21, 2), "the first of its data centre");
+/// ```
+#[derive(Debug, Default)]
+pub struct Readers {
+    others: HashMap<u64, Follower>,
+}
+
+impl Readers {
+    /// Notes what another host said.
+    pub fn hear(&mut self, it: Follower) {
+        self.others.insert(it.host, it);
+    }
+
+    /// Returns whether a host is to follow the store itself: all do where there are few; else the
+    /// first ones of each data centre by hash, of those that the store answers.
+    pub fn is_reader(&self, now: Duration, host: u64, data_centre: u32) -> bool {
+        let is_alive = |it: &&Follower| now < it.heard + super::load::STALE;
+        if self.others.values().filter(is_alive).count() < ALL {
+            return true;
+        }
+        let age = |it: &Follower| it.store_age + now.saturating_sub(it.heard);
+        let before = self
+            .others
+            .values()
+            .filter(|it| it.data_centre == data_centre && it.host < host && age(it) < FRESH);
+        before.count() < PER_DATA_CENTRE
+    }
+}
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -130,6 +130,18 @@
         list.into_iter().for_each(|it| self.set(it));
     }
 
+    /// Returns until when an entry is kept that is missing from the store.
+    pub fn held_until(&self, id: &str) -> Option<Duration> {
+        self.known.get(id)?.until
+    }
+
+    /// Keeps an entry that is missing from the store until a time.
+    pub fn hold(&mut self, id: &str, until: Duration) {
+        if let Some(it) = self.known.get_mut(id) {
+            it.until = Some(until);
+        }
+    }
+
     /// Removes entries that did not come back in time; returns their ids.
     pub fn expire(&mut self, now: Duration) -> Vec<String> {
         let late = |it: &Known| it.until.is_some_and(|until| until <= now);
--- a/crates/portfield/tests/directory.rs
+++ b/crates/portfield/tests/directory.rs
@@ -74,3 +74,16 @@
     assert_eq!(it.expire(SECOND + RETURN_GRACE), ["a"]);
     assert_eq!(ready(&it), ["b"]);
 }
+
+/// A host that takes the list from another drops a held entry when that host does.
+#[test]
+fn a_hold_can_be_handed_on() {
+    let mut it = two();
+    let source = Source::AfterOutage { returned: SECOND };
+    it.apply(6, [Change::Gone("a".to_owned())], source);
+    assert_eq!(it.held_until("a"), Some(SECOND + RETURN_GRACE));
+    assert_eq!(it.held_until("b"), None);
+    let mut other = two();
+    other.hold("a", SECOND + RETURN_GRACE);
+    assert_eq!(other.expire(SECOND + RETURN_GRACE), ["a"]);
+}
