--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -43,6 +43,7 @@
         partial: BytesMut::new(),
         n_events: 0,
         first: None,
+        alarm: None,
     };
     let first = match relay.next().await {
         Ok(it) => it,
@@ -75,6 +76,8 @@
     partial: BytesMut,
     n_events: u64,
     first: Option<Duration>,
+    /// When the wait for the next piece ends.
+    alarm: Option<async_io::Timer>,
 }
 
 impl Relay {
@@ -82,8 +85,14 @@
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let patience = self.patience();
-            let Some(live) = &mut self.live else { return Ok(None) };
-            let cause = match clock::timeout(patience, live.body.frame()).await {
+            // Only a stream that may be moved has a limit for each pause; all else one for all.
+            if self.alarm.is_none() || patience < self.exchange.call.left() {
+                self.alarm = Some(clock::alarm(patience));
+            }
+            let (Some(live), Some(alarm)) = (&mut self.live, &mut self.alarm) else {
+                return Ok(None);
+            };
+            let cause = match clock::before(alarm, live.body.frame()).await {
                 Some(None) if self.partial.is_empty() => {
                     self.end();
                     return Ok(None);
@@ -175,6 +184,7 @@
         );
         self.exchange.host.metrics.count("streams_resumed");
         self.live = Some(live);
+        self.alarm = None;
         Ok(())
     }
 
--- a/crates/portfield-net/src/clock.rs
+++ b/crates/portfield-net/src/clock.rs
@@ -23,6 +23,21 @@
     async_io::Timer::after(time).await;
 }
 
+/// Returns a timer that fires once after a time and can be set anew; cheaper than [`timeout`]
+/// where many short waits share one limit.
+pub fn alarm(time: Duration) -> async_io::Timer {
+    async_io::Timer::after(time)
+}
+
+/// Runs a future until an alarm fires; `None` if it did not end before.
+pub async fn before<T>(alarm: &mut async_io::Timer, f: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        alarm.await;
+        None
+    };
+    futures_lite::future::or(async { Some(f.await) }, late).await
+}
+
 /// Runs a future for at most a time; `None` if it did not end.
 pub async fn timeout<T>(time: Duration, f: impl Future<Output = T>) -> Option<T> {
     let late = async {
