--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -4,7 +4,8 @@
 
 use portfield::{
     balance::{
-        Balancer, Candidate, Ending, Job, Part, Placed, Placement, Prompt, Refusal, RetryBudget,
+        Balancer, Candidate, Ending, Follower, Governor, Job, Part, Placed, Placement, Prompt,
+        Readers, Refusal, RetryBudget,
     },
     catalog::EngineSpec,
     wire::Digest,
@@ -279,3 +280,55 @@
     }
     assert!(0 < repeats && repeats as f64 <= ratio * 900.0 + extra, "{repeats}");
 }
+
+/// A caller of a hot workspace sent everything to one host, which ran out of processor time while
+/// the others were idle.
+#[test]
+fn a_host_that_falls_behind_sheds_and_takes_callers_again_once_calm() {
+    let mut it = Governor::default();
+    let step = |it: &mut Governor, n: u64, late: u64| {
+        it.observe(at(n * 25), Duration::from_millis(late));
+    };
+    (0..40).for_each(|n| step(&mut it, n, 1));
+    assert!(!it.is_busy() && !it.refuses(0.0));
+    (40..60).for_each(|n| step(&mut it, n, 40));
+    assert!(it.is_busy() && it.refuses(0.2) && !it.refuses(0.9));
+    (60..100).for_each(|n| step(&mut it, n, 0));
+    assert!(it.is_busy(), "one calm second is not enough");
+    (100..150).for_each(|n| step(&mut it, n, 0));
+    assert!(!it.is_busy());
+}
+
+#[test]
+fn one_late_timer_sends_nobody_away() {
+    let mut it = Governor::default();
+    it.observe(at(0), Duration::from_millis(50));
+    assert!(!it.is_busy());
+}
+
+/// Calls to the store were the largest price of the grown deployments.
+#[test]
+fn few_hosts_follow_the_store_and_others_take_over_from_those_it_turns_away() {
+    let follower = |host: u64, store_age: u64, heard: u64| Follower {
+        host,
+        data_centre: (host % 3) as u32,
+        store_age: Duration::from_millis(store_age),
+        heard: at(heard),
+    };
+    let readers = |silent: &[u64], now: u64| -> Vec<u64> {
+        let is_reader = |me: &u64| {
+            let mut it = Readers::default();
+            for host in (0..60).filter(|it| it != me) {
+                let age = if silent.contains(&host) { 3_000 } else { 900 };
+                it.hear(follower(host, age, now));
+            }
+            it.is_reader(at(now + 100), *me, (*me % 3) as u32)
+        };
+        (0..60).filter(is_reader).collect()
+    };
+    assert_eq!(readers(&[], 0), [0, 1, 2, 3, 4, 5]);
+    assert_eq!(readers(&[0, 4], 0), [0, 1, 2, 3, 4, 5, 6, 7]);
+    let mut alone = Readers::default();
+    (0..60).for_each(|host| alone.hear(follower(host, 100, 0)));
+    assert!(alone.is_reader(at(5_000), 61, 1), "who hears nobody follows the store itself");
+}
