--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -11,7 +11,7 @@
 use eyre::WrapErr;
 use futures_lite::StreamExt;
 use http_types::{Request, Response};
-use portfield_net::{clock, http1, rpc, rt::Runtime};
+use portfield_net::{clock, http1, logs, rpc, rt::Runtime};
 use portfield_wire::peers_server::PeersServer;
 
 use crate::{front, peers, settings::Settings, state::Host, watch};
@@ -97,7 +97,7 @@
 }
 
 /// Time that the last log lines get to be written.
-const LAST_LINES: Duration = Duration::from_millis(20);
+const LAST_LINES: Duration = Duration::from_millis(20).saturating_add(logs::GATHER);
 
 /// Reads the settings again; those that cannot change while the process runs stay.
 fn reload(host: &Arc<Host>, path: &std::path::Path) {
--- a/crates/portfield-net/src/logs.rs
+++ b/crates/portfield-net/src/logs.rs
@@ -22,6 +22,8 @@
 
 /// Lines that wait for a slow reader before more are left out; at 300 bytes each, 300 KB.
 const QUEUED_LINES: usize = 1024;
+/// Time for which lines are gathered before they are written together.
+pub const GATHER: Duration = Duration::from_millis(50);
 /// Time over which a burst above the rate is let through.
 const BURST: Duration = Duration::from_secs(2);
 /// Time between two lines that tell what was left out.
@@ -44,9 +46,12 @@
     let (sender, receiver) = sync_channel::<Vec<u8>>(QUEUED_LINES);
     thread::Builder::new().name("logs".to_owned()).spawn(move || {
         let mut out = io::stdout().lock();
-        while let Ok(line) = receiver.recv() {
+        while let Ok(mut lines) = receiver.recv() {
+            // One write for what came meanwhile: each costs a wake-up and a system call.
+            thread::sleep(GATHER);
+            receiver.try_iter().for_each(|it| lines.extend(it));
             // Nobody is left to tell where standard output is closed.
-            if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+            if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
                 return;
             }
         }
