--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -8,8 +8,8 @@
 /// request that comes again is asked again.
 const SHORT: f64 = 1.08;
 
-/// Part of what the best served workspace has had below which another is behind: the users call it
-/// unfair at a half.
+/// Part of what the best served workspace has had, or of what it asked itself if that is less, below
+/// which a workspace is behind: the users call it unfair at a half.
 const BEHIND: f64 = 0.6;
 
 /// How a workspace stands against its share.
@@ -17,7 +17,8 @@
 pub enum Standing {
     /// There is enough for all.
     Plenty,
-    /// What it has had, as a multiple of its share, where another has had far more.
+    /// What it has had, as a multiple of its share, where it was refused much and another has had far
+    /// more.
     Behind(f64),
     /// What it has had, as a multiple of its share.
     Share(f64),
@@ -140,9 +141,12 @@
             self.level = self.compute(now);
         }
         let Some(level) = self.level else { return Standing::Plenty };
-        let taken = self.windows.get(&workspace).map_or(0.0, |it| it.sum().taken);
-        let share = taken / level.level.max(1.0);
-        if taken < level.best * BEHIND { Standing::Behind(share) } else { Standing::Share(share) }
+        let usage = self.windows.get(&workspace).map(Window::sum).unwrap_or_default();
+        let share = usage.taken / level.level.max(1.0);
+        if usage.taken < usage.asked.min(level.best) * BEHIND {
+            return Standing::Behind(share);
+        }
+        Standing::Share(share)
     }
 
     /// Returns the most that a workspace gets in a window, `None` where all get what they ask.
