--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -332,3 +332,37 @@
     (0..60).for_each(|host| alone.hear(follower(host, 100, 0)));
     assert!(alone.is_reader(at(5_000), 61, 1), "who hears nobody follows the store itself");
 }
+
+/// A workspace whose parts' engine was full got under half of what the best served one got, which
+/// found its own engines idle.
+#[test]
+fn who_is_refused_much_may_use_an_engine_without_its_parts() {
+    let mut it = Balancer::new(WINDOW);
+    for n in 0..30 {
+        let well = job(1, 100 + n, 1_000);
+        let placed = sent(it.place(at(n * 50), &well, &engines(9)));
+        let run = it.start(at(n * 50), &well, &placed);
+        it.first(at(n * 50 + 300), run);
+        it.end(at(n * 50 + 600), run, Ending::Done);
+    }
+    let mut home = None;
+    let mut n_refused = 0;
+    for n in 0..40_u64 {
+        let now = at(3_000 + n * 20);
+        let hot = job(2, 7, 3_000 + n as u32);
+        match it.place(now, &hot, &engines(9)) {
+            Placement::Refuse { .. } => n_refused += 1,
+            Placement::Send(placed) if home.is_none_or(|it| it == placed.upstream) => {
+                // Its first events do not come: the engine fills up.
+                home = Some(placed.upstream);
+                it.start(now, &hot, &placed);
+            }
+            Placement::Send(placed) => {
+                assert!(3 < n_refused, "only after it was refused much");
+                assert!(10_000 < placed.unread, "the other engine keeps none of its parts");
+                return;
+            }
+        }
+    }
+    panic!("refused {n_refused} times and never sent elsewhere");
+}
