refactor(platform): the stand-ins of the users' platform stand beside its adapter

Cause: the platform's names stood in two folders; errors of the store were cut at a byte that may lie within a character (would have ended the process); an upstream's error that is passed on left no line. Change: platform/standins; errors cut by characters; a line 'error passed on'.

--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -250,6 +250,10 @@
     fn give_up(mut self, failure: Failure) -> Response<Body> {
         self.is_over = true;
         if let Some(res) = self.error.take() {
+            log::info!(
+                request = self.call.id, status = res.status().as_u16(), reason = failure.reason;
+                "error passed on"
+            );
             self.host.metrics.count("errors_passed_on");
             return res;
         }
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -26,6 +26,8 @@
 /// Silence of the store after which upstreams' entries may have lapsed: shorter than the three
 /// heartbeats of 1.2 s after which the platform removes one.
 const OUTAGE: Duration = Duration::from_millis(2000);
+/// Characters of an error that are logged.
+const LONGEST_ERROR: usize = 200;
 /// Time between two looks whether this host is to follow the store.
 const IDLE_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two looks at the table of hosts; hosts learn of new ones from digests before.
@@ -109,10 +111,9 @@
     }
 }
 
+/// Writes an error shortened: an answer's body may be long.
 fn describe(err: &Error) -> String {
-    let mut res = err.to_string();
-    res.truncate(200);
-    res
+    err.to_string().chars().take(LONGEST_ERROR).collect()
 }
 
 fn take_config(host: &Host, news: News) {
--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use portfield_net::rt::Runtime;
-use portfield_standins::users::{UsersStore, UsersUpstream};
+use portfield_platform_standins::{UsersStore, UsersUpstream};
 use serde_json::{Value, json};
 
 /// Longest wait for a condition; far above what any takes.
--- a/crates/portfield-host/tests/knowledge.rs
+++ b/crates/portfield-host/tests/knowledge.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet::{Fleet, config, request, until};
-use portfield_standins::users::StoreFault;
+use portfield_platform_standins::StoreFault;
 use serde_json::json;
 
 /// A configuration in which the route for checks is gone.
--- a/crates/portfield-host/tests/requests.rs
+++ b/crates/portfield-host/tests/requests.rs
@@ -10,7 +10,7 @@
 };
 
 use fleet::{Fleet, exchange, read_answer, request, until};
-use portfield_standins::users::UpstreamFault;
+use portfield_platform_standins::UpstreamFault;
 
 #[test]
 fn a_request_reaches_its_upstream_as_it_was_sent() {
--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -20,7 +20,7 @@
 };
 
 use fleet::{Answer, Fleet, Host, config, read_answer, request, until};
-use portfield_standins::users::{Harm, Proxy, StoreFault, UpstreamFault};
+use portfield_platform_standins::{Harm, Proxy, StoreFault, UpstreamFault};
 
 /// Seeds that CI runs; a seed that ever failed is added with a line on its cause.
 const SEEDS: [u64; 2] = [1, 2];
--- a/crates/portfield-standins/src/lib.rs
+++ b/crates/portfield-standins/src/lib.rs
@@ -6,4 +6,3 @@
 pub mod platform;
 pub mod relay;
 pub mod upstream;
-pub mod users;
