--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -85,7 +85,7 @@
         Ok(Self {
             id: head.id,
             arrived,
-            deadline: arrived + patience,
+            deadline: arrived.saturating_add(patience),
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
--- a/crates/portfield-host/tests/requests.rs
+++ b/crates/portfield-host/tests/requests.rs
@@ -41,6 +41,7 @@
         ("key-a", "key-x", 401, "authorization"),
         ("deadline-ms: 1200", "deadline-ms: soon", 400, "Deadline-Ms"),
         ("tenant: forged", "token-count: many", 400, "Token-Count"),
+        ("deadline-ms: 1200", "deadline-ms: 1e300", 400, "Deadline-Ms"),
     ] {
         let answer = host.send(&good.replace(from, to));
         assert_eq!(answer.status, status, "{to}");
