refactor: one way to withdraw a host's requests; one version with a list; dead code out

Taking a host's requests away from the upstreams stood three times in load.rs; News repeated the fields of Version; Balancer::reading_rate had no caller. Change: Peer::withdraw, News holds a Version, the unused function is gone. No change of behaviour, no test changed.

--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -48,10 +48,7 @@
 #[derive(Debug)]
 struct News {
     rows: Vec<Row>,
-    version: u64,
-    /// The rows are the whole table.
-    is_whole: bool,
-    source: Source,
+    version: Version,
 }
 
 /// Follows one table for ever.
@@ -92,7 +89,7 @@
                 };
                 let is_whole = version.is_none();
                 version = Some(newest);
-                take(&host, News { rows, version: newest, is_whole, source });
+                take(&host, News { rows, version: Version { number: newest, is_whole, source } });
             }
             Err(err) if store::is_history_gone(&err) => {
                 log::info!(table, after = version.unwrap_or(0); "history gone, reading the whole table");
@@ -124,7 +121,7 @@
 }
 
 fn take_upstreams(host: &Host, news: News) {
-    if news.rows.is_empty() && !news.is_whole {
+    if news.rows.is_empty() && !news.version.is_whole {
         return;
     }
     host.update_list(|it| apply(it, news));
@@ -145,18 +142,14 @@
             None => changes.push(Change::Gone(row.key)),
         }
     }
-    take_list(
-        listed,
-        changes,
-        raw,
-        &Version { number: news.version, is_whole: news.is_whole, source: news.source },
-    );
+    take_list(listed, changes, raw, &news.version);
 }
 
 /// Which version a list or its changes are of, and what they say of missing entries.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Version {
     pub number: u64,
+    /// The list is the whole table.
     pub is_whole: bool,
     pub source: Source,
 }
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -219,11 +219,6 @@
         1 + self.loads.n_peers(now)
     }
 
-    /// Returns the learned reading speed of a service's engines, in tokens a millisecond.
-    pub fn reading_rate(&self, service: u32) -> Option<f64> {
-        self.speeds.get(&service).map(Speed::rate)
-    }
-
     fn count_overdue(&mut self, now: Duration) {
         self.loads.nodes_mut().for_each(|it| it.n_overdue = 0);
         for run in self.runs.values().filter(|it| !it.has_begun && it.due < now) {
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -102,6 +102,16 @@
     usage: HashMap<u32, wire::WorkspaceUsage>,
 }
 
+impl Peer {
+    /// Takes its requests away from the upstreams; its sums stay known.
+    fn withdraw(&mut self, nodes: &mut HashMap<u32, Node>) {
+        for it in self.loads.values_mut() {
+            add(nodes, it, -1.0);
+            (it.running, it.pending) = (0, 0);
+        }
+    }
+}
+
 /// A use of a prompt's parts that other hosts are told of.
 #[derive(Debug, Clone)]
 struct Told {
@@ -176,19 +186,16 @@
     ) -> Vec<wire::WorkspaceUsage> {
         let peer = self.peers.entry(digest.host).or_default();
         let is_first = peer.incarnation != digest.incarnation;
+        if !is_first && digest.sequence <= peer.sequence {
+            return Vec::new();
+        }
+        peer.withdraw(&mut self.nodes);
         if is_first {
-            // Requests of the host's earlier life ended with it.
-            peer.loads.values().for_each(|it| add(&mut self.nodes, it, -1.0));
+            // Requests of the host's earlier life ended with it, and its sums.
             *peer = Peer { incarnation: digest.incarnation, ..Peer::default() };
-        } else if digest.sequence <= peer.sequence {
-            return Vec::new();
         }
         peer.sequence = digest.sequence;
         peer.heard = now;
-        for it in peer.loads.values_mut() {
-            add(&mut self.nodes, it, -1.0);
-            (it.running, it.pending) = (0, 0);
-        }
         for it in &digest.loads {
             add(&mut self.nodes, it, 1.0);
             // The first word of a life is a sum from before: it says nothing of the last seconds.
@@ -220,10 +227,7 @@
     pub(crate) fn expire(&mut self, now: Duration) {
         for peer in self.peers.values_mut() {
             if peer.heard + STALE <= now {
-                for it in peer.loads.values_mut() {
-                    add(&mut self.nodes, it, -1.0);
-                    (it.running, it.pending) = (0, 0);
-                }
+                peer.withdraw(&mut self.nodes);
             }
         }
     }
