--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -7,8 +7,8 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use portfield::{
-    balance::{Job, Stage},
-    catalog::{Access, Catalog, Kind, Route, Workspace},
+    balance::{Job, Prompt, Stage},
+    catalog::{Access, Catalog, EngineSpec, Kind, Route, Workspace},
 };
 use portfield_net::clock;
 use portfield_platform::request;
@@ -63,19 +63,22 @@
         if route.kind.is_stream() && host.stopping_for().is_some_and(|it| life::TAKE_MOST < it) {
             return Err(Failure::refused("this host is about to end", STOPPING_RETRY));
         }
-        if host.governor().refuses(fastrand::f64())
+        let workspace = authorize(&catalog, &route, head.key.as_deref())?;
+        let service = route.pick(fastrand::f64()).unwrap_or_default().to_owned();
+        let engine = catalog.service(&service).and_then(|it| it.engine);
+        let owner = workspace.as_ref().map_or(0, |it| hash(&it.name));
+        let n_messages = messages(head.prompt.as_ref(), engine);
+        let draw = fastrand::f64();
+        if host.governor().refuses(arrived, owner, n_messages, draw)
             || host.settings().active_limit < host.n_active()
         {
             host.metrics.count("refused{reason=\"Overload\"}");
             return Err(Failure::refused("this host is overloaded", STOPPING_RETRY));
         }
-        let workspace = authorize(&catalog, &route, head.key.as_deref())?;
-        let service = route.pick(fastrand::f64()).unwrap_or_default().to_owned();
         let body = read_body(body, catalog.limits().body_bytes).await?;
         let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
-        let engine = catalog.service(&service).and_then(|it| it.engine);
         let job = Job {
-            workspace: workspace.as_ref().map_or(0, |it| hash(&it.name)),
+            workspace: owner,
             service: hash(&service),
             prompt: head.prompt,
             objective: route.objective,
@@ -116,6 +119,15 @@
     }
 }
 
+/// Returns how many messages a host passes on for a request: both ways once, and the events.
+fn messages(prompt: Option<&Prompt>, engine: Option<EngineSpec>) -> f64 {
+    let n_events = match (prompt, engine) {
+        (Some(prompt), Some(engine)) => prompt.output / engine.event_tokens.max(1),
+        _ => 0,
+    };
+    2.0 + f64::from(n_events)
+}
+
 fn find_route(catalog: &Catalog, uri: &Uri, headers: &HeaderMap) -> Result<Arc<Route>, Failure> {
     let named = headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let name = named.or(uri.host()).unwrap_or_default();
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -136,7 +136,8 @@
         log::info!(
             request = self.call.id, route = self.call.route.name, upstream = upstream.entry.id,
             workspace = self.call.workspace_name(),
-            estimate_ms = placed.estimate.as_millis() as u64, unread = placed.unread,
+            estimate_ms = placed.estimate.as_millis() as u64,
+            bias_ms = placed.bias.as_millis() as u64, unread = placed.unread,
             ahead = placed.ahead, share = placed.share, attempt = self.tried.len() + 1,
             config = self.call.config_version,
             list = self.host.with_list(|it| it.directory.version()),
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -23,6 +23,12 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause: a change must be in force two seconds after it was acknowledged.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// Least time between the beginnings of two calls for one table's changes: upstreams that come or
+/// go one after the other are told together, and a change must be in force in two seconds.
+const GATHER: Duration = Duration::from_millis(100);
+/// Time after the first look at a table before its changes are followed: by then a host knows
+/// how many there are, and whether it is one that follows.
+const SETTLE: Duration = Duration::from_millis(1000);
 /// Silence of the store after which upstreams' entries may have lapsed: shorter than the three
 /// heartbeats of 1.2 s after which the platform removes one.
 const OUTAGE: Duration = Duration::from_millis(2000);
@@ -30,7 +36,8 @@
 const LONGEST_ERROR: usize = 200;
 /// Time between two looks whether this host is to follow the store.
 const IDLE_PERIOD: Duration = Duration::from_millis(100);
-/// Time between two looks at the table of hosts; hosts learn of new ones from digests before.
+/// Time between two looks of a host that follows the store at the table of hosts; hosts learn of new
+/// ones from digests before.
 const HOSTS_PERIOD: Duration = Duration::from_secs(15);
 /// Time between two looks for entries that did not come back.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
@@ -58,6 +65,7 @@
     let mut heard = clock::now();
     let mut returned = None::<Duration>;
     let mut is_lost = false;
+    let mut pace = SETTLE;
     loop {
         if version.is_some() && !host.is_reader() {
             // What changed meanwhile is told from this version on, or read anew.
@@ -65,6 +73,7 @@
             heard = clock::now();
             continue;
         }
+        let asked = clock::now();
         let res = match version {
             None => store.read(table).await,
             Some(it) => store.changes(table, it, HOLD).await,
@@ -88,8 +97,10 @@
                     None => Source::Current,
                 };
                 let is_whole = version.is_none();
+                let gap = std::mem::replace(&mut pace, GATHER);
                 version = Some(newest);
                 take(&host, News { rows, version: Version { number: newest, is_whole, source } });
+                clock::sleep((asked + gap).saturating_sub(now)).await;
             }
             Err(err) if store::is_history_gone(&err) => {
                 log::info!(table, after = version.unwrap_or(0); "history gone, reading the whole table");
@@ -195,9 +206,15 @@
         log::warn!(err:% = describe(&err); "own address not written");
         clock::sleep(LONGEST_PAUSE).await;
     }
+    let mut is_first = true;
     loop {
+        if !is_first && !host.is_reader() {
+            clock::sleep(HOSTS_PERIOD).await;
+            continue;
+        }
         match store.read(store::HOSTS).await {
             Ok(it) => {
+                is_first = false;
                 let addresses: Vec<SocketAddr> = it
                     .rows
                     .iter()
@@ -209,7 +226,11 @@
                     peers.entry(it).or_insert(Duration::ZERO);
                 }
             }
-            Err(err) => log::warn!(err:% = describe(&err); "hosts not read"),
+            Err(err) => {
+                log::warn!(err:% = describe(&err); "hosts not read");
+                clock::sleep(LONGEST_PAUSE).await;
+                continue;
+            }
         }
         clock::sleep(HOSTS_PERIOD).await;
     }
--- a/crates/portfield-router/src/upstream.rs
+++ b/crates/portfield-router/src/upstream.rs
@@ -8,8 +8,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use portfield::{fleet::Fleet, ids::UpstreamId, route::Phase};
-use portfield_net::clock;
-use smol_hyper::rt::FuturesIo;
+use portfield_net::{clock, socket::Socket};
 
 use crate::{
     answer::{OUTCOME, REQUEST_ID, text_header},
@@ -121,7 +120,7 @@
     let data_centre = if home { "" } else { place.data_centre.as_str() };
     let stream = links.connect(data_centre, place.address).await;
     let stream = stream.map_err(|err| Broken::new(Phase::Unsent, err.to_string()))?;
-    let handshake = http1::handshake(FuturesIo::new(stream)).await;
+    let handshake = http1::handshake(Socket::from(stream)).await;
     let (mut sender, connection) =
         handshake.map_err(|err| Broken::new(Phase::Unsent, err.to_string()))?;
     shell.rt.spawn(async move {
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use super::{
+    bias::Bias,
     choice::{Choice, Scales, home, least, longest_wait, millis},
     job::{Candidate, Ending, Job, Placed, Placement, Refusal},
     load::Loads,
@@ -32,6 +33,8 @@
     /// Tokens ahead and its own, for learning.
     behind: f64,
     started: Duration,
+    /// Time to its first event by what the hosts know.
+    expected: Duration,
     /// When its first event, or its answer, is overdue.
     due: Duration,
     /// Its first event, or its answer, has come.
@@ -46,6 +49,8 @@
     loads: Loads,
     shares: Shares,
     speeds: HashMap<u32, Speed>,
+    /// What estimates fell short of, by service.
+    biases: HashMap<u32, Bias>,
     /// Average time of a request, in milliseconds, by service.
     times: HashMap<u32, f64>,
     runs: HashMap<RunId, Run>,
@@ -60,6 +65,7 @@
             loads: Loads::default(),
             shares: Shares::new(window),
             speeds: HashMap::new(),
+            biases: HashMap::new(),
             times: HashMap::new(),
             runs: HashMap::new(),
             n_runs: 0,
@@ -92,6 +98,7 @@
             loads: &self.loads,
             speed: self.speeds.get(&job.service).unwrap_or(&first),
             mean_time: self.times.get(&job.service).copied(),
+            bias: self.biases.get(&job.service).map_or(0.0, |it| it.shortfall(now)),
             home: home(&chain, candidates.iter().map(|it| it.upstream).filter(is_open)),
         };
         let options: Vec<Choice> =
@@ -134,6 +141,7 @@
             pending,
             behind: f64::from(placed.ahead) + pending,
             started: now,
+            expected: placed.estimate.saturating_sub(placed.bias),
             due: now + placed.estimate * 2 + OVERDUE,
             has_begun: false,
             is_engine: job.engine.is_some(),
@@ -166,6 +174,8 @@
         if run.is_engine {
             let time = now.saturating_sub(run.started);
             self.speeds.entry(run.service).or_default().observe(run.behind, time);
+            let error = (time.as_secs_f64() - run.expected.as_secs_f64()) * 1000.0;
+            self.biases.entry(run.service).or_default().observe(now, error);
         }
     }
 
--- a/crates/portfield/src/balance/choice.rs
+++ b/crates/portfield/src/balance/choice.rs
@@ -51,6 +51,8 @@
     pub speed: &'a Speed,
     /// Average time of a request, in milliseconds, if any was seen.
     pub mean_time: Option<f64>,
+    /// What estimates fell short of lately, in milliseconds.
+    pub bias: f64,
     /// The upstream that hosts agree on for the request's shared parts.
     pub home: Option<u32>,
 }
@@ -75,6 +77,8 @@
     pub wait: f64,
     /// For itself.
     pub own: f64,
+    /// The part of the wait that no host's requests explain.
+    pub bias: f64,
     /// Tokens to read.
     pub unread: u32,
 }
@@ -90,6 +94,7 @@
         Placed {
             upstream: self.upstream,
             estimate: self.estimate(),
+            bias: millis(self.times.bias),
             unread: self.times.unread,
             ahead: self.ahead,
             share: standing.share(),
@@ -134,8 +139,8 @@
         // Reading all the time would leave no time to generate: streams would run out of time.
         let most = READING * rate * Flow::span();
         let rest = (node.flow.sum(self.now) - most).max(0.0) / rate;
-        let wait = load.pending / rate + slot + rest;
-        Times { wait, own: self.speed.time(f64::from(unread)), unread }
+        let wait = load.pending / rate + slot + rest + self.bias;
+        Times { wait, own: self.speed.time(f64::from(unread)), bias: self.bias, unread }
     }
 
     fn plain(&self, slots: u32, load: Load) -> Times {
@@ -143,7 +148,7 @@
         let slots = f64::from(slots.max(1));
         let over = (load.running - slots + 1.0).max(0.0);
         // The share of its slots in use breaks the tie between upstreams with free ones.
-        Times { wait: over * own / slots + load.running / slots, own, unread: 0 }
+        Times { wait: over * own / slots + load.running / slots, own, bias: 0.0, unread: 0 }
     }
 }
 
@@ -159,7 +164,10 @@
     let waited = job.waited.as_secs_f64() * 1000.0;
     let in_time = objective - choice.times.own - waited;
     match standing {
-        Standing::Share(it) if 1.0 < it => (in_time * share_factor(it)).max(0.0),
+        // An engine that is idle as far as any host knows is not refused for what nobody knows.
+        Standing::Share(it) if 1.0 < it => {
+            (in_time * share_factor(it)).max(0.0) + choice.times.bias
+        }
         Standing::Share(_) | Standing::Behind(_) | Standing::Plenty => {
             in_time.max(LATE_WAIT * objective)
         }
--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -1,6 +1,8 @@
 //! Whether this host itself keeps up, by how late its own timers fire.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
+
+use super::{load::Flow, shares::max_min};
 
 /// Weight of one more observation; with one each 25 ms it remembers about a tenth of a second.
 const SMOOTH: f64 = 0.25;
@@ -12,7 +14,7 @@
 /// Time for which it has to be that calm: callers that left need some seconds to come back.
 const CALM_TIME: Duration = Duration::from_millis(1500);
 /// Lateness above which requests are refused, and the one at which nearly all are.
-const REFUSING: (f64, f64) = (12.0, 60.0);
+const REFUSING: (f64, f64) = (5.0, 30.0);
 /// Largest part of the requests that is refused.
 const MOST: f64 = 0.95;
 
@@ -29,7 +31,10 @@
 ///     governor.observe(Duration::from_millis(n * 125), Duration::from_millis(100));
 /// }
 /// assert!(governor.is_busy());
-/// assert!(governor.refuses(0.0) && !governor.refuses(0.99));
+/// let now = Duration::from_secs(13);
+/// (0..100).for_each(|_| drop(governor.refuses(now, 1, 10.0, 0.5)));
+/// assert!(governor.refuses(now, 1, 10.0, 0.5), "who sends nearly all");
+/// assert!(!governor.refuses(now, 2, 10.0, 0.5), "who sends little");
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Governor {
@@ -38,6 +43,8 @@
     is_busy: bool,
     /// When it was last late.
     last_late: Duration,
+    /// Work that each workspace offered to this host of late.
+    offered: HashMap<u32, Flow>,
 }
 
 impl Governor {
@@ -65,9 +72,21 @@
         self.late
     }
 
-    /// Returns whether a new request is refused; `draw` is uniform from zero to one.
-    pub fn refuses(&self, draw: f64) -> bool {
+    /// Notes a new request and returns whether it is refused: what this host can do is shared out
+    /// by max-min, so that one workspace's flood takes from no other.
+    ///
+    /// `work` is what the request costs this host, in messages to pass on; `draw` is uniform
+    /// from zero to one.
+    pub fn refuses(&mut self, now: Duration, workspace: u32, work: f64, draw: f64) -> bool {
+        let own = self.offered.entry(workspace).or_default();
+        own.add(now, work);
+        let own = own.sum(now);
         let part = (self.late - REFUSING.0) / (REFUSING.1 - REFUSING.0);
-        draw < part.min(MOST)
+        if part <= 0.0 {
+            return false;
+        }
+        let offered: Vec<f64> = self.offered.values().map(|it| it.sum(now)).collect();
+        let left = offered.iter().sum::<f64>() * (1.0 - part.min(MOST));
+        max_min(offered, left).is_some_and(|level| draw < 1.0 - level / own)
     }
 }
--- a/crates/portfield/src/balance/job.rs
+++ b/crates/portfield/src/balance/job.rs
@@ -51,6 +51,8 @@
     pub upstream: u32,
     /// Estimated time to the first event, or the answer.
     pub estimate: Duration,
+    /// The part of it that no host's requests explain: what estimates fell short of lately.
+    pub bias: Duration,
     /// Tokens that the upstream has to read.
     pub unread: u32,
     /// Tokens ahead of them.
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -4,6 +4,7 @@
 //! - [`prompt`](Prompt): what a request costs
 //! - `cache`: which parts of prompts an upstream keeps
 //! - `speed`: how fast engines read, learned from first events
+//! - `bias`: what estimates fell short of lately
 //! - `load`: what is on its way to each upstream, from all hosts
 //! - `choice`: what each upstream would cost a request
 //! - `health`: upstreams that fail
@@ -14,6 +15,7 @@
 //! - [`Balancer`]: the decision
 
 mod balancer;
+mod bias;
 mod budget;
 mod cache;
 mod choice;
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -169,19 +169,25 @@
         if 0.0 < self.capacity {
             left = left.min(self.capacity * self.window.as_secs_f64());
         }
-        asked.sort_by(f64::total_cmp);
-        let mut n_left = asked.len() as f64;
-        for it in asked {
-            if left / n_left <= it {
-                return Some(Level { level: left / n_left, best });
-            }
-            left -= it;
-            n_left -= 1.0;
-        }
-        None
+        max_min(asked, left).map(|level| Level { level, best })
     }
 
     fn bucket(&self, now: Duration) -> u64 {
         (now.as_nanos() * N_BUCKETS as u128 / self.window.as_nanos().max(1)) as u64
     }
 }
+
+/// Returns the most that each gets where what there is, is shared out by max-min; `None` where there
+/// is enough for all.
+pub(super) fn max_min(mut asked: Vec<f64>, mut left: f64) -> Option<f64> {
+    asked.sort_by(f64::total_cmp);
+    let mut n_left = asked.len() as f64;
+    for it in asked {
+        if left / n_left <= it {
+            return Some(left / n_left);
+        }
+        left -= it;
+        n_left -= 1.0;
+    }
+    None
+}
