feat(host): data centres are summed up where more than a hundred hosts are heard

Cause: digests go from all to all, so a host's view is 4 ms older for each further host: 0.23 s at 59 hosts, 1.2 s at 300, where an engine's queue has turned over several times.

Ruled out: passing members' own digests on in bundles (the same words to take in, 180 KB a round at 300 hosts); a smaller period from all to all (its cost is what the hot hosts lack).

Change: where more than direct_hosts others are heard, a host tells its own data centre; the one of least hash sums it up for two hosts of each other data centre, which pass it on. Lists of a service's upstreams are made with each change, not with each request; the list is looked through for late entries only where there are some.

--- a/crates/portfield-host/src/peers.rs
+++ b/crates/portfield-host/src/peers.rs
@@ -15,7 +15,7 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use portfield::{
-    balance::Follower,
+    balance::{Audience, Follower, Listener},
     catalog::{Change, Source},
 };
 use portfield_net::{clock, rpc};
@@ -31,18 +31,17 @@
     watch::{Version, take_list},
 };
 
-/// Time between two digests with few hosts; fresher ones gained nothing on the users' bench.
-const PERIOD: Duration = Duration::from_millis(50);
-/// Time that each further host adds, so that a host's traffic does not grow with their number.
-const PERIOD_PER_HOST: Duration = Duration::from_millis(4);
-/// Silence after which a host is told only now and then.
+/// Silence of a host after which its next word is logged.
 const SILENT: Duration = Duration::from_secs(5);
-/// How many digests a silent host is left out of, for each that it is sent.
-const SILENT_EVERY: u64 = 20;
+/// Hosts of each other data centre that get a data centre's sum, against lost datagrams.
+const N_DELEGATES: usize = 2;
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 /// Time in which another host tells what is newer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Least time between two fetches of the list: it comes whole, and changes in quick succession.
+const LIST_PERIOD: Duration = Duration::from_millis(300);
+
 /// Starts the tasks; the socket is bound to the address that names this host.
 pub(crate) fn start(host: &Arc<Host>, socket: Async<std::net::UdpSocket>) {
     let socket = Arc::new(socket);
@@ -51,37 +50,73 @@
 }
 
 async fn tell(host: Arc<Host>, socket: Arc<Async<std::net::UdpSocket>>) {
-    let data_centre = hash(&host.settings().data_centre);
     let mut sequence = 0;
     loop {
-        let n_peers = host.peers().len() as u32;
-        clock::sleep(PERIOD.max(PERIOD_PER_HOST * n_peers)).await;
+        clock::sleep(host.audience().period()).await;
         sequence += 1;
-        let now = clock::now();
-        let mut digest = Digest {
-            host: host.own_hash(),
-            incarnation: host.incarnation,
-            sequence,
-            config_version: host.config_version(),
-            list_version: host.with_list(|it| it.directory.version()),
-            data_centre,
-            store_age: host.store_age().as_millis().min(u128::from(u32::MAX)) as u32,
-            ..Digest::default()
-        };
-        host.balancer().report(now, &mut digest);
-        let bytes = digest.encode_to_vec();
-        let peers: Vec<(SocketAddr, Duration)> =
+        let audience = host.audience();
+        let digest = own_digest(&host, sequence);
+        let peers: Vec<(SocketAddr, Listener)> =
             host.peers().iter().map(|it| (*it.0, *it.1)).collect();
-        for (address, heard) in peers {
-            if heard + SILENT < now && !sequence.is_multiple_of(SILENT_EVERY) {
-                continue;
-            }
-            // A datagram that cannot be sent now is as good as lost; the next one tells all.
-            if let Err(err) = socket.get_ref().send_to(&bytes, address)
-                && err.kind() != io::ErrorKind::WouldBlock
-            {
-                log::debug!(err:%, address:%; "digest not sent");
-            }
+        let told = peers.iter().filter(|it| audience.is_told(&it.1, sequence)).map(|it| it.0);
+        send(&socket, &digest, told);
+        if audience.leads(digest.host) {
+            let sum = data_centre_digest(&host, &digest);
+            let far = peers.iter().filter(|it| audience.is_delegate(&it.1));
+            send(&socket, &sum, delegates(far));
+        }
+    }
+}
+
+/// Tells what this host did.
+fn own_digest(host: &Host, sequence: u64) -> Digest {
+    let mut res = Digest {
+        host: host.own_hash(),
+        incarnation: host.incarnation,
+        sequence,
+        config_version: host.config_version(),
+        list_version: host.with_list(|it| it.directory.version()),
+        data_centre: hash(&host.settings().data_centre),
+        store_age: host.store_age().as_millis().min(u128::from(u32::MAX)) as u32,
+        ..Digest::default()
+    };
+    host.balancer().report(clock::now(), &mut res);
+    res
+}
+
+/// Tells what this host's data centre did; `own` is its own digest of that moment.
+fn data_centre_digest(host: &Host, own: &Digest) -> Digest {
+    let mut res = Digest {
+        host: u64::from(own.data_centre),
+        loads: Vec::new(),
+        prefixes: Vec::new(),
+        usage: Vec::new(),
+        passed_on: true,
+        ..*own
+    };
+    host.balancer().summarize(clock::now(), &mut res);
+    res
+}
+
+/// Picks [`N_DELEGATES`] hosts of each data centre.
+fn delegates<'a>(far: impl Iterator<Item = &'a (SocketAddr, Listener)>) -> Vec<SocketAddr> {
+    let mut by_place: HashMap<Option<u32>, Vec<SocketAddr>> = HashMap::new();
+    far.for_each(|(address, it)| by_place.entry(it.data_centre).or_default().push(*address));
+    by_place.into_values().flat_map(|it| fastrand::choose_multiple(it, N_DELEGATES)).collect()
+}
+
+fn send(
+    socket: &Async<std::net::UdpSocket>,
+    digest: &Digest,
+    addresses: impl IntoIterator<Item = SocketAddr>,
+) {
+    let bytes = digest.encode_to_vec();
+    for address in addresses {
+        // A datagram that cannot be sent now is as good as lost; the next one tells all.
+        if let Err(err) = socket.get_ref().send_to(&bytes, address)
+            && err.kind() != io::ErrorKind::WouldBlock
+        {
+            log::debug!(err:%, address:%; "digest not sent");
         }
     }
 }
@@ -89,6 +124,7 @@
 async fn listen(host: Arc<Host>, socket: Arc<Async<std::net::UdpSocket>>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     let fetching = Arc::new(AtomicBool::new(false));
+    let mut list_due = Duration::ZERO;
     loop {
         let (n, address) = match socket.recv_from(&mut buf).await {
             Ok(it) => it,
@@ -102,21 +138,21 @@
             continue;
         };
         let now = clock::now();
-        let heard = host.peers().insert(address, now);
-        if heard.is_none_or(|it| it + SILENT < now) {
-            log::info!(host:% = address, incarnation = digest.incarnation; "host heard");
+        if digest.n_summed == 0 {
+            hear(&host, address, &digest);
+        } else {
+            host.metrics.count("sums");
         }
-        host.hear(Follower {
-            host: digest.host,
-            data_centre: digest.data_centre,
-            store_age: Duration::from_millis(u64::from(digest.store_age)),
-            heard: now,
-        });
-        host.balancer().merge(now, &digest);
+        let audience = host.audience();
+        if audience.counts(&digest) {
+            host.balancer().merge(now, &digest);
+        }
+        pass_on(&host, &socket, &audience, &digest);
         let newer_config = host.config_version() < digest.config_version;
         let list_version = host.with_list(|it| it.directory.version());
-        let newer_list = list_version < digest.list_version && host.needs_list();
+        let newer_list = list_due <= now && list_version < digest.list_version && host.needs_list();
         if (newer_config || newer_list) && !fetching.swap(true, Ordering::Relaxed) {
+            list_due = now + LIST_PERIOD;
             let (task, fetching) = (host.clone(), fetching.clone());
             host.rt.spawn(async move {
                 let res = clock::timeout(FETCH_TIMEOUT, fetch(&task, address)).await;
@@ -129,6 +165,35 @@
     }
 }
 
+/// Notes another host's own word.
+fn hear(host: &Host, address: SocketAddr, digest: &Digest) {
+    let now = clock::now();
+    let listener =
+        Listener { host: digest.host, data_centre: Some(digest.data_centre), heard: now };
+    let before = host.peers().insert(address, listener);
+    if before.is_none_or(|it| it.heard.is_zero() || it.heard + SILENT < now) {
+        log::info!(host:% = address, incarnation = digest.incarnation; "host heard");
+    }
+    host.hear(Follower {
+        host: digest.host,
+        data_centre: digest.data_centre,
+        store_age: Duration::from_millis(u64::from(digest.store_age)),
+        heard: now,
+    });
+}
+
+/// Passes another data centre's sum on to this host's neighbours.
+fn pass_on(host: &Host, socket: &Async<std::net::UdpSocket>, audience: &Audience, digest: &Digest) {
+    if !digest.passed_on {
+        return;
+    }
+    let near: Vec<SocketAddr> = {
+        let peers = host.peers();
+        peers.iter().filter(|it| audience.is_passed(it.1)).map(|it| *it.0).collect()
+    };
+    send(socket, &Digest { passed_on: false, ..digest.clone() }, near);
+}
+
 /// Asks another host for what is newer there, and adopts it.
 async fn fetch(host: &Arc<Host>, address: SocketAddr) -> eyre::Result<()> {
     let stream = TcpStream::connect(address).await?;
--- a/crates/portfield-host/src/pool.rs
+++ b/crates/portfield-host/src/pool.rs
@@ -111,7 +111,8 @@
         socket.set_tcp_user_timeout(Some(UNCONFIRMED))?;
         let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
         socket.set_tcp_keepalive(&keepalive)?;
-        let (sender, driver) = http1::handshake(Socket::from(stream)).await.map_err(io::Error::other)?;
+        let (sender, driver) =
+            http1::handshake(Socket::from(stream)).await.map_err(io::Error::other)?;
         let driver = self.rt.task(async move {
             if let Err(err) = driver.await {
                 log::debug!(err:%; "upstream connection ended");
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -1,7 +1,7 @@
 //! What one host knows and decides with, shared by its tasks.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -12,7 +12,10 @@
 
 use bytes::Bytes;
 use portfield::{
-    balance::{Balancer, Candidate, Follower, Governor, Job, Placement, Readers, RetryBudget},
+    balance::{
+        Audience, Balancer, Candidate, Follower, Governor, Job, Listener, Placement, Readers,
+        RetryBudget,
+    },
     catalog::{Catalog, Directory, Upstream},
 };
 use portfield_net::{clock, rt::Runtime};
@@ -37,6 +40,31 @@
 pub(crate) struct Listed {
     pub directory: Directory,
     pub entries: HashMap<String, Bytes>,
+    /// By service, made anew with each change: every request reads it.
+    ready: HashMap<String, Arc<Ready>>,
+}
+
+/// The upstreams of a service that take new requests, both lists in the same order.
+#[derive(Debug, Default)]
+struct Ready {
+    upstreams: Vec<Arc<Upstream>>,
+    candidates: Vec<Candidate>,
+}
+
+impl Listed {
+    fn group(&mut self, here: &str) {
+        let mut ready: HashMap<String, Ready> = HashMap::new();
+        for it in self.directory.ready() {
+            let group = ready.entry(it.entry.service.clone()).or_default();
+            group.upstreams.push(it.clone());
+            group.candidates.push(Candidate {
+                upstream: number(it),
+                slots: it.entry.slots,
+                near: it.entry.data_centre == here,
+            });
+        }
+        self.ready = ready.into_iter().map(|(service, it)| (service, Arc::new(it))).collect();
+    }
 }
 
 /// One router process.
@@ -52,7 +80,7 @@
     listed: RwLock<Listed>,
     balancer: Mutex<Balancer>,
     budgets: Mutex<HashMap<u32, RetryBudget>>,
-    peers: Mutex<HashMap<SocketAddr, Duration>>,
+    peers: Mutex<HashMap<SocketAddr, Listener>>,
     readers: Mutex<Readers>,
     governor: Mutex<Governor>,
     /// When the process was told to stop, in milliseconds since the start; zero before.
@@ -67,7 +95,7 @@
     /// Builds the state of a process that knows nothing yet.
     pub(crate) fn new(rt: Runtime, settings: Settings) -> Arc<Self> {
         let peers = settings.seeds.iter().filter(|it| **it != settings.peers);
-        let peers = peers.map(|it| (*it, Duration::ZERO)).collect();
+        let peers = peers.map(|it| (*it, stranger(*it))).collect();
         Arc::new(Self {
             pool: Pool::new(rt.clone()),
             trying: Trying::default(),
@@ -127,9 +155,11 @@
 
     /// Changes the list of upstreams.
     pub(crate) fn update_list(&self, f: impl FnOnce(&mut Listed)) {
+        let here = self.settings().data_centre.clone();
         let mut listed = self.listed.write().unwrap_or_else(PoisonError::into_inner);
         f(&mut listed);
-        let ids: Vec<u32> = listed.directory.all().map(|it| number(it)).collect();
+        listed.group(&here);
+        let ids: HashSet<u32> = listed.directory.all().map(|it| number(it)).collect();
         drop(listed);
         self.balancer().retain(|id| ids.contains(&id));
     }
@@ -151,22 +181,19 @@
         service: &str,
         tried: &[u32],
     ) -> (Placement, Option<Arc<Upstream>>) {
-        let here = self.settings().data_centre.clone();
-        let mut ready: Vec<Arc<Upstream>> =
-            self.with_list(|it| it.directory.ready(service).cloned().collect());
+        let ready = self.with_list(|it| it.ready.get(service).cloned()).unwrap_or_default();
+        let untried = || ready.candidates.iter().filter(|it| !tried.contains(&it.upstream));
         // Where no other is left, the same upstream may be asked again.
-        if ready.iter().any(|it| !tried.contains(&number(it))) {
-            ready.retain(|it| !tried.contains(&number(it)));
-        }
-        let candidate = |it: &Arc<Upstream>| Candidate {
-            upstream: number(it),
-            slots: it.entry.slots,
-            near: it.entry.data_centre == here,
+        let res = if tried.is_empty() || untried().next().is_none() {
+            self.balancer().place(clock::now(), job, &ready.candidates)
+        } else {
+            let untried: Vec<Candidate> = untried().copied().collect();
+            self.balancer().place(clock::now(), job, &untried)
         };
-        let candidates: Vec<Candidate> = ready.iter().map(candidate).collect();
-        let res = self.balancer().place(clock::now(), job, &candidates);
         let upstream = match res {
-            Placement::Send(placed) => ready.into_iter().find(|it| number(it) == placed.upstream),
+            Placement::Send(placed) => {
+                ready.upstreams.iter().find(|it| number(it) == placed.upstream).cloned()
+            }
             Placement::Refuse { .. } => None,
         };
         (res, upstream)
@@ -191,8 +218,8 @@
         f(budgets.entry(service).or_insert_with(new), n_hosts)
     }
 
-    /// Returns the other hosts' addresses with the time each was last heard.
-    pub(crate) fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Duration>> {
+    /// Returns the other hosts by address.
+    pub(crate) fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Listener>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -206,9 +233,16 @@
         self.is_stopping() || self.governor().is_busy()
     }
 
+    /// Looks at whom to tell what this host did.
+    pub(crate) fn audience(&self) -> Audience {
+        let others: Vec<Listener> = self.peers().values().copied().collect();
+        let it = self.settings();
+        Audience::new(clock::now(), hash(&it.data_centre), it.direct_hosts, &others)
+    }
+
     /// Returns the hash that names this host among the others.
     pub(crate) fn own_hash(&self) -> u64 {
-        xxh3_64(self.settings().peers.to_string().as_bytes())
+        stranger(self.settings().peers).host
     }
 
     /// Notes what another host said of itself.
@@ -277,6 +311,12 @@
     }
 }
 
+/// Returns a host that was not heard yet.
+pub(crate) fn stranger(address: SocketAddr) -> Listener {
+    let host = xxh3_64(address.to_string().as_bytes());
+    Listener { host, data_centre: None, heard: Duration::ZERO }
+}
+
 /// Returns an upstream's number among the hosts.
 pub(crate) fn number(it: &Upstream) -> u32 {
     it.hash as u32
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -10,7 +10,7 @@
     upstreams,
 };
 
-use crate::state::{Host, Listed};
+use crate::state::{Host, Listed, stranger};
 
 /// Longest time that the store holds a call until something changes.
 ///
@@ -223,7 +223,7 @@
                     .collect();
                 let mut peers = host.peers();
                 for it in addresses {
-                    peers.entry(it).or_insert(Duration::ZERO);
+                    peers.entry(it).or_insert_with(|| stranger(it));
                 }
             }
             Err(err) => {
@@ -241,6 +241,9 @@
         clock::sleep(EXPIRE_PERIOD).await;
         host.pool.sweep();
         let now = clock::now();
+        if !host.with_list(|it| it.directory.has_late(now)) {
+            continue;
+        }
         host.update_list(|it| {
             for id in it.directory.expire(now) {
                 log::info!(upstream = id; "upstream did not come back");
--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -112,6 +112,8 @@
     pub engines: Vec<UsersUpstream>,
     dir: PathBuf,
     n_hosts: u32,
+    /// Data centre of the host started last.
+    data_centre: String,
     _stop: async_channel::Sender<()>,
 }
 
@@ -131,7 +133,16 @@
         let number = N_FLEETS.fetch_add(1, Ordering::Relaxed);
         let dir = std::env::temp_dir().join(format!("pf-host-{}-{number}", std::process::id()));
         fs::create_dir_all(&dir).unwrap();
-        let res = Self { rt, store, plains, engines, dir, n_hosts: 0, _stop: stop };
+        let res = Self {
+            rt,
+            store,
+            plains,
+            engines,
+            dir,
+            n_hosts: 0,
+            data_centre: String::new(),
+            _stop: stop,
+        };
         res.store.put("op", "config", &config(1));
         for it in &res.plains {
             res.store.put("servers", &it.id, &it.entry("desk", "ready"));
@@ -151,7 +162,13 @@
 
     /// Starts a host with more settings, and waits only for its addresses.
     pub fn start(&mut self, more: &str) -> Host {
+        self.start_in("north", more)
+    }
+
+    /// Starts a host in a data centre.
+    pub fn start_in(&mut self, data_centre: &str, more: &str) -> Host {
         self.n_hosts += 1;
+        self.data_centre = data_centre.to_owned();
         let path = self.dir.join(format!("host-{}.toml", self.n_hosts));
         fs::write(&path, self.settings(more)).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_portfield-host"))
@@ -186,9 +203,9 @@
     fn settings(&self, more: &str) -> String {
         let store = self.store.address();
         format!(
-            "name = 'h{}'\ndata_centre = 'north'\nlisten = '127.0.0.1:0'\nready = '127.0.0.1:0'\n\
+            "name = 'h{}'\ndata_centre = '{}'\nlisten = '127.0.0.1:0'\nready = '127.0.0.1:0'\n\
              peers = '127.0.0.1:0'\nmetrics = '127.0.0.1:0'\nstore = '{store}'\ngrace_s = 3\n{more}\n",
-            self.n_hosts
+            self.n_hosts, self.data_centre
         )
     }
 
--- a/crates/portfield-host/tests/knowledge.rs
+++ b/crates/portfield-host/tests/knowledge.rs
@@ -118,6 +118,30 @@
     assert_eq!(second.send(&request("check", "r1")).status, 404);
 }
 
+#[test]
+fn many_hosts_know_another_data_centre_by_its_sum() {
+    let mut fleet = Fleet::new(1, 1);
+    let places = [("north", 8), ("south", 6)];
+    let mut hosts = Vec::new();
+    for (place, n) in places {
+        hosts.extend((0..n).map(|_| fleet.start_in(place, "direct_hosts = 12")));
+    }
+    let all = hosts.len() as f64;
+    // Every host's own word would count as well, were it not left out where its sum counts.
+    for host in &hosts {
+        until("it knows all by sums", || {
+            2.0 <= host.metric("portfield_sums") && host.metric("portfield_hosts") == all
+        });
+    }
+    let leaving = hosts.pop().expect("a host");
+    drop(leaving);
+    for host in &hosts {
+        until("the host that left is gone from the sum", || {
+            host.metric("portfield_hosts") == all - 1.0
+        });
+    }
+}
+
 #[test]
 fn readiness_waits_for_configuration_and_upstreams() {
     let mut fleet = Fleet::new(0, 0);
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -216,7 +216,22 @@
         digest.usage = self.shares.totals().map(usage).collect();
     }
 
-    /// Takes another host's digest.
+    /// Writes what the hosts of this data centre did into a digest for the other data centres.
+    pub fn summarize(&mut self, now: Duration, digest: &mut wire::Digest) {
+        let mut sum = self.loads.summary(now, digest.data_centre);
+        for (workspace, it) in self.shares.totals() {
+            let new = wire::WorkspaceUsage { workspace, ..Default::default() };
+            let usage = sum.usage.entry(workspace).or_insert(new);
+            usage.asked += it.asked as u64;
+            usage.taken += it.taken as u64;
+        }
+        digest.n_summed = sum.n_hosts;
+        digest.loads = sum.loads;
+        digest.prefixes = sum.prefixes;
+        digest.usage = sum.usage.into_values().collect();
+    }
+
+    /// Takes another host's digest, or the sum of a data centre's.
     pub fn merge(&mut self, now: Duration, digest: &wire::Digest) {
         let memories = &self.memories;
         let memory = |id| memories.get(&id).copied().unwrap_or(u64::MAX);
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -83,6 +83,17 @@
         self.n_told = REPEATS;
     }
 
+    /// Returns what this host tells of it.
+    fn report(&self, upstream: u32) -> wire::UpstreamLoad {
+        wire::UpstreamLoad {
+            upstream,
+            running: self.own.running as u32,
+            pending: self.own.pending.max(0.0) as u32,
+            read: self.read as u64,
+            prompt: self.prompt as u64,
+        }
+    }
+
     /// Returns the load from all hosts.
     pub(crate) fn total(&self) -> Load {
         Load {
@@ -95,6 +106,9 @@
 /// What another host last said.
 #[derive(Debug, Default)]
 struct Peer {
+    data_centre: u32,
+    /// Hosts that it speaks for, where it sums up a data centre.
+    n_summed: u32,
     incarnation: u64,
     sequence: u64,
     heard: Duration,
@@ -125,6 +139,19 @@
     nodes: HashMap<u32, Node>,
     peers: HashMap<u64, Peer>,
     told: VecDeque<Told>,
+    /// What other hosts of the data centre told, for sums.
+    heard: VecDeque<Told>,
+    /// When this host last summed up its data centre.
+    summed: Option<Duration>,
+}
+
+/// What the hosts of a data centre did, summed up.
+#[derive(Debug, Default)]
+pub(crate) struct Summary {
+    pub n_hosts: u32,
+    pub loads: Vec<wire::UpstreamLoad>,
+    pub prefixes: Vec<wire::PrefixUse>,
+    pub usage: HashMap<u32, wire::WorkspaceUsage>,
 }
 
 impl Loads {
@@ -158,21 +185,56 @@
 
     /// Returns this host's part of a digest.
     pub(crate) fn report(&mut self) -> (Vec<wire::UpstreamLoad>, Vec<wire::PrefixUse>) {
-        let load = |(id, it): (&u32, &Node)| wire::UpstreamLoad {
-            upstream: *id,
-            running: it.own.running as u32,
-            pending: it.own.pending.max(0.0) as u32,
-            read: it.read as u64,
-            prompt: it.prompt as u64,
-        };
         // What nobody uses and everybody knows is left out: a digest grows with what goes on.
         let is_news = |it: &(&u32, &Node)| 0.0 < it.1.own.running || 0 < it.1.n_told;
-        let loads = self.nodes.iter().filter(is_news).map(load).collect();
+        let loads = self.nodes.iter().filter(is_news).map(|(id, it)| it.report(*id)).collect();
         self.nodes.values_mut().for_each(|it| it.n_told = it.n_told.saturating_sub(1));
-        let told = self.told.iter().map(|it| it.prefix.clone()).collect();
-        self.told.iter_mut().for_each(|it| it.n_left -= 1);
-        self.told.retain(|it| 0 < it.n_left);
-        (loads, told)
+        (loads, take_told(&mut self.told))
+    }
+
+    /// Sums up what this host and the others of its data centre did; usage is the others' only.
+    ///
+    /// What a host did in an earlier life leaves the sums when it starts anew: whoever reads them
+    /// takes less than before for no growth.
+    pub(crate) fn summary(&mut self, now: Duration, data_centre: u32) -> Summary {
+        let members =
+            || self.peers.values().filter(|it| it.data_centre == data_centre && it.n_summed == 0);
+        let mut loads: HashMap<u32, wire::UpstreamLoad> = HashMap::new();
+        let own = self.nodes.iter().map(|(id, it)| it.report(*id));
+        for it in own.chain(members().flat_map(|it| it.loads.values().copied())) {
+            let new = wire::UpstreamLoad { upstream: it.upstream, ..Default::default() };
+            let sum = loads.entry(it.upstream).or_insert(new);
+            sum.running += it.running;
+            sum.pending += it.pending;
+            sum.read += it.read;
+            sum.prompt += it.prompt;
+        }
+        let mut usage: HashMap<u32, wire::WorkspaceUsage> = HashMap::new();
+        for it in members().flat_map(|it| it.usage.values()) {
+            let new = wire::WorkspaceUsage { workspace: it.workspace, ..Default::default() };
+            let sum = usage.entry(it.workspace).or_insert(new);
+            sum.asked += it.asked;
+            sum.taken += it.taken;
+        }
+        let n_hosts = 1 + members().filter(|it| now < it.heard + STALE).count() as u32;
+        let loads = loads.into_values().filter(|it| 0 < it.read || 0 < it.running).collect();
+        // This host's own parts are among those it tells; they go along once.
+        let mut prefixes = take_told(&mut self.heard);
+        prefixes.extend(self.told.iter().map(|it| it.prefix.clone()));
+        self.summed = Some(now);
+        Summary { n_hosts, loads, prefixes, usage }
+    }
+
+    /// Keeps what another host told, once, while this host sums up its data centre.
+    fn keep_told(&mut self, now: Duration, digest: &wire::Digest) {
+        if digest.n_summed != 0 || self.summed.is_none_or(|it| it + STALE < now) {
+            return;
+        }
+        for it in &digest.prefixes {
+            if !self.heard.iter().any(|told| told.prefix == *it) {
+                self.heard.push_back(Told { prefix: it.clone(), n_left: REPEATS });
+            }
+        }
     }
 
     /// Takes another host's digest; returns how its workspaces' usage grew.
@@ -196,6 +258,8 @@
         }
         peer.sequence = digest.sequence;
         peer.heard = now;
+        peer.data_centre = digest.data_centre;
+        peer.n_summed = digest.n_summed;
         for it in &digest.loads {
             add(&mut self.nodes, it, 1.0);
             // The first word of a life is a sum from before: it says nothing of the last seconds.
@@ -220,7 +284,9 @@
                 taken: it.taken.saturating_sub(old.taken),
             }
         };
-        digest.usage.iter().map(grown).collect()
+        let usage = digest.usage.iter().map(grown).collect();
+        self.keep_told(now, digest);
+        usage
     }
 
     /// Drops what hosts said that have been silent for [`STALE`].
@@ -234,10 +300,19 @@
 
     /// Returns how many other hosts were heard of late.
     pub(crate) fn n_peers(&self, now: Duration) -> usize {
-        self.peers.values().filter(|it| now < it.heard + STALE).count()
+        let alive = self.peers.values().filter(|it| now < it.heard + STALE);
+        alive.map(|it| it.n_summed.max(1) as usize).sum()
     }
 }
 
+/// Takes the parts to be told now; each is told [`REPEATS`] times.
+fn take_told(told: &mut VecDeque<Told>) -> Vec<wire::PrefixUse> {
+    let res = told.iter().map(|it| it.prefix.clone()).collect();
+    told.iter_mut().for_each(|it| it.n_left -= 1);
+    told.retain(|it| 0 < it.n_left);
+    res
+}
+
 /// Adds another host's requests to an upstream's, or takes them away with `sign` -1.
 fn add(nodes: &mut HashMap<u32, Node>, it: &wire::UpstreamLoad, sign: f64) {
     let others = &mut nodes.entry(it.upstream).or_default().others;
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -10,10 +10,12 @@
 //! - `health`: upstreams that fail
 //! - `shares`: max-min shares of the workspaces
 //! - [`Governor`]: whether this host itself keeps up
+//! - [`Audience`]: whom a host tells what it did
 //! - [`Readers`]: which hosts follow the store
 //! - `budget`: how many requests may be sent a second time
 //! - [`Balancer`]: the decision
 
+mod audience;
 mod balancer;
 mod bias;
 mod budget;
@@ -28,6 +30,7 @@
 mod shares;
 mod speed;
 
+pub use audience::{Audience, Listener};
 pub use balancer::{Balancer, RunId};
 pub use budget::RetryBudget;
 pub use governor::Governor;
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -79,6 +79,12 @@
     until: Option<Duration>,
 }
 
+impl Known {
+    fn is_late(&self, now: Duration) -> bool {
+        self.until.is_some_and(|until| until <= now)
+    }
+}
+
 impl Directory {
     /// Returns the store's version that the list is as of.
     pub fn version(&self) -> u64 {
@@ -142,12 +148,16 @@
         }
     }
 
+    /// Returns whether an entry did not come back in time.
+    pub fn has_late(&self, now: Duration) -> bool {
+        self.known.values().any(|it| it.is_late(now))
+    }
+
     /// Removes entries that did not come back in time; returns their ids.
     pub fn expire(&mut self, now: Duration) -> Vec<String> {
-        let late = |it: &Known| it.until.is_some_and(|until| until <= now);
-        let gone: Vec<String> =
-            self.known.iter().filter(|it| late(it.1)).map(|it| it.0.clone()).collect();
-        self.known.retain(|_, it| !late(it));
+        let late = self.known.iter().filter(|it| it.1.is_late(now));
+        let gone: Vec<String> = late.map(|it| it.0.clone()).collect();
+        self.known.retain(|_, it| !it.is_late(now));
         gone
     }
 
@@ -156,12 +166,9 @@
         self.known.values().map(|it| &it.upstream)
     }
 
-    /// Returns the upstreams of a service that take new requests.
-    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Upstream>> {
-        let is_ready = move |it: &&Arc<Upstream>| {
-            it.entry.state == State::Ready && it.entry.service == service
-        };
-        self.all().filter(is_ready)
+    /// Returns the upstreams that take new requests.
+    pub fn ready(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.all().filter(|it| it.entry.state == State::Ready)
     }
 
     /// Returns whether no upstream is known.
--- a/crates/portfield/tests/directory.rs
+++ b/crates/portfield/tests/directory.rs
@@ -18,7 +18,7 @@
 }
 
 fn ready(it: &Directory) -> Vec<String> {
-    it.ready("s").map(|it| it.entry.id.clone()).collect()
+    it.ready().map(|it| it.entry.id.clone()).collect()
 }
 
 fn two() -> Directory {
