feat(ctl): explain reads the hosts' logs; test(docs): the page of events is held against the code

Cause: OPERATIONS.md showed the way from a request's id to its cause by jq only, and six events and a metric of the code did not stand there: nothing compared them.

The host's code is unchanged.

--- /dev/null
+++ b/crates/portfield-host/tests/pages.rs
@@ -0,0 +1,76 @@
+//! docs/OPERATIONS.md names every event and metric of the code, and none that the code lacks.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+
+fn page() -> String {
+    fs::read_to_string(Path::new(ROOT).join("docs/OPERATIONS.md")).unwrap()
+}
+
+/// Returns the sources of the host's process.
+fn sources() -> String {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let files = fs::read_dir(dir).unwrap().map(|it| it.unwrap().path());
+    files.map(|it| fs::read_to_string(it).unwrap()).collect()
+}
+
+/// Returns what stands in backticks in the first column of a table that begins with `header`.
+fn first_column(header: &str) -> BTreeSet<String> {
+    let page = page();
+    let table = page.split_once(header).expect("the table").1;
+    let rows = table.lines().skip(1).take_while(|it| it.starts_with('|'));
+    let cells = rows.filter_map(|it| it.split('|').nth(1));
+    let quoted = cells.flat_map(|it| it.split('`').skip(1).step_by(2));
+    quoted.map(str::to_owned).collect()
+}
+
+/// Returns the messages of the log lines that are written.
+fn events(sources: &str) -> BTreeSet<String> {
+    let macros = ["log::info!(", "log::warn!(", "log::error!("];
+    let calls = macros.iter().flat_map(|it| sources.split(it).skip(1));
+    // The message follows the values and a semicolon.
+    let message = |it: &str| {
+        let text = it.split_once("; \"")?.1;
+        Some(text.split_once('"')?.0.to_owned())
+    };
+    calls.filter_map(message).collect()
+}
+
+#[test]
+fn every_event_stands_on_the_page_and_every_one_there_is_written() {
+    let told = first_column("| event | what happened | values that decide |");
+    let written = events(&sources());
+    assert!(25 < written.len(), "{written:?}");
+    let lacking: Vec<_> = written.difference(&told).collect();
+    assert!(lacking.is_empty(), "not on the page: {lacking:?}");
+    let unknown: Vec<_> = told.difference(&written).collect();
+    assert!(unknown.is_empty(), "not in the code: {unknown:?}");
+}
+
+#[test]
+fn every_metric_on_the_page_is_counted() {
+    let sources = sources();
+    let told = first_column("| metric | meaning |");
+    assert!(20 < told.len(), "{told:?}");
+    for it in told {
+        let name = it.split('{').next().unwrap().trim_start_matches("portfield_");
+        let short = name.trim_end_matches("_ms");
+        let is_there = [name, short].iter().any(|it| {
+            sources.contains(&format!("\"{it}\"")) || sources.contains(&format!("\"{it}{{"))
+        });
+        assert!(is_there, "{name} is not in the code");
+    }
+}
+
+#[test]
+fn every_counter_stands_on_the_page() {
+    let page = page();
+    for it in sources().split(".count(").skip(1) {
+        let name = it.trim_start_matches("&format!(").trim_start().strip_prefix('"');
+        let Some(name) = name else { continue };
+        let end = name.find(['"', '{', '\\']).unwrap();
+        let metric = format!("portfield_{}", &name[..end]);
+        assert!(page.contains(&metric), "{metric} is not on the page");
+    }
+}
--- a/crates/portfieldctl/src/main.rs
+++ b/crates/portfieldctl/src/main.rs
@@ -2,11 +2,13 @@
 
 mod change;
 mod explain;
+mod logs;
 mod status;
 
 use std::{io::Write, net::SocketAddr, path::PathBuf, time::Duration};
 
 use clap::{Parser, Subcommand};
+use eyre::OptionExt;
 use portfield_net::{platform::Platform, rt::Runtime};
 
 /// Time in which the platform answers.
@@ -18,7 +20,7 @@
 struct Args {
     /// Address of the platform's services.
     #[arg(long, env = "PORTFIELD_PLATFORM")]
-    platform: SocketAddr,
+    platform: Option<SocketAddr>,
     #[command(subcommand)]
     command: Command,
 }
@@ -46,6 +48,9 @@
     Explain {
         /// The request's id, as its answer carried it.
         request: String,
+        /// Files with the hosts' logs, `-` for standard input, in place of asking live hosts.
+        #[arg(long, num_args = 1..)]
+        logs: Vec<PathBuf>,
     },
 }
 
@@ -58,12 +63,18 @@
 }
 
 async fn run(args: Args) -> eyre::Result<String> {
-    let platform = Platform::new(args.platform, PLATFORM_TIMEOUT);
+    if let Command::Explain { request, logs } = &args.command
+        && !logs.is_empty()
+    {
+        return logs::show(logs, request);
+    }
+    let address = args.platform.ok_or_eyre("name the platform: --platform ADDRESS")?;
+    let platform = Platform::new(address, PLATFORM_TIMEOUT);
     match args.command {
         Command::Plan { file } => change::plan(&platform, &file).await,
         Command::Confirm { id } => change::confirm(&platform, &id).await,
         Command::Drain { upstream } => change::drain(&platform, upstream).await,
         Command::Status => status::show(&platform).await,
-        Command::Explain { request } => explain::show(&platform, &request).await,
+        Command::Explain { request, .. } => explain::show(&platform, &request).await,
     }
 }
