--- a/crates/portfield-host/tests/pages.rs
+++ b/crates/portfield-host/tests/pages.rs
@@ -8,11 +8,12 @@
     fs::read_to_string(Path::new(ROOT).join("docs/OPERATIONS.md")).unwrap()
 }
 
-/// Returns the sources of the host's process.
+/// Returns the sources of the host's process, without line breaks.
 fn sources() -> String {
     let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
     let files = fs::read_dir(dir).unwrap().map(|it| it.unwrap().path());
-    files.map(|it| fs::read_to_string(it).unwrap()).collect()
+    let text: String = files.map(|it| fs::read_to_string(it).unwrap()).collect();
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
 }
 
 /// Returns what stands in backticks in the first column of a table that begins with `header`.
