test(host): the soak runs every second seed as two data centres that hear sums; a try

Cause: nothing but one test ran hosts that hear of another data centre by its sum only.

Change: odd seeds start the hosts in two data centres with direct_hosts = 1.

--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -53,6 +53,8 @@
     rng: fastrand::Rng,
     version: u64,
     log: Vec<String>,
+    /// Data centres of the hosts in turn; with two, each hears of the other by sums.
+    places: &'static [&'static str],
 }
 
 impl Soak {
@@ -77,15 +79,23 @@
             rng: fastrand::Rng::with_seed(seed),
             version: 1,
             log: Vec::new(),
+            places: if seed.is_multiple_of(2) { &["north"] } else { &["north", "south"] },
         };
-        for _ in 0..N_HOSTS {
-            let host = res.fleet.host();
+        for idx in 0..N_HOSTS {
+            let host = res.start_host(idx, "");
+            until("the host is ready", || host.is_ready());
             res.doors.lock().unwrap().push(host.listen);
             res.hosts.push(host);
         }
         res
     }
 
+    fn start_host(&mut self, idx: usize, more: &str) -> Host {
+        let place = self.places[idx % self.places.len()];
+        let sums = if 1 < self.places.len() { "direct_hosts = 1" } else { "" };
+        self.fleet.start_in(place, &format!("{sums}\n{more}"))
+    }
+
     /// Does one thing to the fleet; some end by themselves, the rest in [`Soak::heal`].
     fn disturb(&mut self) {
         let host = self.rng.usize(..self.hosts.len());
@@ -163,7 +173,7 @@
         self.hosts[idx].signal(signal);
         // A host that starts while the store is down learns from those it is told of.
         let seeds = self.fleet.store.keys("portfield_hosts");
-        let new = self.fleet.start(&format!("seeds = {seeds:?}"));
+        let new = self.start_host(idx, &format!("seeds = {seeds:?}"));
         self.doors.lock().unwrap()[idx] = new.listen;
         let mut old = std::mem::replace(&mut self.hosts[idx], new);
         if signal == "-TERM" {
