--- a/crates/portfield-host/tests/knowledge.rs
+++ b/crates/portfield-host/tests/knowledge.rs
@@ -2,7 +2,11 @@
 
 mod fleet;
 
-use std::{net::UdpSocket, time::Duration};
+use std::{
+    net::UdpSocket,
+    thread,
+    time::{Duration, Instant},
+};
 
 use fleet::{Fleet, config, request, until};
 use portfield_net::{http1, rpc};
@@ -128,6 +132,29 @@
     assert_eq!(second.send(&request("check", "r1")).status, 404);
 }
 
+/// Before the traffic of a grown day 59 hosts made 1,364 calls to the store, one for each upstream that
+/// came.
+#[test]
+fn changes_in_quick_succession_take_few_calls_to_the_store() {
+    let mut fleet = Fleet::new(1, 1);
+    let host = fleet.host();
+    // The first change shows that the table is followed.
+    let entry = fleet.plains[0].entry("desk", "ready");
+    fleet.store.put("servers", "other-0", &entry);
+    let version = || host.metric("portfield_list_version");
+    let followed = version();
+    until("the table is followed", || followed < version());
+    let (calls, start) = (fleet.store.n_calls(), Instant::now());
+    for n in 1..=40 {
+        fleet.store.put("servers", &format!("other-{n}"), &entry);
+        thread::sleep(Duration::from_millis(10));
+    }
+    let n_calls = fleet.store.n_calls() - calls;
+    // One for each 100 ms that the changes took, and a few for the other tables.
+    let most = start.elapsed().as_millis() as u64 / 100 + 6;
+    assert!(n_calls <= most, "{n_calls} calls, at most {most}");
+}
+
 /// Another host that tells its configuration at once and never ends telling its list.
 #[derive(Debug, Clone)]
 struct SlowPeer {
