feat(host): logs tell both sides of a refusal by share, and who was refused for want of processor time

Cause: a refused request's line had the share but neither side of it, and a refusal by the governor named no workspace at all, so logs could not tell the three hypotheses apart. Change: tokens of each request; asked, taken, level, best and their age; a line 'not admitted'. No decision changes.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use portfield::{
-    balance::{Job, Prompt, Stage},
+    balance::{Job, Overload, Prompt, Stage},
     catalog::{Access, Catalog, EngineSpec, Kind, Route, Workspace},
 };
 use portfield_net::clock;
@@ -69,10 +69,10 @@
         let owner = workspace.as_ref().map_or(0, |it| hash(&it.name));
         let n_messages = messages(head.prompt.as_ref(), engine);
         let draw = fastrand::f64();
-        if host.governor().refuses(arrived, owner, n_messages, draw)
-            || host.settings().active_limit < host.n_active()
-        {
+        let overload = host.governor().refuses(arrived, owner, n_messages, draw);
+        if overload.is_some() || host.settings().active_limit < host.n_active() {
             host.metrics.count("refused{reason=\"Overload\"}");
+            log_overload(host, &head, &route, workspace.as_deref(), overload);
             return Err(Failure::refused("this host is overloaded", STOPPING_RETRY));
         }
         let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -115,12 +115,37 @@
         self.workspace.as_ref().map_or("", |it| it.name.as_str())
     }
 
+    /// Returns what the request counts in its workspace's share, in tokens.
+    pub(crate) fn tokens(&self) -> f64 {
+        self.job.prompt.as_ref().map_or(0.0, Prompt::cost)
+    }
+
     /// Returns the time that is left.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_sub(clock::now())
     }
 }
 
+fn log_overload(
+    host: &Host,
+    head: &request::Head,
+    route: &Route,
+    workspace: Option<&Workspace>,
+    overload: Option<Overload>,
+) {
+    let name = workspace.map_or("", |it| it.name.as_str());
+    let account = host.balancer().account(clock::now(), hash(name));
+    log::info!(
+        request = head.id, route = route.name, workspace = name,
+        tokens = head.prompt.as_ref().map_or(0.0, Prompt::cost),
+        offered = overload.map_or(0.0, |it| it.offered),
+        offered_level = overload.map_or(0.0, |it| it.level),
+        late_ms = overload.map_or(0.0, |it| it.late), active = host.n_active(),
+        asked = account.asked, taken = account.taken, level = account.level, best = account.best;
+        "not admitted"
+    );
+}
+
 /// Returns how many messages a host passes on for a request: both ways once, and the events.
 fn messages(prompt: Option<&Prompt>, engine: Option<EngineSpec>) -> f64 {
     let n_events = match (prompt, engine) {
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -5,7 +5,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use portfield::{
-    balance::{Ending, Placed, Placement, Stage},
+    balance::{Account, Ending, Placed, Placement, Stage},
     catalog::{Kind, Upstream},
 };
 use portfield_net::clock;
@@ -119,9 +119,12 @@
                 (reason, retry, estimate, share)
             }
         };
+        let account = self.account();
         log::info!(
             request = self.call.id, route = self.call.route.name, reason:?, share,
-            workspace = self.call.workspace_name(),
+            workspace = self.call.workspace_name(), tokens = self.call.tokens(),
+            asked = account.asked, taken = account.taken, level = account.level,
+            best = account.best, level_age_ms = account.age.as_millis() as u64,
             estimate_ms = estimate.as_millis() as u64, retry_ms = retry.as_millis() as u64,
             objective_ms = self.call.route.objective.as_millis() as u64,
             config = self.call.config_version,
@@ -132,6 +135,10 @@
         Err(self.failure(format!("refused: {reason:?}"), retry))
     }
 
+    fn account(&self) -> Account {
+        self.host.balancer().account(clock::now(), self.call.job.workspace)
+    }
+
     fn log_placed(&self, placed: &Placed, upstream: &Upstream) {
         log::info!(
             request = self.call.id, route = self.call.route.name, upstream = upstream.entry.id,
@@ -139,6 +146,7 @@
             estimate_ms = placed.estimate.as_millis() as u64,
             bias_ms = placed.bias.as_millis() as u64, unread = placed.unread,
             ahead = placed.ahead, share = placed.share, attempt = self.tried.len() + 1,
+            tokens = self.call.tokens(),
             config = self.call.config_version,
             list = self.host.with_list(|it| it.directory.version()),
             store_age_ms = self.host.store_age().as_millis() as u64; "placed"
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -9,7 +9,7 @@
     job::{Candidate, Ending, Job, Placed, Placement, Refusal},
     load::Loads,
     prompt::Prompt,
-    shares::{Shares, Standing, Usage},
+    shares::{Account, Shares, Standing, Usage},
     speed::Speed,
 };
 use crate::wire;
@@ -127,12 +127,17 @@
         };
         let retry = millis(best.times.wait - limit).clamp(AWAY.0, AWAY.1);
         if let Some(prompt) = &job.prompt {
-            let asked = cost(prompt);
+            let asked = prompt.cost();
             self.shares.note(now, job.workspace, Usage { asked, taken: 0.0 });
         }
         Placement::Refuse { reason, retry, estimate: best.estimate(), share: standing.share() }
     }
 
+    /// Returns what a workspace's standing comes from, for logs.
+    pub fn account(&self, now: Duration, workspace: u32) -> Account {
+        self.shares.account(now, workspace)
+    }
+
     /// Notes that a request is sent to an upstream.
     pub fn start(&mut self, now: Duration, job: &Job, placed: &Placed) -> RunId {
         self.n_runs += 1;
@@ -159,7 +164,7 @@
             let shared = chain.len().saturating_sub(1);
             let parts = chain.iter().take(shared).map(|it| it.hash).collect();
             self.loads.tell(placed.upstream, parts);
-            let taken = cost(prompt);
+            let taken = prompt.cost();
             self.shares.note(now, job.workspace, Usage { asked: taken, taken });
         }
         self.runs.insert(self.n_runs, run);
@@ -255,12 +260,6 @@
     }
 }
 
-/// Returns what a request counts in its workspace's share: a token of the prompt once, kept or
-/// not, since which part is kept is the fleet's doing; a token generated twice.
-fn cost(prompt: &Prompt) -> f64 {
-    f64::from(prompt.input) + 2.0 * f64::from(prompt.output)
-}
-
 fn all_blocked(now: Duration, options: &[Choice]) -> Placement {
     let soonest = options.iter().map(|it| it.opens).min();
     let retry = soonest.map_or(AWAY.1, |it| it.saturating_sub(now));
--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -36,8 +36,8 @@
 /// assert!(governor.is_busy());
 /// let now = Duration::from_secs(13);
 /// (0..100).for_each(|_| drop(governor.refuses(now, 1, 10.0, 0.5)));
-/// assert!(governor.refuses(now, 1, 10.0, 0.5), "who sends nearly all");
-/// assert!(!governor.refuses(now, 2, 10.0, 0.5), "who sends little");
+/// assert!(governor.refuses(now, 1, 10.0, 0.5).is_some(), "who sends nearly all");
+/// assert!(governor.refuses(now, 2, 10.0, 0.5).is_none(), "who sends little");
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Governor {
@@ -50,6 +50,17 @@
     offered: HashMap<u32, Flow>,
 }
 
+/// What a refusal of the governor comes from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Overload {
+    /// Work that the workspace offered to this host of late, in messages.
+    pub offered: f64,
+    /// The most that a workspace gets of what this host can do, in messages.
+    pub level: f64,
+    /// Average lateness, in milliseconds.
+    pub late: f64,
+}
+
 impl Governor {
     /// Notes by how much a timer fired late.
     pub fn observe(&mut self, now: Duration, late: Duration) {
@@ -75,21 +86,28 @@
         self.late
     }
 
-    /// Notes a new request and returns whether it is refused: what this host can do is shared out
-    /// by max-min, so that one workspace's flood takes from no other.
+    /// Notes a new request and returns why it is refused, `None` if it is not: what this host can
+    /// do is shared out by max-min, so that one workspace's flood takes from no other.
     ///
     /// `work` is what the request costs this host, in messages to pass on; `draw` is uniform
     /// from zero to one.
-    pub fn refuses(&mut self, now: Duration, workspace: u32, work: f64, draw: f64) -> bool {
+    pub fn refuses(
+        &mut self,
+        now: Duration,
+        workspace: u32,
+        work: f64,
+        draw: f64,
+    ) -> Option<Overload> {
         let own = self.offered.entry(workspace).or_default();
         own.add(now, work);
         let own = own.sum(now);
         let part = (self.late - REFUSING.0) / (REFUSING.1 - REFUSING.0);
         if part <= 0.0 {
-            return false;
+            return None;
         }
         let offered: Vec<f64> = self.offered.values().map(|it| it.sum(now)).collect();
         let left = offered.iter().sum::<f64>() * (1.0 - part.min(MOST));
-        max_min(offered, left).is_some_and(|level| draw < 1.0 - level / own)
+        let level = max_min(offered, left)?;
+        (draw < 1.0 - level / own).then_some(Overload { offered: own, level, late: self.late })
     }
 }
--- a/crates/portfield/src/balance/prompt.rs
+++ b/crates/portfield/src/balance/prompt.rs
@@ -23,6 +23,21 @@
 }
 
 impl Prompt {
+    /// Returns what a request counts in its workspace's share, in tokens: one of the prompt once,
+    /// kept or not, since which part is kept is the fleet's doing; one generated twice.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::Prompt;
+    ///
+    /// let prompt = Prompt { input: 1_000, output: 50, ..Prompt::default() };
+    /// assert_eq!(prompt.cost(), 1_100.0);
+    /// ```
+    pub fn cost(&self) -> f64 {
+        f64::from(self.input) + 2.0 * f64::from(self.output)
+    }
+
     /// Returns for each part the hash of the prompt up to its end, and its tokens.
     pub(crate) fn chain(&self) -> Vec<Link> {
         let mut hash = 0;
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -34,6 +34,21 @@
     }
 }
 
+/// Both sides of the comparison that a [`Standing`] comes from, in tokens of the window.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Account {
+    /// What the workspace asked for.
+    pub asked: f64,
+    /// What it has had.
+    pub taken: f64,
+    /// The most that a workspace is owed; zero where there is plenty.
+    pub level: f64,
+    /// The most that one has had; zero where there is plenty.
+    pub best: f64,
+    /// How old the last two are.
+    pub age: Duration,
+}
+
 /// What one workspace asked for and got, in tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(crate) struct Usage {
@@ -149,6 +164,14 @@
         Standing::Share(share)
     }
 
+    /// Returns what a workspace's standing comes from, as of the last one computed.
+    pub(crate) fn account(&self, now: Duration, workspace: u32) -> Account {
+        let usage = self.windows.get(&workspace).map(Window::sum).unwrap_or_default();
+        let (level, best) = self.level.map_or((0.0, 0.0), |it| (it.level, it.best));
+        let age = now.saturating_sub(self.levelled);
+        Account { asked: usage.asked, taken: usage.taken, level, best, age }
+    }
+
     /// Returns the most that a workspace gets in a window, `None` where all get what they ask.
     ///
     /// What all took together is what there is; the level shares it out by max-min.
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -292,9 +292,9 @@
         it.observe(at(n * 25), Duration::from_millis(late));
     };
     (0..40).for_each(|n| step(&mut it, n, 1));
-    assert!(!it.is_busy() && !it.refuses(at(1_000), 1, 1.0, 0.0));
+    assert!(!it.is_busy() && it.refuses(at(1_000), 1, 1.0, 0.0).is_none());
     (40..60).for_each(|n| step(&mut it, n, 18));
-    let mut refuses = |draw| it.refuses(at(1_500), 1, 1.0, draw);
+    let mut refuses = |draw| it.refuses(at(1_500), 1, 1.0, draw).is_some();
     assert!(refuses(0.2) && !refuses(0.9));
     assert!(it.is_busy());
     (60..100).for_each(|n| step(&mut it, n, 0));
@@ -313,7 +313,7 @@
     for n in 0..1_000 {
         let workspace = u32::from(n % 10 == 0);
         let draw = f64::from(n % 97) / 97.0;
-        let refused = it.refuses(at(1_000 + n as u64), workspace, 10.0, draw);
+        let refused = it.refuses(at(1_000 + n as u64), workspace, 10.0, draw).is_some();
         n_refused[workspace as usize] += u32::from(refused);
     }
     assert!(400 < n_refused[0], "{n_refused:?}");
