fix(balance): a host takes no sum of its own data centre, and passes sums on to known neighbours only

Cause: a host that has just started knows nobody's data centre and passed sums on to everybody; a host of the summed data centre took one beside its neighbours' own words, and since the one before it was from the start of the fleet, all that was done since counted as done just now. Ruled out: the sum of a host that starts anew (mended before, the rise stayed), double delivery (by number). Change: Audience::counts takes sums of other data centres only, is_passed names neighbours that said so. Elsewhere, the same class (a total says how much, not when): what workspaces used while a host was silent or cut off counted as used at its next word; now it is no growth.

--- a/crates/portfield/src/balance/audience.rs
+++ b/crates/portfield/src/balance/audience.rs
@@ -106,16 +106,21 @@
 
     /// Returns whether what a digest tells counts: of few hosts, and of those of this data centre,
     /// their own words; of others their data centre's sum.
+    ///
+    /// **NOTE:** The sum of this data centre never counts beside its hosts' own words: with one that
+    /// came astray a workspace was believed to have had three times what it had.
     pub fn counts(&self, digest: &wire::Digest) -> bool {
+        let is_far = self.is_far(Some(digest.data_centre));
         if 0 < digest.n_summed {
-            return self.is_large;
+            return self.is_large && is_far;
         }
-        !self.is_large || !self.is_far(Some(digest.data_centre))
+        !self.is_large || !is_far
     }
 
-    /// Returns whether a sum is passed on to a host: a neighbour that is there.
+    /// Returns whether a sum is passed on to a host: one that said that it is a neighbour, and is
+    /// there. A host that has just started knows that of nobody.
     pub fn is_passed(&self, it: &Listener) -> bool {
-        !self.is_far(it.data_centre) && self.now < it.heard + SILENT
+        it.data_centre == Some(self.data_centre) && !it.is_silent(self.now)
     }
 
     /// Returns whether this host is the one that sums its data centre up.
--- a/crates/portfield/src/balance/peer.rs
+++ b/crates/portfield/src/balance/peer.rs
@@ -9,6 +9,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use super::load::STALE;
 use crate::wire;
 
 /// Digests from a host's start within which all that it did counts as done just now: a second or
@@ -31,6 +32,8 @@
     usage: HashMap<u32, wire::WorkspaceUsage>,
     /// The totals that it has not told yet began with what was heard of it.
     is_whole: bool,
+    /// It had been silent before its last word.
+    was_silent: bool,
 }
 
 /// What a host did since it was first heard, through all its lives: it only grows.
@@ -49,6 +52,7 @@
 
     /// Begins to take a newer digest.
     pub(crate) fn begin(&mut self, now: Duration, digest: &wire::Digest) {
+        let was_silent = self.heard + STALE < now;
         if self.incarnation != digest.incarnation {
             // Requests of its earlier life ended with it, and its totals.
             *self = Self { done: std::mem::take(&mut self.done), ..Self::default() };
@@ -58,6 +62,7 @@
         }
         self.incarnation = digest.incarnation;
         self.sequence = digest.sequence;
+        self.was_silent = was_silent;
         self.heard = now;
         self.data_centre = digest.data_centre;
         self.n_summed = digest.n_summed;
@@ -72,9 +77,11 @@
         grown
     }
 
-    /// Takes a workspace's totals; returns what was asked and taken since its last word.
+    /// Takes a workspace's totals; returns what was asked and taken since its last word, nothing if
+    /// that was long ago: it says nothing of the last seconds.
     pub(crate) fn take_usage(&mut self, it: &wire::WorkspaceUsage) -> wire::WorkspaceUsage {
         let before = self.usage.insert(it.workspace, *it);
+        let before = if self.was_silent && before.is_some() { Some(*it) } else { before };
         let (asked, taken) = before.map_or_else(
             || (self.unknown(it.asked), self.unknown(it.taken)),
             |it| (it.asked, it.taken),
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -314,3 +314,18 @@
     assert!(!audience.is_passed(&stranger));
     assert!(audience.is_passed(&others[1]) && !audience.is_passed(&others[0]));
 }
+
+/// A host that was cut off hears in one word what the others did meanwhile: it is no usage of the
+/// last seconds.
+#[test]
+fn what_was_done_during_a_silence_is_not_done_just_now() {
+    let mut host = balancer();
+    let told = busy_member(12, 100);
+    host.merge(NOW, &told[0]);
+    host.merge(NOW, &told[1]);
+    let later = NOW + Duration::from_secs(10);
+    host.merge(later, &told[98]);
+    assert_eq!(host.account(later, WORKSPACE).taken, 0.0);
+    host.merge(later, &told[99]);
+    assert_eq!(host.account(later, WORKSPACE).taken, 10_700.0);
+}
