--- a/crates/portfield/src/balance/admission.rs
+++ b/crates/portfield/src/balance/admission.rs
@@ -7,8 +7,8 @@
 //!
 //! - Who is within its share is sent as long as it can be in time.
 //! - Who has had its share, but less than another, is sent where it waits for some of that time.
-//! - Who else has had its share is sent where hardly anything waits. Capacity beyond the shares is used,
-//!   but what uses it delays nobody who is owed service.
+//! - Who else has had its share is sent where hardly anything waits. Capacity beyond the shares is
+//!   used, but what uses it delays nobody who is owed service.
 
 use super::{
     choice::Choice,
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -134,6 +134,17 @@
     }
 
     /// Returns what a workspace's standing comes from, for logs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::Balancer;
+    /// use std::time::Duration;
+    ///
+    /// let balancer = Balancer::new(Duration::from_secs(4));
+    /// let account = balancer.account(Duration::from_secs(1), 7);
+    /// assert_eq!((account.asked, account.taken), (0.0, 0.0));
+    /// ```
     pub fn account(&self, now: Duration, workspace: u32) -> Account {
         self.shares.account(now, workspace)
     }
--- a/crates/portfield/src/balance/peer.rs
+++ b/crates/portfield/src/balance/peer.rs
@@ -1,9 +1,10 @@
 //! What one other host, or the sum of a data centre, says that it did, and how much of that is new.
 //!
-//! Digests tell totals, so that a lost or repeated one changes nothing. A total says when it grew
-//! only to who knew it before, hence two rules:
+//! Digests tell totals, so that a lost or repeated one changes nothing. When a total grew is known
+//! only to who heard it before and after, hence three rules:
 //!
 //! - What a host did before this one heard it is no growth, unless it has only just started.
+//! - What its workspaces used while it was silent isn't either.
 //! - A sum of several hosts adds up what each did since the host that sums up first heard it, never
 //!   their totals: these would come along whole whenever it hears one more of them.
 
@@ -25,14 +26,15 @@
     pub n_summed: u32,
     /// When it was last heard.
     pub heard: Duration,
+    /// What it has at each upstream.
     pub loads: HashMap<u32, wire::UpstreamLoad>,
     done: Done,
     incarnation: u64,
     sequence: u64,
     usage: HashMap<u32, wire::WorkspaceUsage>,
-    /// The totals that it has not told yet began with what was heard of it.
+    /// A total that it tells for the first time has grown from zero since this host heard it.
     is_whole: bool,
-    /// It had been silent before its last word.
+    /// It had been silent for [`STALE`] before its last word.
     was_silent: bool,
 }
 
@@ -111,7 +113,7 @@
         self.done.usage.values()
     }
 
-    /// Returns what a total that was not told before counts as having been.
+    /// Returns what a total counts as having been that is told for the first time.
     fn unknown(&self, total: u64) -> u64 {
         if self.is_whole { 0 } else { total }
     }
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -387,3 +387,31 @@
     }
     panic!("refused {n_refused} times and never sent elsewhere");
 }
+
+/// From logs nobody could tell whether a workspace was over its share, or the fleet believed so.
+#[test]
+fn a_refusal_by_share_can_be_told_with_both_sides() {
+    let mut it = Balancer::new(WINDOW);
+    it.set_capacity(5_000.0);
+    let mut shared = 0;
+    let mut n_sent = 0;
+    loop {
+        shared += 1;
+        match it.place(at(shared), &job(1, shared, 500), &engines(1)) {
+            Placement::Send(placed) => {
+                n_sent += 1;
+                it.start(at(shared), &job(1, shared, 500), &placed);
+            }
+            Placement::Refuse { reason: Refusal::Share, share, .. } => {
+                let account = it.account(at(shared), 1);
+                let cost = 10_700.0;
+                assert_eq!(account.taken, f64::from(n_sent) * cost);
+                assert!(account.taken + cost <= account.asked, "{account:?}");
+                assert!((account.taken / account.level - share).abs() < 1e-9, "{account:?}");
+                assert!(account.best <= account.taken && account.age < WINDOW, "{account:?}");
+                return;
+            }
+            Placement::Refuse { .. } => assert!(shared < 1_000, "never refused by its share"),
+        }
+    }
+}
