--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -286,11 +286,11 @@
 /// engines only for four seconds.
 ///
 /// Cause: a total says how much, not when, and a host took one of what it knew otherwise. Evidence:
-/// within 0.3 s of such starts, and at no other time, what hosts believed that a workspace had had rose
-/// from 1.0 to 4.6 and from 2.4 to 8.8 million tokens, by what it had had since the start of the
-/// fleet; in the six seconds around it the two got 0.40 and 0.38 of what they were owed, refused by
-/// share. 28 such rises by more than 2.5 million on one day, none once sums of the own data centre
-/// were not taken.
+/// what hosts believed that a workspace had had rose from 1.0 to 4.6 and from 2.4 to 8.8 million
+/// tokens within half a second, by what it had had since the start of the fleet; in the six seconds
+/// around it the two got 0.40 and 0.38 of what they were owed, refused by share. Of 28 such rises on
+/// one day none came before the first start of a host, each within 0.45 s after one, and there is none
+/// once sums of the own data centre are not taken.
 #[test]
 fn a_host_takes_no_sum_of_its_own_data_centre() {
     let (mut leader, mut host) = (balancer(), balancer());
