fix(host): a request whose caller has left is not sent on; own limits are not blamed on upstreams

The host read the request first and met the end only after it was on its way.

After a request is read its connection is looked at once more (one system call of some 150 for a stream); a closed one is not sent on. `Too many open files` on the way to an upstream no longer counts against it, frees idle connections and makes the host not ready, as for a caller's connection; callers' connections are closed after their answers meanwhile.

Before: the stand-in sees `r1, left, stays`; after: `r1, stays` (a process stopped while a caller sends and closes).

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One try of a request at one upstream.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, response};
@@ -122,8 +122,8 @@
         Some(it) => it,
         None => match open(host, upstream).await {
             Ok(it) => it,
-            Err(text) => {
-                run.end(Ending::Unreachable);
+            Err(NotOpen { ending, text }) => {
+                run.end(ending);
                 return Sent::Failed(Outcome::NotSent, text);
             }
         },
@@ -150,8 +150,8 @@
                 }
                 match open(host, upstream).await {
                     Ok(it) => connection = it,
-                    Err(text) => {
-                        run.end(Ending::Unreachable);
+                    Err(NotOpen { ending, text }) => {
+                        run.end(ending);
                         return Sent::Failed(Outcome::NotSent, text);
                     }
                 }
@@ -167,13 +167,35 @@
     causes.fold(err.to_string(), |text, it| format!("{text}: {it}"))
 }
 
-async fn open(host: &Arc<Host>, upstream: &Arc<Upstream>) -> Result<Connection, String> {
+/// Why there is no connection to an upstream.
+#[derive(Debug)]
+struct NotOpen {
+    /// What it says of the upstream.
+    ending: Ending,
+    text: String,
+}
+
+async fn open(host: &Arc<Host>, upstream: &Arc<Upstream>) -> Result<Connection, NotOpen> {
     host.metrics.count("upstream_connections");
     let res = host.pool.open(upstream.entry.address).await;
-    if res.is_err() {
+    res.map_err(|err| {
+        let text = err.to_string();
+        if is_own_limit(&err) {
+            // Says nothing of the upstream: with it blamed, a host without a descriptor left alone
+            // one sound upstream after the other.
+            host.lacks_descriptors(&err);
+            return NotOpen { ending: Ending::Cancelled, text };
+        }
         reach::start(host, upstream);
-    }
-    res.map_err(|err| err.to_string())
+        NotOpen { ending: Ending::Unreachable, text }
+    })
+}
+
+/// Returns whether an error says that this process, or its host, has no descriptor left.
+fn is_own_limit(err: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(err.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
 fn build(call: &Call, upstream: &Upstream, last_event: Option<&str>) -> Request<Full<Bytes>> {
--- a/crates/portfield-host/src/front.rs
+++ b/crates/portfield-host/src/front.rs
@@ -3,13 +3,23 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
+use async_io::Async;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::future;
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use portfield_net::{clock, rpc::HyperTimer, socket::Socket};
+use portfield_net::{
+    clock,
+    rpc::HyperTimer,
+    socket::{self, Socket},
+};
 
-use crate::{answer::Body, call::Call, exchange, state::Host};
+use crate::{
+    answer::{Body, Failure},
+    call::Call,
+    exchange,
+    state::Host,
+};
 
 /// Time that a connection may be idle before a configuration says so.
 const FIRST_IDLE: Duration = Duration::from_secs(30);
@@ -18,6 +28,8 @@
 const IDLE_SLACK: f64 = 1.5;
 /// Time to wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// When a caller that has left is told to come back; nobody reads it.
+const GONE_RETRY: Duration = Duration::ZERO;
 /// Largest head read, where the configuration names a smaller one; hyper's own least is 8 KB.
 const MAX_HEAD: usize = 64 << 10;
 
@@ -29,7 +41,7 @@
         match future::or(stopped(&stop), accept).await {
             None => break,
             Some(Err(err)) => {
-                host.accept_failed(&err);
+                host.lacks_descriptors(&err);
                 clock::sleep(ACCEPT_PAUSE).await;
             }
             Some(Ok((stream, _))) => {
@@ -56,15 +68,16 @@
         log::debug!(err:%; "option not set");
     }
     let idle = host.in_force().map_or(FIRST_IDLE, |it| it.catalog.limits().idle_time);
+    let stream = Arc::<Async<std::net::TcpStream>>::from(stream);
     let service = service_fn(|request| {
-        let host = host.clone();
-        async move { Ok::<_, Infallible>(answer(host, request).await) }
+        let (host, caller) = (host.clone(), stream.clone());
+        async move { Ok::<_, Infallible>(answer(host, &caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(HyperTimer)
         .header_read_timeout(idle.mul_f64(IDLE_SLACK))
         .max_buf_size(MAX_HEAD)
-        .serve_connection(Socket::from(stream), service);
+        .serve_connection(Socket::from(stream.clone()), service);
     let mut connection = std::pin::pin!(connection);
     let ended = async { Some(connection.as_mut().await) };
     let res = match future::or(ended, stopped(&stop)).await {
@@ -80,11 +93,25 @@
     }
 }
 
-async fn answer(host: Arc<Host>, request: Request<Incoming>) -> Response<Body> {
+async fn answer(
+    host: Arc<Host>,
+    caller: &Async<std::net::TcpStream>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     host.metrics.count("requests");
     let id = request.headers().get(portfield_platform::request::ATTEMPT_ID);
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
-    let mut res = match Call::read(&host, request).await {
+    let read = Call::read(&host, request).await;
+    // A request may have waited in the socket longer than its caller: while the process stood still, or
+    // had no descriptor left to accept the connection. hyper sees the end only after the request is on
+    // its way; requests reached upstreams 10 s after their callers had left.
+    let read = if read.is_ok() && socket::is_closed(caller) {
+        host.metrics.count("callers_left_before");
+        Err(Failure::refused("the caller has left", GONE_RETRY))
+    } else {
+        read
+    };
+    let mut res = match read {
         Ok(call) => exchange::run(host.clone(), call).await,
         Err(it) => {
             log::info!(
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -243,7 +243,7 @@
 
     /// Returns whether a caller's connection is to be closed after its answer.
     pub(crate) fn sheds(&self) -> bool {
-        self.is_stopping() || self.governor().is_busy()
+        self.is_stopping() || self.governor().is_busy() || !self.accepts()
     }
 
     /// Looks anew at whom to tell what this host did.
@@ -296,8 +296,9 @@
         known && !self.is_stopping() && !self.governor().is_busy() && self.accepts()
     }
 
-    /// Notes that a caller's connection could not be accepted, and frees descriptors.
-    pub(crate) fn accept_failed(&self, err: &io::Error) {
+    /// Notes that a connection could not be opened or accepted for want of descriptors, and frees some:
+    /// kept connections now, callers' with their next answers.
+    pub(crate) fn lacks_descriptors(&self, err: &io::Error) {
         if self.accepts() {
             log::warn!(err:%, active = self.n_active(); "connection not accepted");
         }
--- a/crates/portfield-host/tests/requests.rs
+++ b/crates/portfield-host/tests/requests.rs
@@ -319,6 +319,30 @@
     assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
 }
 
+/// A request that waited in a host's socket, here since the process stood still, while its caller gave up
+/// and closed: nobody would read the answer. A host without a descriptor left ran five such requests ten
+/// seconds after.
+#[test]
+fn what_is_read_after_its_caller_has_left_is_not_sent_on() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.host();
+    let send = |id: &str| {
+        let mut caller = connect(host.listen).unwrap();
+        caller.write_all(request("check", id).as_bytes()).unwrap();
+        caller
+    };
+    // The connection is kept from here: opening one takes time in which the end might be seen.
+    assert_eq!(host.send(&request("check", "r1")).status, 200);
+    host.signal("-STOP");
+    drop(send("left"));
+    let mut stays = send("stays");
+    host.signal("-CONT");
+    assert_eq!(read_answer(&mut stays).unwrap().status, 200);
+    let seen = fleet.plains[0].seen();
+    let ids: Vec<_> = seen.iter().filter_map(|it| it.header("attempt-id")).collect();
+    assert!(ids.contains(&"stays") && !ids.contains(&"left"), "{ids:?}");
+}
+
 /// The test counts on the kernel's limit for one process, which it sets for the host's own. That the
 /// process itself outlives the limit is shown by `descriptors.rs` of portfield-net.
 #[test]
--- a/crates/portfield-net/src/socket.rs
+++ b/crates/portfield-net/src/socket.rs
@@ -67,6 +67,31 @@
     }
 }
 
+/// Returns whether the other end has closed a connection of which all that came was read.
+///
+/// # Examples
+///
+/// ```
+/// use portfield_net::socket;
+///
+/// # fn main() -> std::io::Result<()> {
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+/// let caller = std::net::TcpStream::connect(listener.local_addr()?)?;
+/// let stream = async_io::Async::new(listener.accept()?.0)?;
+/// assert!(!socket::is_closed(&stream));
+/// drop(caller);
+/// futures_lite::future::block_on(stream.readable())?;
+/// assert!(socket::is_closed(&stream));
+/// # Ok(())
+/// # }
+/// ```
+pub fn is_closed(stream: &Async<TcpStream>) -> bool {
+    match stream.get_ref().peek(&mut [0; 1]) {
+        Ok(n) => n == 0,
+        Err(err) => !matches!(err.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
+}
+
 impl hyper::rt::Read for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
