perf(balance): faster maps, and no list of choices for each request

Change. foldhash for maps by upstream, host, workspace and part; totals of sums, which nobody sums up again, are not kept; `place` weighs upstreams one by one in place of a list of 320.

--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -1,6 +1,6 @@
 //! The decision itself.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -10,6 +10,7 @@
     choice::{Choice, Order, Scales, home, least, millis},
     job::{Candidate, Ending, Job, Placed, Placement, Refusal},
     load::Loads,
+    map::Map,
     prompt::Prompt,
     shares::{Account, Shares, Standing, Usage},
     speed::Speed,
@@ -54,14 +55,14 @@
 pub struct Balancer {
     loads: Loads,
     shares: Shares,
-    speeds: HashMap<u32, Speed>,
+    speeds: Map<u32, Speed>,
     /// What estimates fell short of, by service.
-    biases: HashMap<u32, Bias>,
+    biases: Map<u32, Bias>,
     /// Average time of a request, in milliseconds, by service.
-    times: HashMap<u32, f64>,
-    runs: HashMap<RunId, Run>,
+    times: Map<u32, f64>,
+    runs: Map<RunId, Run>,
     n_runs: RunId,
-    memories: HashMap<u32, u64>,
+    memories: Map<u32, u64>,
     /// The last number drawn.
     draws: u64,
 }
@@ -72,12 +73,12 @@
         Self {
             loads: Loads::default(),
             shares: Shares::new(window),
-            speeds: HashMap::new(),
-            biases: HashMap::new(),
-            times: HashMap::new(),
-            runs: HashMap::new(),
+            speeds: Map::default(),
+            biases: Map::default(),
+            times: Map::default(),
+            runs: Map::default(),
             n_runs: 0,
-            memories: HashMap::new(),
+            memories: Map::default(),
             draws: 0,
         }
     }
@@ -116,24 +117,23 @@
             bias: self.biases.get(&job.service).map_or(0.0, |it| it.shortfall(now)),
             home: home(order, candidates.iter().map(|it| it.upstream).filter(is_open)),
             order,
+            shared: chain.iter().rev().skip(1).map(|it| it.tokens).sum(),
         };
-        let options: Vec<Choice> =
-            candidates.iter().map(|it| scales.weigh(job, &chain, it)).collect();
-        let open = |it: &&Choice| !it.blocked;
-        let Some(best) = least(options.iter().filter(open), |it| it.cost) else {
-            return all_blocked(now, &options);
+        let options = || candidates.iter().map(|it| scales.weigh(job, &chain, it));
+        let open = |it: &Choice| !it.blocked;
+        let Some(best) = least(options().filter(open), |it| it.cost) else {
+            return all_blocked(now, options());
         };
-        let limit = longest_wait(job, standing, best);
+        let limit = longest_wait(job, standing, &best);
         if best.times.wait <= limit {
             return Placement::Send(best.placed(standing));
         }
         // Reading shared parts again takes from all: only for who has had far less than another.
-        if matches!(standing, Standing::FarBehind(_)) {
-            let quick = least(options.iter().filter(open), |it| it.times.wait + it.times.own)
-                .unwrap_or(best);
-            if quick.times.wait <= longest_wait(job, standing, quick) {
-                return Placement::Send(quick.placed(standing));
-            }
+        if matches!(standing, Standing::FarBehind(_))
+            && let Some(quick) = least(options().filter(open), |it| it.times.wait + it.times.own)
+            && quick.times.wait <= longest_wait(job, standing, &quick)
+        {
+            return Placement::Send(quick.placed(standing));
         }
         let reason = if matches!(standing, Standing::Share(it) if 1.0 < it) {
             Refusal::Share
@@ -298,8 +298,8 @@
     }
 }
 
-fn all_blocked(now: Duration, options: &[Choice]) -> Placement {
-    let soonest = options.iter().map(|it| it.opens).min();
+fn all_blocked(now: Duration, options: impl Iterator<Item = Choice>) -> Placement {
+    let soonest = options.map(|it| it.opens).min();
     let retry = soonest.map_or(AWAY.1, |it| it.saturating_sub(now));
     let retry = retry.clamp(AWAY.0, AWAY.1);
     Placement::Refuse { reason: Refusal::NoUpstream, retry, estimate: retry, share: 0.0 }
--- a/crates/portfield/src/balance/cache.rs
+++ b/crates/portfield/src/balance/cache.rs
@@ -1,8 +1,6 @@
 //! Which parts of prompts an engine keeps, as far as the hosts know.
 
-use std::collections::HashMap;
-
-use super::prompt::Link;
+use super::{map::Map, prompt::Link};
 
 /// Part of an engine's memory that parts survive in; the rest is what runs.
 ///
@@ -19,7 +17,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Cache {
     odometer: f64,
-    used: HashMap<u32, f64>,
+    used: Map<u32, f64>,
 }
 
 impl Cache {
--- a/crates/portfield/src/balance/choice.rs
+++ b/crates/portfield/src/balance/choice.rs
@@ -44,6 +44,8 @@
     pub home: Option<u32>,
     /// What the order of upstreams of equal cost follows from.
     pub order: Order,
+    /// Tokens of the request's shared parts.
+    pub shared: u32,
 }
 
 /// The order of upstreams among which nothing else decides.
@@ -132,10 +134,9 @@
             (Some(prompt), Some(engine)) => self.engine(prompt, chain, engine, node),
             _ => self.plain(it.slots, node.total()),
         };
-        let shared: u32 = chain.iter().rev().skip(1).map(|it| it.tokens).sum();
         let last = chain.last().map_or(0, |it| it.tokens);
         let price = if self.home == Some(it.upstream) { REREAD_HOME } else { REREAD };
-        let reread = f64::from(times.unread.saturating_sub(last).min(shared)) * price;
+        let reread = f64::from(times.unread.saturating_sub(last).min(self.shared)) * price;
         let failing =
             node.health.failing(self.now) * FAILING + f64::from(node.n_overdue) * OVERDUE_COST;
         let far = if it.near { 0.0 } else { FAR };
@@ -172,10 +173,10 @@
 }
 
 /// Returns the choice with the least of something; of several the one of highest rank.
-pub(super) fn least<'a>(
-    options: impl Iterator<Item = &'a Choice>,
+pub(super) fn least(
+    options: impl Iterator<Item = Choice>,
     f: impl Fn(&Choice) -> f64,
-) -> Option<&'a Choice> {
+) -> Option<Choice> {
     options.min_by(|a, b| f(a).total_cmp(&f(b)).then(b.rank.cmp(&a.rank)))
 }
 
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -1,11 +1,8 @@
 //! What is on its way to each upstream, from this host and from the others.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::VecDeque, time::Duration};
 
-use super::{cache::Cache, health::Health, peer::Peer};
+use super::{cache::Cache, health::Health, map::Map, peer::Peer};
 use crate::wire;
 
 /// Time after which another host's last word no longer counts.
@@ -76,8 +73,8 @@
 /// All upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Loads {
-    nodes: HashMap<u32, Node>,
-    peers: HashMap<u64, Peer>,
+    nodes: Map<u32, Node>,
+    peers: Map<u64, Peer>,
     told: VecDeque<Told>,
     /// What other hosts of the data centre told, for sums.
     heard: VecDeque<Told>,
@@ -91,7 +88,7 @@
     pub n_hosts: u32,
     pub loads: Vec<wire::UpstreamLoad>,
     pub prefixes: Vec<wire::PrefixUse>,
-    pub usage: HashMap<u32, wire::WorkspaceUsage>,
+    pub usage: Map<u32, wire::WorkspaceUsage>,
 }
 
 impl Loads {
@@ -140,7 +137,7 @@
     pub(crate) fn summary(&mut self, now: Duration, data_centre: u32) -> Summary {
         let members =
             || self.peers.values().filter(|it| it.data_centre == data_centre && it.n_summed == 0);
-        let mut loads: HashMap<u32, wire::UpstreamLoad> = HashMap::new();
+        let mut loads: Map<u32, wire::UpstreamLoad> = Map::default();
         let own = self.nodes.iter().map(|(id, it)| it.report(*id));
         for it in own.chain(members().flat_map(Peer::loads_since_heard)) {
             let new = wire::UpstreamLoad { upstream: it.upstream, ..Default::default() };
@@ -149,7 +146,7 @@
             sum.pending += it.pending;
             sum.read += it.read;
         }
-        let mut usage: HashMap<u32, wire::WorkspaceUsage> = HashMap::new();
+        let mut usage: Map<u32, wire::WorkspaceUsage> = Map::default();
         for it in members().flat_map(Peer::usage_since_heard) {
             let new = wire::WorkspaceUsage { workspace: it.workspace, ..Default::default() };
             let sum = usage.entry(it.workspace).or_insert(new);
@@ -231,12 +228,12 @@
 }
 
 /// Takes another host's requests away from the upstreams; its totals stay known.
-fn withdraw(peer: &mut Peer, nodes: &mut HashMap<u32, Node>) {
+fn withdraw(peer: &mut Peer, nodes: &mut Map<u32, Node>) {
     peer.loads.drain(..).for_each(|it| add(nodes, &it, -1.0));
 }
 
 /// Adds another host's requests to an upstream's, or takes them away with `sign` -1.
-fn add(nodes: &mut HashMap<u32, Node>, it: &wire::UpstreamLoad, sign: f64) {
+fn add(nodes: &mut Map<u32, Node>, it: &wire::UpstreamLoad, sign: f64) {
     let others = &mut nodes.entry(it.upstream).or_default().others;
     others.running = (others.running + sign * f64::from(it.running)).max(0.0);
     others.pending = (others.pending + sign * f64::from(it.pending)).max(0.0);
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -30,6 +30,7 @@
 mod health;
 mod job;
 mod load;
+mod map;
 mod others;
 mod peer;
 mod prompt;
--- a/crates/portfield/src/balance/others.rs
+++ b/crates/portfield/src/balance/others.rs
@@ -1,10 +1,13 @@
 //! The other hosts, as far as this one knows and hears them, and what it passes on between them.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::audience::{Audience, Listener, Place};
+use super::{
+    audience::{Audience, Listener, Place},
+    map::Map,
+};
 use crate::wire::{Digest, KnownHost};
 
 /// Each so many digests a data centre's sum also goes to a host there drawn by lot: its speaker may
@@ -49,12 +52,12 @@
 #[derive(Debug)]
 pub struct Others {
     place: Place,
-    hosts: HashMap<SocketAddr, Listener>,
+    hosts: Map<SocketAddr, Listener>,
     audience: Audience,
     /// What others said that the next digest passes on, by host or data centre.
-    passing: HashMap<u64, Digest>,
+    passing: Map<u64, Digest>,
     /// Who speaks for the other data centres.
-    speakers: HashMap<u32, Speaker>,
+    speakers: Map<u32, Speaker>,
     /// Hosts that were heard for the first time, or again after a silence.
     n_heard: u64,
 }
@@ -62,14 +65,14 @@
 impl Others {
     /// Builds the state of a host that has heard nobody.
     pub fn new(place: Place, seeds: impl Iterator<Item = SocketAddr>) -> Self {
-        let hosts: HashMap<_, _> = seeds.map(|it| (it, stranger(it))).collect();
+        let hosts: Map<_, _> = seeds.map(|it| (it, stranger(it))).collect();
         let audience = Audience::new(Duration::ZERO, place, &[], 0);
         Self {
             place,
             hosts,
             audience,
-            passing: HashMap::new(),
-            speakers: HashMap::new(),
+            passing: Map::default(),
+            speakers: Map::default(),
             n_heard: 0,
         }
     }
@@ -156,7 +159,7 @@
     /// Returns who gets this data centre's sum with that number: the speaker of each other one, and
     /// now and then, or while that is silent, a host drawn by lot, who hands it to its speaker.
     pub fn told_sum(&self, now: Duration, sequence: u64) -> Vec<SocketAddr> {
-        let mut by_place: HashMap<u32, Vec<SocketAddr>> = HashMap::new();
+        let mut by_place: Map<u32, Vec<SocketAddr>> = Map::default();
         for (address, it) in self.hosts.iter().filter(|it| self.audience.is_far(it.1)) {
             by_place.entry(it.data_centre.unwrap_or_default()).or_default().push(*address);
         }
--- a/crates/portfield/src/balance/peer.rs
+++ b/crates/portfield/src/balance/peer.rs
@@ -8,9 +8,9 @@
 //! - A sum of several hosts adds up what each did since the host that sums up first heard it, never
 //!   their totals: these would come along whole whenever it hears one more of them.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
-use super::load::STALE;
+use super::{load::STALE, map::Map};
 use crate::wire;
 
 /// Digests from a host's start within which all that it did counts as done just now: a second or
@@ -32,8 +32,8 @@
     incarnation: u64,
     sequence: u64,
     /// Tokens that it brought into the memory of each upstream, as it last told.
-    read: HashMap<u32, u64>,
-    usage: HashMap<u32, wire::WorkspaceUsage>,
+    read: Map<u32, u64>,
+    usage: Map<u32, wire::WorkspaceUsage>,
     /// A total that it tells for the first time has grown from zero since this host heard it.
     is_whole: bool,
     /// It had been silent for [`STALE`] before its last word.
@@ -44,8 +44,8 @@
 #[derive(Debug, Default)]
 struct Done {
     /// Tokens brought into the memory of each upstream.
-    read: HashMap<u32, u64>,
-    usage: HashMap<u32, wire::WorkspaceUsage>,
+    read: Map<u32, u64>,
+    usage: Map<u32, wire::WorkspaceUsage>,
 }
 
 impl Peer {
@@ -78,7 +78,9 @@
         let before = self.read.insert(it.upstream, it.read);
         // An upstream is left out while nothing goes on there: its total may be an old one.
         let grown = it.read.saturating_sub(before.unwrap_or(self.unknown(it.read)));
-        *self.done.read.entry(it.upstream).or_default() += grown;
+        if self.n_summed == 0 && 0 < grown {
+            *self.done.read.entry(it.upstream).or_default() += grown;
+        }
         grown
     }
 
--- a/crates/portfield/src/balance/readers.rs
+++ b/crates/portfield/src/balance/readers.rs
@@ -1,6 +1,8 @@
 //! Which hosts follow the platform's store, so that not every host calls it.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
+
+use super::map::Map;
 
 /// Up to so many hosts all of them follow the store: what they would save is under a hundredth of
 /// what they earn, and each learns of a change by itself.
@@ -43,7 +45,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Readers {
-    others: HashMap<u64, Follower>,
+    others: Map<u64, Follower>,
 }
 
 impl Readers {
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -1,8 +1,8 @@
 //! Max-min shares of the workspaces, over the fleet and the last seconds.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
-use super::load::REPEATS;
+use super::{load::REPEATS, map::Map};
 
 /// Buckets of the window.
 const N_BUCKETS: usize = 8;
@@ -112,11 +112,11 @@
 #[derive(Debug)]
 pub(crate) struct Shares {
     window: Duration,
-    windows: HashMap<u32, Window>,
+    windows: Map<u32, Window>,
     /// What this host's own requests came to since its start.
-    totals: HashMap<u32, Usage>,
+    totals: Map<u32, Usage>,
     /// In how many digests each total is still to be told.
-    n_untold: HashMap<u32, u32>,
+    n_untold: Map<u32, u32>,
     /// What there is by the configuration, in tokens a second; zero is unknown.
     capacity: f64,
     level: Option<Level>,
@@ -131,9 +131,9 @@
     pub(crate) fn new(window: Duration) -> Self {
         Self {
             window,
-            windows: HashMap::new(),
-            totals: HashMap::new(),
-            n_untold: HashMap::new(),
+            windows: Map::default(),
+            totals: Map::default(),
+            n_untold: Map::default(),
             capacity: 0.0,
             level: None,
             levelled: Duration::ZERO,
