feat(balance): where half of the engines are idle, one of them takes what would be refused

A request that would be refused goes to the least costly idle engine that can be in time, if at least half of the engines are idle.

Test changed. `who_is_refused_much_may_use_an_engine_without_its_parts` now has something waiting at eight of nine engines: with eight idle the second engine is used at once, which is the change. Its assertions stand.

--- a/crates/portfield/src/balance/admission.rs
+++ b/crates/portfield/src/balance/admission.rs
@@ -54,8 +54,7 @@
         return choice.times.own * PLAIN_QUEUE;
     }
     let objective = job.objective.as_secs_f64() * 1000.0;
-    let waited = job.waited.as_secs_f64() * 1000.0;
-    let in_time = objective - choice.times.own - waited;
+    let in_time = in_time(job) - choice.times.own;
     match standing {
         // An engine that is idle as far as any host knows is not refused for what nobody knows.
         Standing::Share(it) if 1.0 < it => (in_time * over_part(it)).max(0.0) + choice.times.bias,
@@ -64,6 +63,12 @@
     }
 }
 
+/// Returns the time left, in milliseconds, until a request's objective has gone by.
+pub(super) fn in_time(job: &Job) -> f64 {
+    let left = job.objective.as_secs_f64() - job.waited.as_secs_f64();
+    left * 1000.0
+}
+
 /// Returns the part of the time left that a workspace may wait which has had `share` times its share,
 /// more than one.
 fn over_part(share: f64) -> f64 {
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    admission::longest_wait,
+    admission::{in_time, longest_wait},
     bias::Bias,
     choice::{Choice, Order, Scales, home, least, millis},
     job::{Candidate, Ending, Job, Placed, Placement, Refusal},
@@ -26,6 +26,12 @@
 /// by on a sound engine (a tenth of first events come 300 ms late), below the 1.8 s after which a
 /// connection to a silent one breaks.
 const OVERDUE: Duration = Duration::from_millis(400);
+/// Part of the engines that are idle, above which a request that would be refused is sent to one of them,
+/// though its shared parts are read there once more.
+///
+/// Where three engines in four are idle, what refuses is the queue at the one that keeps a part that many
+/// ask for. Where most are busy, parts read again take from all, and the rule is not applied.
+const SPARE_PART: f64 = 0.5;
 /// How many digests tell only the usage that is new, for each that tells all of it: a host that has just
 /// begun to listen knows all within a second.
 const WHOLE_EVERY: u64 = 8;
@@ -135,6 +141,9 @@
         {
             return Placement::Send(quick.placed(standing));
         }
+        if let Some(spare) = spare(candidates.len(), || options().filter(open), in_time(job)) {
+            return Placement::Send(spare.placed(standing));
+        }
         let reason = if matches!(standing, Standing::Share(it) if 1.0 < it) {
             Refusal::Share
         } else {
@@ -307,6 +316,22 @@
     }
 }
 
+/// Returns the least costly idle engine, where so many are idle that reading a shared part at one of them
+/// takes from nobody.
+fn spare<I: Iterator<Item = Choice>>(
+    n_engines: usize,
+    open: impl Fn() -> I,
+    in_time: f64,
+) -> Option<Choice> {
+    let is_idle = |it: &Choice| it.is_idle;
+    let n_idle = open().filter(is_idle).count();
+    if (n_idle as f64) < n_engines as f64 * SPARE_PART {
+        return None;
+    }
+    let is_quick = |it: &Choice| it.times.wait + it.times.own <= in_time;
+    least(open().filter(is_idle).filter(is_quick), |it| it.cost)
+}
+
 fn all_blocked(now: Duration, options: impl Iterator<Item = Choice>) -> Placement {
     let soonest = options.map(|it| it.opens).min();
     let retry = soonest.map_or(AWAY.1, |it| it.saturating_sub(now));
--- a/crates/portfield/src/balance/choice.rs
+++ b/crates/portfield/src/balance/choice.rs
@@ -88,6 +88,8 @@
     pub cost: f64,
     /// The highest of equal cost is chosen.
     pub rank: u64,
+    /// An engine on which nothing waits, with a slot left.
+    pub is_idle: bool,
     /// It is left alone until `opens`.
     pub blocked: bool,
     pub opens: Duration,
@@ -147,6 +149,7 @@
             ahead: node.total().pending as u32,
             cost: times.wait + times.own + reread + failing * objective + far,
             rank: self.order.rank(it.upstream),
+            is_idle: job.engine.is_some_and(|it| is_idle(it, node)),
             blocked: node.health.is_blocked(self.now),
             opens: node.health.blocked_until(),
         }
@@ -172,6 +175,12 @@
     }
 }
 
+/// Returns whether nothing waits at an engine and it has a slot left, as far as this host knows.
+fn is_idle(engine: EngineSpec, node: &Node) -> bool {
+    let load = node.total();
+    load.pending < 1.0 && load.running < f64::from(engine.slots) && node.n_overdue == 0
+}
+
 /// Returns the choice with the least of something; of several the one of highest rank.
 pub(super) fn least(
     options: impl Iterator<Item = Choice>,
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -418,6 +418,13 @@
         it.first(at(n * 50 + 300), run);
         it.end(at(n * 50 + 600), run, Ending::Done);
     }
+    // Most engines have something waiting, so that none is read at for nothing.
+    for engine in 1..=8 {
+        let only = [Candidate { upstream: engine, slots: 64, near: true }];
+        let small = job(1, u64::from(engine) + 500, 100);
+        let placed = sent(it.place(at(2_900), &small, &only));
+        it.start(at(2_900), &small, &Placed { unread: 1_000, ..placed });
+    }
     let mut home = None;
     let mut n_refused = 0;
     for n in 0..40_u64 {
@@ -510,3 +517,32 @@
     }
     assert_eq!(seconds.len(), 8);
 }
+
+/// Requests for one shared part, more than its engine can read in time, while most engines are idle: they
+/// were refused. Where most are busy they still are, so that shared parts are not read everywhere.
+#[test]
+fn a_hot_part_is_read_at_idle_engines_rather_than_refused() {
+    let n_refused = |n_busy: u32| {
+        let mut it = Balancer::new(WINDOW);
+        for engine in 1..=n_busy {
+            let only = [Candidate { upstream: engine, slots: 64, near: true }];
+            let placed = sent(it.place(at(0), &job(1, u64::from(engine) + 90, 100), &only));
+            it.start(
+                at(0),
+                &job(1, u64::from(engine) + 90, 100),
+                &Placed { unread: 60_000, ..placed },
+            );
+        }
+        let mut n_refused = 0;
+        for n in 0..12 {
+            let hot = job(2, 7, 3_000 + n);
+            match it.place(at(1), &hot, &engines(20)) {
+                Placement::Send(placed) => drop(it.start(at(1), &hot, &placed)),
+                Placement::Refuse { .. } => n_refused += 1,
+            }
+        }
+        n_refused
+    };
+    assert_eq!(n_refused(0), 0);
+    assert!(0 < n_refused(17), "{}", n_refused(17));
+}
