refactor(host): the way of a request in a file of its own; a placement is a result

Six files named each other in a circle, and a path that no type ruled out ended in unreachable!. Change. serve.rs drives a request through exchange and relay, which no longer name it; the time for which a stopping host takes streams stands with the state; Host::place returns the upstream with the placement, or the refusal. Behaviour is the same: all tests of portfield-host pass unchanged.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -15,7 +15,6 @@
 
 use crate::{
     answer::Failure,
-    life,
     state::{Host, hash},
 };
 
@@ -60,7 +59,7 @@
         let head = request::decode(&parts.headers)
             .map_err(|it| Failure::bad(StatusCode::BAD_REQUEST, it.header, it.hint))?;
         let route = find_route(&catalog, &parts.uri, &parts.headers)?;
-        if route.kind.is_stream() && host.stopping_for().is_some_and(|it| life::TAKE_MOST < it) {
+        if route.kind.is_stream() && !host.takes_streams() {
             return Err(Failure::refused("this host is about to end", STOPPING_RETRY));
         }
         let workspace = authorize(&catalog, &route, head.key.as_deref())?;
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -1,11 +1,10 @@
-//! The way of one request: placed, sent, sent again where that is allowed, answered.
+//! The state of one request: where it was sent, what may still be done with it, and its final answer.
 
 use std::{sync::Arc, time::Duration};
 
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Full};
 use portfield::{
-    balance::{Account, Ending, Placed, Placement, Stage},
+    balance::{Account, Placed, Stage},
     catalog::{Kind, Upstream},
 };
 use portfield_net::clock;
@@ -14,8 +13,7 @@
     answer::{Body, Failure},
     attempt::{self, Live, Outcome, Sent},
     call::Call,
-    relay,
-    state::{Host, number},
+    state::{Host, Refused},
 };
 
 /// Upstreams that may turn a request away beyond the attempts that its route allows.
@@ -42,38 +40,18 @@
     is_over: bool,
 }
 
-/// Serves a request to its end.
-pub(crate) async fn run(host: Arc<Host>, call: Call) -> Response<Body> {
-    host.earn_retry(call.job.service);
-    let exchange = Exchange {
-        host: host.clone(),
-        call,
-        tried: Vec::new(),
-        n_run: 0,
-        n_turned: 0,
-        may_have_run: false,
-        error: None,
-        is_over: false,
-    };
-    exchange.finish().await
-}
-
 impl Exchange {
-    async fn finish(mut self) -> Response<Body> {
-        loop {
-            let live = match self.next_answer(None).await {
-                Ok(it) => it,
-                Err(failure) => return self.give_up(failure),
-            };
-            let res = if self.call.kind().is_stream() && live.parts.status.is_success() {
-                relay::stream(self, live).await
-            } else {
-                self.whole(live).await
-            };
-            match res {
-                Ok(it) => return it,
-                Err(it) => self = it,
-            }
+    /// Builds the exchange of a request that was not sent yet.
+    pub(crate) fn new(host: Arc<Host>, call: Call) -> Self {
+        Self {
+            host,
+            call,
+            tried: Vec::new(),
+            n_run: 0,
+            n_turned: 0,
+            may_have_run: false,
+            error: None,
+            is_over: false,
         }
     }
 
@@ -110,15 +88,11 @@
     /// Picks an upstream, or the refusal to give.
     fn place(&mut self) -> Result<(Placed, Arc<Upstream>), Failure> {
         self.call.job.waited = clock::now().saturating_sub(self.call.arrived);
-        let (placement, upstream) =
-            self.host.place(&self.call.job, &self.call.service, &self.tried);
-        let (reason, retry, estimate, share) = match (placement, upstream) {
-            (Placement::Send(placed), Some(upstream)) => return Ok((placed, upstream)),
-            (Placement::Send(_), None) => unreachable!("placed among the candidates"),
-            (Placement::Refuse { reason, retry, estimate, share }, _) => {
-                (reason, retry, estimate, share)
-            }
-        };
+        let Refused { reason, retry, estimate, share } =
+            match self.host.place(&self.call.job, &self.call.service, &self.tried) {
+                Ok(it) => return Ok(it),
+                Err(it) => it,
+            };
         let account = self.account();
         log::info!(
             request = self.call.id, route = self.call.route.name, reason:?, share,
@@ -220,8 +194,8 @@
         if !self.may_repeat() {
             return false;
         }
-        let (_, upstream) = self.host.place(&self.call.job, &self.call.service, &self.tried);
-        upstream.is_some_and(|it| !self.tried.contains(&number(&it)))
+        let placed = self.host.place(&self.call.job, &self.call.service, &self.tried);
+        placed.is_ok_and(|(it, _)| !self.tried.contains(&it.upstream))
     }
 
     /// Returns whether another upstream may be asked to repeat or go on with the request.
@@ -231,6 +205,11 @@
             && !self.call.left().is_zero()
     }
 
+    /// Keeps an error that an upstream gave: it is the answer if no other comes.
+    pub(crate) fn keep_error(&mut self, error: Response<Body>) {
+        self.error = Some(error);
+    }
+
     fn check_allowed(&mut self) -> Result<(), Failure> {
         if self.call.left().is_zero() {
             let text = "the time of the request is up";
@@ -270,7 +249,8 @@
         }
     }
 
-    fn give_up(mut self, failure: Failure) -> Response<Body> {
+    /// Returns the final answer where no upstream gave one that counts.
+    pub(crate) fn give_up(mut self, failure: Failure) -> Response<Body> {
         self.is_over = true;
         if let Some(res) = self.error.take() {
             log::info!(
@@ -288,43 +268,6 @@
         self.host.metrics.count(&format!("given_up{{status=\"{}\"}}", failure.status.as_u16()));
         failure.answer(&self.call.id)
     }
-
-    /// Reads an answer whole before it is passed on, so that one that breaks never looks whole.
-    async fn whole(mut self, live: Box<Live>) -> Result<Response<Body>, Self> {
-        let Live { mut parts, body, head, connection, mut run, upstream } = *live;
-        let bytes = match clock::timeout(self.call.left(), body.collect()).await {
-            Some(Ok(it)) => it.to_bytes(),
-            broken => {
-                let cause = match broken {
-                    Some(Err(err)) => attempt::explain(&err),
-                    _ => "the answer did not end in time".to_owned(),
-                };
-                run.end(Ending::Broken);
-                self.broke(&upstream.entry.id, &cause);
-                if self.may_repeat() {
-                    return Err(self);
-                }
-                return Ok(self.give_up(Failure::unknown(StatusCode::BAD_GATEWAY, cause)));
-            }
-        };
-        let first = clock::now();
-        run.first();
-        let is_error = parts.status.is_server_error();
-        run.end(if is_error { Ending::Error } else { Ending::Done });
-        if head.keeps {
-            self.host.pool.put(number(&upstream), connection, head.idle);
-        }
-        portfield_platform::request::strip_hop(&mut parts.headers);
-        let body = Full::new(bytes).map_err(|it| match it {}).boxed_unsync();
-        let status = parts.status;
-        let res = Response::from_parts(parts, body);
-        if is_error && self.may_repeat() {
-            self.error = Some(res);
-            return Err(self);
-        }
-        self.answered(status, first, 0);
-        Ok(res)
-    }
 }
 
 impl Drop for Exchange {
--- a/crates/portfield-host/src/front.rs
+++ b/crates/portfield-host/src/front.rs
@@ -17,7 +17,7 @@
 use crate::{
     answer::{Body, Failure},
     call::Call,
-    exchange,
+    serve,
     state::Host,
 };
 
@@ -112,7 +112,7 @@
         read
     };
     let mut res = match read {
-        Ok(call) => exchange::run(host.clone(), call).await,
+        Ok(call) => serve::run(host.clone(), call).await,
         Err(it) => {
             log::info!(
                 request = id, status = it.status.as_u16(), field = it.field, reason = it.reason,
--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -14,11 +14,13 @@
 use portfield_net::{clock, http1, logs, rpc, rt::Runtime};
 use portfield_wire::peers_server::PeersServer;
 
-use crate::{front, peers, settings::Settings, state::Host, watch};
+use crate::{
+    front, peers,
+    settings::Settings,
+    state::{Host, TAKE_MOST},
+    watch,
+};
 
-/// Time for which a host that ends still takes streams: the platform needs two misses, a second
-/// apart, to send callers elsewhere.
-pub(crate) const TAKE_MOST: Duration = Duration::from_millis(2600);
 /// Time between two looks whether all requests are answered.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 /// Time in which idle connections are closed at the end.
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod reach;
 mod relay;
+mod serve;
 mod settings;
 mod state;
 mod watch;
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use portfield::{
     balance::{
-        Audience, Balancer, Candidate, Follower, Governor, Job, Others, Place, Placement, Readers,
-        RetryBudget, host_hash,
+        Audience, Balancer, Candidate, Follower, Governor, Job, Others, Place, Placed, Placement,
+        Readers, Refusal, RetryBudget, host_hash,
     },
     catalog::{Catalog, Directory, Upstream},
 };
@@ -29,6 +29,10 @@
 /// asks once a second, and descriptors are freed as answers end.
 const ACCEPT_TROUBLE: Duration = Duration::from_millis(1500);
 
+/// Time for which a host that ends still takes streams: the platform needs two misses, a second
+/// apart, to send callers elsewhere.
+pub(crate) const TAKE_MOST: Duration = Duration::from_millis(2600);
+
 /// A configuration and the bytes that it was read from.
 #[derive(Debug, Clone)]
 pub(crate) struct InForce {
@@ -68,6 +72,18 @@
     }
 }
 
+/// Why a request is sent to no upstream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Refused {
+    pub reason: Refusal,
+    /// When to come back.
+    pub retry: Duration,
+    /// The estimate that decided.
+    pub estimate: Duration,
+    /// What its workspace has had, as a multiple of its share.
+    pub share: f64,
+}
+
 /// One router process.
 #[derive(Debug)]
 pub(crate) struct Host {
@@ -188,12 +204,16 @@
     }
 
     /// Picks an upstream, one that was not tried yet if there is any.
+    ///
+    /// # Errors
+    ///
+    /// Why the request is refused.
     pub(crate) fn place(
         &self,
         job: &Job,
         service: &str,
         tried: &[u32],
-    ) -> (Placement, Option<Arc<Upstream>>) {
+    ) -> Result<(Placed, Arc<Upstream>), Refused> {
         let ready = self.with_list(|it| it.ready.get(service).cloned()).unwrap_or_default();
         let untried = || ready.candidates.iter().filter(|it| !tried.contains(&it.upstream));
         // Where no other is left, the same upstream may be asked again.
@@ -203,13 +223,19 @@
             let untried: Vec<Candidate> = untried().copied().collect();
             self.balancer().place(clock::now(), job, &untried)
         };
-        let upstream = match res {
-            Placement::Send(placed) => {
-                ready.upstreams.iter().find(|it| number(it) == placed.upstream).cloned()
+        let placed = match res {
+            Placement::Send(it) => it,
+            Placement::Refuse { reason, retry, estimate, share } => {
+                return Err(Refused { reason, retry, estimate, share });
             }
-            Placement::Refuse { .. } => None,
         };
-        (res, upstream)
+        let chosen = ready.upstreams.iter().find(|it| number(it) == placed.upstream);
+        chosen.map(|it| (placed, it.clone())).ok_or(Refused {
+            reason: Refusal::NoUpstream,
+            retry: placed.estimate,
+            estimate: placed.estimate,
+            share: placed.share,
+        })
     }
 
     /// Counts a request towards a service's retry budget.
@@ -322,6 +348,12 @@
         self.stopping.age()
     }
 
+    /// Returns whether new streams are taken: a host that was told to stop takes them only until callers
+    /// are sent elsewhere.
+    pub(crate) fn takes_streams(&self) -> bool {
+        self.stopping_for().is_none_or(|it| it <= TAKE_MOST)
+    }
+
     /// Turns readiness off for good.
     pub(crate) fn stop(&self) {
         self.stopping.note();
