refactor(balance): what is passed on is decided in one place, for hosts and for their tests

The test of speakers played by itself what a host does with a datagram: the same logic stood twice. Others::hear and Others::pass_on decide it; the host and the test call them.

--- a/crates/portfield-host/src/peers/listen.rs
+++ b/crates/portfield-host/src/peers/listen.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use portfield::balance::{Audience, Follower};
+use portfield::balance::{Audience, Follower, Way};
 use portfield_net::clock;
 use portfield_wire::Digest;
 use prost::Message;
@@ -27,15 +27,6 @@
 /// notices after 2.2 s only, and an upstream that leaves may be sent requests for two seconds.
 const LIST_PATIENCE: Duration = Duration::from_millis(250);
 
-/// How a digest came.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Way {
-    /// From the host itself.
-    Direct,
-    /// From the one that speaks for the data centre.
-    Relayed,
-}
-
 /// Listens to the others for ever.
 pub(super) async fn run(host: Arc<Host>, socket: Datagrams) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -74,13 +65,13 @@
         learn(host, &digest);
         return;
     }
-    let relayed = std::mem::take(&mut digest.relayed);
-    take_one(host, &audience, from, &digest, news);
-    pass_on(host, socket, &audience, digest, Way::Direct);
-    for it in relayed {
-        let address = it.address.parse().unwrap_or(from);
-        take_one(host, &audience, address, &it, news);
-        pass_on(host, socket, &audience, it, Way::Relayed);
+    let relayed = std::mem::take(&mut digest.relayed).into_iter().map(|it| (it, Way::Relayed));
+    for (digest, way) in std::iter::once((digest, Way::Direct)).chain(relayed) {
+        take_one(host, &audience, from, &digest, news);
+        let passed = host.others().pass_on(digest, way);
+        if let Some((speaker, digest)) = passed {
+            tell::send(host, socket, &digest, [speaker]);
+        }
     }
 }
 
@@ -96,58 +87,26 @@
 }
 
 /// Takes one digest.
-fn take_one(
-    host: &Host,
-    audience: &Audience,
-    address: SocketAddr,
-    digest: &Digest,
-    news: &mut News,
-) {
+fn take_one(host: &Host, audience: &Audience, from: SocketAddr, digest: &Digest, news: &mut News) {
     if digest.host == host.own_hash() {
         return;
     }
     let now = clock::now();
+    host.others().hear(now, from, digest);
     if digest.n_summed == 0 {
-        hear(host, now, address, digest);
+        host.hear(Follower {
+            host: digest.host,
+            data_centre: digest.data_centre,
+            store_age: Duration::from_millis(u64::from(digest.store_age)),
+            heard: now,
+        });
     } else {
         host.metrics.count("sums");
-        let speaker = digest.address.parse().unwrap_or(address);
-        host.others().hear_speaker(now, speaker, digest);
     }
     if audience.counts(digest) {
         host.balancer().merge(now, digest);
     }
-    news.note(host, address, digest);
-}
-
-/// Notes another host's own word.
-fn hear(host: &Host, now: Duration, address: SocketAddr, digest: &Digest) {
-    host.others().hear(now, address, digest);
-    host.hear(Follower {
-        host: digest.host,
-        data_centre: digest.data_centre,
-        store_age: Duration::from_millis(u64::from(digest.store_age)),
-        heard: now,
-    });
-}
-
-/// Keeps what the hosts of this data centre are to hear, where this host speaks for it; else hands
-/// another data centre's sum to the one that does.
-fn pass_on(host: &Host, socket: &Datagrams, audience: &Audience, digest: Digest, way: Way) {
-    // What comes from another speaker has been passed on.
-    if way == Way::Relayed || digest.host == host.own_hash() {
-        return;
-    }
-    if audience.speaks() {
-        if audience.counts(&digest) {
-            host.others().keep(Digest { passed_on: false, ..digest });
-        }
-        return;
-    }
-    if digest.passed_on && audience.counts(&digest) {
-        let speaker = host.others().speaker();
-        tell::send(host, socket, &Digest { passed_on: false, ..digest }, speaker);
-    }
+    news.note(host, digest.address.parse().unwrap_or(from), digest);
 }
 
 /// What other hosts know that this one does not.
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -43,7 +43,7 @@
 pub use budget::RetryBudget;
 pub use governor::{Governor, Overload};
 pub use job::{Candidate, Ending, Job, Placed, Placement, Refusal, Stage};
-pub use others::{Others, host_hash};
+pub use others::{Others, Way, host_hash};
 pub use prompt::{Part, Prompt};
 pub use readers::{Follower, Readers};
 pub use shares::{Account, Standing};
--- a/crates/portfield/src/balance/others.rs
+++ b/crates/portfield/src/balance/others.rs
@@ -20,6 +20,15 @@
 /// counts for.
 const SPEAKER_GONE: Duration = Duration::from_secs(10);
 
+/// How a digest came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// From whoever says it, or from a host that it was sent to by lot.
+    Direct,
+    /// From the speaker of this data centre.
+    Relayed,
+}
+
 /// The host that speaks for another data centre.
 #[derive(Debug, Clone, Copy)]
 struct Speaker {
@@ -113,8 +122,22 @@
         it.data_centre = it.data_centre.or(data_centre);
     }
 
-    /// Notes a host's own word, said to this host or passed on.
-    pub fn hear(&mut self, now: Duration, address: SocketAddr, digest: &Digest) {
+    /// Notes who said a digest: a host, or the speaker of another data centre. `from` is where it came
+    /// from, `now` the time.
+    pub fn hear(&mut self, now: Duration, from: SocketAddr, digest: &Digest) {
+        if digest.host == self.place.host {
+            return;
+        }
+        let address = digest.address.parse().unwrap_or(from);
+        if 0 < digest.n_summed {
+            if digest.data_centre == self.place.data_centre {
+                return;
+            }
+            let n_hosts = digest.n_summed as usize;
+            let speaker = Speaker { address, n_hosts, heard: now };
+            self.speakers.insert(digest.data_centre, speaker);
+            return;
+        }
         let it = Listener { host: digest.host, data_centre: Some(digest.data_centre), heard: now };
         let before = self.hosts.insert(address, it);
         if before.is_none_or(|it| it.is_silent(now)) {
@@ -128,15 +151,25 @@
         std::mem::take(&mut self.n_heard)
     }
 
-    /// Notes who speaks for another data centre.
-    pub fn hear_speaker(&mut self, now: Duration, address: SocketAddr, sum: &Digest) {
-        let n_hosts = sum.n_summed as usize;
-        self.speakers.insert(sum.data_centre, Speaker { address, n_hosts, heard: now });
-    }
-
-    /// Keeps what a host said to this one, to be passed on; its last word counts.
-    pub fn keep(&mut self, digest: Digest) {
-        self.passing.insert(digest.host, digest);
+    /// Keeps a digest for the hosts of this data centre, where this host speaks for it and the digest
+    /// counts there; else returns the host that another data centre's sum is to be handed to.
+    ///
+    /// What comes from another speaker has been passed on already: two that speak at once would else
+    /// send it back and forth.
+    pub fn pass_on(&mut self, digest: Digest, way: Way) -> Option<(SocketAddr, Digest)> {
+        let is_own = digest.host == self.place.host;
+        if way == Way::Relayed || is_own || !self.audience.counts(&digest) {
+            return None;
+        }
+        let is_astray = digest.passed_on;
+        let digest = Digest { passed_on: false, ..digest };
+        if self.audience.speaks() {
+            // A host's last word counts.
+            self.passing.insert(digest.host, digest);
+            return None;
+        }
+        let speaker = self.speaker().filter(|_| is_astray)?;
+        Some((speaker, digest))
     }
 
     /// Takes what is to be passed on.
@@ -151,7 +184,7 @@
     }
 
     /// Returns where the host listens that speaks for this data centre, `None` where this one does.
-    pub fn speaker(&self) -> Option<SocketAddr> {
+    fn speaker(&self) -> Option<SocketAddr> {
         let speaker = self.audience.speaker()?;
         self.hosts.iter().find(|it| it.1.host == speaker).map(|it| *it.0)
     }
@@ -164,7 +197,8 @@
             by_place.entry(it.data_centre.unwrap_or_default()).or_default().push(*address);
         }
         let is_lot = sequence.is_multiple_of(LOT_EVERY);
-        let mut res: Vec<SocketAddr> = self.speakers.values().map(|it| it.address).collect();
+        let there = self.speakers.values().filter(|it| now < it.heard + SPEAKER_GONE);
+        let mut res: Vec<SocketAddr> = there.map(|it| it.address).collect();
         for (data_centre, mut addresses) in by_place {
             let speaker = self.speakers.get(&data_centre);
             if is_lot || speaker.is_none_or(|it| it.heard + SPEAKER_SILENT < now) {
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -6,7 +6,7 @@
 use portfield::{
     balance::{
         Audience, Balancer, Candidate, Ending, Job, Listener, Others, Part, Place, Placed,
-        Placement, Prompt, Stage,
+        Placement, Prompt, Stage, Way,
     },
     catalog::EngineSpec,
     wire::{self, Digest},
@@ -328,7 +328,9 @@
         assert!(told.iter().all(|it| (1..=60).any(|n| n % 2 == 1 && address(n) == *it)));
         assert_eq!(told.len(), 1);
     }
-    assert_eq!(others.speaker(), None, "nobody was heard, so none is handed a sum");
+    let sum = Digest { data_centre: THERE, n_summed: 9, passed_on: true, ..Digest::default() };
+    let handed = others.pass_on(sum, Way::Direct);
+    assert!(handed.is_none(), "nobody was heard, so none is handed a sum");
 }
 
 /// A host that was cut off hears in one word what the others did meanwhile: it is no usage of the
--- a/crates/portfield/tests/speakers.rs
+++ b/crates/portfield/tests/speakers.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use portfield::{
-    balance::{Balancer, Others, Place, host_hash},
+    balance::{Balancer, Others, Place, Way, host_hash},
     wire::Digest,
 };
 
@@ -192,30 +192,21 @@
             });
             return;
         }
-        let relayed = std::mem::take(&mut digest.relayed);
-        let direct = std::iter::once((true, digest));
-        for (is_direct, it) in direct.chain(relayed.into_iter().map(|it| (false, it))) {
-            let address: SocketAddr = it.address.parse().unwrap();
-            if address == host.address {
+        let relayed = std::mem::take(&mut digest.relayed).into_iter().map(|it| (it, Way::Relayed));
+        for (it, way) in std::iter::once((digest, Way::Direct)).chain(relayed) {
+            if it.host == host_hash(host.address) {
                 continue;
             }
+            host.others.hear(now, from, &it);
             if it.n_summed == 0 {
-                host.others.hear(now, address, &it);
                 host.heard.insert(it.host, self.now);
             } else {
-                host.others.hear_speaker(now, address, &it);
                 host.sums.insert(it.data_centre, (self.now, it.n_summed));
             }
-            if !audience.counts(&it) {
-                continue;
-            }
-            host.balancer.merge(now, &it);
-            let passed = Digest { passed_on: false, ..it.clone() };
-            if is_direct && audience.speaks() {
-                host.others.keep(passed);
-            } else if is_direct && it.passed_on {
-                out.extend(host.others.speaker().map(|it| (it, passed)));
+            if audience.counts(&it) {
+                host.balancer.merge(now, &it);
             }
+            out.extend(host.others.pass_on(it, way));
         }
         self.send(i, out);
     }
