--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -73,7 +73,7 @@
             host.metrics.count("refused{reason=\"Overload\"}");
             let tokens = head.prompt.as_ref().map_or(0.0, Prompt::cost);
             host.balancer().refused(arrived, owner, tokens);
-            log_overload(host, &head, &route, workspace.as_deref(), overload);
+            log_overload(host, &head, &route, workspace.as_deref(), tokens, overload);
             return Err(Failure::refused("this host is overloaded", STOPPING_RETRY));
         }
         let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -132,13 +132,13 @@
     head: &request::Head,
     route: &Route,
     workspace: Option<&Workspace>,
+    tokens: f64,
     overload: Option<Overload>,
 ) {
     let name = workspace.map_or("", |it| it.name.as_str());
     let account = host.balancer().account(clock::now(), hash(name));
     log::info!(
-        request = head.id, route = route.name, workspace = name,
-        tokens = head.prompt.as_ref().map_or(0.0, Prompt::cost),
+        request = head.id, route = route.name, workspace = name, tokens,
         offered = overload.map_or(0.0, |it| it.offered),
         offered_level = overload.map_or(0.0, |it| it.level),
         late_ms = overload.map_or(0.0, |it| it.late), active = host.n_active(),
