feat(host): logs name a request by what it is, and what ran at an upstream that ended

Cause: not yet shown. The logs could not tell the hypotheses apart: whether two attempts are the same request, and whether a run broke with its upstream or with its connection only. Change: a fingerprint (xxh3 of workspace, method, target, body) in placed, attempt failed, answer broke; after a break the host looks at the upstream's address and logs 'upstream ended' with the requests that broke there. Before: nothing of the kind.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::{
     call::Call,
     pool::Connection,
+    quarantine::{self, End},
     reach,
     state::{Host, number},
 };
@@ -136,7 +137,7 @@
                 run.end(Ending::Broken);
                 Sent::Failed(Outcome::Late, "no answer in time".to_owned())
             }
-            Some(Ok(response)) => judge(call, upstream, response, connection, run),
+            Some(Ok(response)) => judge(host, call, upstream, response, connection, run),
             Some(Err(mut err)) => {
                 if err.take_message().is_none() {
                     run.end(Ending::Broken);
@@ -186,7 +187,7 @@
             host.lacks_descriptors(&err);
             return NotOpen { ending: Ending::Cancelled, text };
         }
-        reach::start(host, upstream);
+        reach::start(host, upstream, &err);
         NotOpen { ending: Ending::Unreachable, text }
     })
 }
@@ -217,6 +218,7 @@
 
 /// Tells whether an answer's head is one that can be relied on.
 fn judge(
+    host: &Host,
     call: &Call,
     upstream: &Arc<Upstream>,
     response: Response<Incoming>,
@@ -230,6 +232,9 @@
         let text = "the answer belongs to another request";
         return Sent::Failed(Outcome::Unknown, text.to_owned());
     }
+    if head.other.as_ref().is_some_and(|it| *it != upstream.entry.id) {
+        quarantine::ended(host, upstream, End::Replaced);
+    }
     if head.not_run {
         run.end(Ending::Rejected);
         let text = format!("turned away with {}", parts.status.as_u16());
--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -9,6 +9,7 @@
 use portfield::{
     balance::{Job, Overload, Prompt, Stage},
     catalog::{Access, Catalog, EngineSpec, Kind, Route, Workspace},
+    quarantine::{self, Fingerprint, Identity},
 };
 use portfield_net::clock;
 use portfield_platform::request;
@@ -40,6 +41,8 @@
     pub workspace: Option<Arc<Workspace>>,
     pub config_version: u64,
     pub job: Job,
+    /// Names the request, whatever the attempt.
+    pub fingerprint: Fingerprint,
     _held: Arc<()>,
 }
 
@@ -89,6 +92,13 @@
             stage: Stage::New,
             engine,
         };
+        let identity = Identity {
+            workspace: owner,
+            method: parts.method.as_str(),
+            target: parts.uri.path_and_query().map_or("", |it| it.as_str()),
+            body: &body,
+        };
+        let fingerprint = identity.fingerprint();
         Ok(Self {
             id: head.id,
             arrived,
@@ -102,6 +112,7 @@
             workspace,
             config_version: catalog.version(),
             job,
+            fingerprint,
             _held: host.hold(),
         })
     }
@@ -116,6 +127,16 @@
         self.workspace.as_ref().map_or("", |it| it.name.as_str())
     }
 
+    /// Returns what hosts tell each other of the request by.
+    pub(crate) fn request(&self) -> quarantine::Request {
+        quarantine::Request { workspace: self.job.workspace, fingerprint: self.fingerprint }
+    }
+
+    /// Returns the fingerprint as logs have it.
+    pub(crate) fn fingerprint_text(&self) -> String {
+        format!("{:016x}", self.fingerprint)
+    }
+
     /// Returns what the request counts in its workspace's share, in tokens.
     pub(crate) fn tokens(&self) -> f64 {
         self.job.prompt.as_ref().map_or(0.0, Prompt::cost)
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -13,6 +13,7 @@
     answer::{Body, Failure},
     attempt::{self, Live, Outcome, Sent},
     call::Call,
+    quarantine,
     state::{Host, Refused},
 };
 
@@ -120,7 +121,7 @@
             estimate_ms = placed.estimate.as_millis() as u64,
             bias_ms = placed.bias.as_millis() as u64, unread = placed.unread,
             ahead = placed.ahead, share = placed.share, attempt = self.tried.len() + 1,
-            tokens = self.call.tokens(),
+            tokens = self.call.tokens(), fingerprint = self.call.fingerprint_text(),
             config = self.call.config_version,
             list = self.host.with_list(|it| it.directory.version()),
             store_age_ms = self.host.store_age().as_millis() as u64; "placed"
@@ -139,19 +140,20 @@
     /// The final answer, where the time went by and the request may not run twice.
     fn note_failed(
         &mut self,
-        upstream: &Upstream,
+        upstream: &Arc<Upstream>,
         outcome: Outcome,
         cause: String,
     ) -> Result<(), Failure> {
         if outcome.may_have_run() {
             self.note_run();
+            quarantine::broke(&self.host, &self.call, upstream);
         } else {
             self.n_turned += 1;
         }
         let word = outcome.as_str();
         log::warn!(
             request = self.call.id, upstream = upstream.entry.id, outcome = word, cause,
-            left_ms = self.call.left().as_millis() as u64; "attempt failed"
+            fingerprint = self.call.fingerprint_text(), left_ms = self.call.left().as_millis() as u64; "attempt failed"
         );
         self.host.metrics.count(&format!("attempts_failed{{outcome=\"{word}\"}}"));
         if outcome == Outcome::Late && !self.call.kind().is_repeatable() {
@@ -161,10 +163,11 @@
     }
 
     /// Notes that the answer of the upstream asked last broke.
-    pub(crate) fn broke(&self, upstream: &str, cause: &str) {
+    pub(crate) fn broke(&self, upstream: &Arc<Upstream>, cause: &str) {
+        quarantine::broke(&self.host, &self.call, upstream);
         log::warn!(
-            request = self.call.id, upstream, outcome = "unknown", cause,
-            left_ms = self.call.left().as_millis() as u64; "answer broke"
+            request = self.call.id, upstream = upstream.entry.id, outcome = "unknown", cause,
+            fingerprint = self.call.fingerprint_text(), left_ms = self.call.left().as_millis() as u64; "answer broke"
         );
         self.host.metrics.count("answers_broken");
     }
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -13,6 +13,7 @@
 mod moment;
 mod peers;
 mod pool;
+mod quarantine;
 mod reach;
 mod relay;
 mod serve;
--- a/crates/portfield-host/src/reach.rs
+++ b/crates/portfield-host/src/reach.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashSet,
+    io,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -9,7 +10,10 @@
 use portfield::catalog::Upstream;
 use portfield_net::clock;
 
-use crate::state::{Host, number};
+use crate::{
+    quarantine::{self, End},
+    state::{Host, number},
+};
 
 /// Time before the first try; on a link that loses packets the next one mostly succeeds.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
@@ -32,30 +36,70 @@
     }
 }
 
-/// Starts to try an upstream, unless it is being tried, until it is reached or gone.
-pub(crate) fn start(host: &Arc<Host>, upstream: &Arc<Upstream>) {
-    let id = number(upstream);
-    if !host.trying.begin(id) {
+/// Starts to try an upstream that could not be reached, unless it is being tried, until it is reached or
+/// gone; `err` is what the last try said.
+pub(crate) fn start(host: &Arc<Host>, upstream: &Arc<Upstream>, err: &io::Error) {
+    if !host.trying.begin(number(upstream)) {
         return;
     }
-    log::info!(upstream = upstream.entry.id; "upstream unreachable");
+    note_unreachable(host, upstream, err);
     let (task, upstream) = (host.clone(), upstream.clone());
     host.rt.spawn(async move {
-        let lost = clock::now();
-        let mut pause = FIRST_PAUSE;
-        let is_listed =
-            || task.with_list(|it| it.directory.all().any(|it| it.entry.id == upstream.entry.id));
-        while is_listed() {
-            clock::sleep(pause).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
-            if let Ok(it) = task.pool.open(upstream.entry.address).await {
-                task.pool.put(id, it, None);
-                task.balancer().reachable(id);
-                let lost_ms = (clock::now() - lost).as_millis() as u64;
-                log::info!(upstream = upstream.entry.id, lost_ms; "upstream reachable");
-                break;
+        try_on(&task, &upstream).await;
+        task.trying.end(number(&upstream));
+    });
+}
+
+/// Starts to look whether an upstream at which a run broke is still there, unless it is being tried.
+///
+/// A run breaks with its connection or with its upstream; the one costs its callers one answer, the other all
+/// that ran there. A connection that can be opened takes the place of the broken one.
+pub(crate) fn look(host: &Arc<Host>, upstream: &Arc<Upstream>) {
+    if !host.trying.begin(number(upstream)) {
+        return;
+    }
+    let (task, upstream) = (host.clone(), upstream.clone());
+    host.rt.spawn(async move {
+        match task.pool.open(upstream.entry.address).await {
+            Ok(it) => task.pool.put(number(&upstream), it, None),
+            Err(err) if is_refused(&err) => {
+                note_unreachable(&task, &upstream, &err);
+                try_on(&task, &upstream).await;
             }
+            Err(err) => log::debug!(upstream = upstream.entry.id, err:%; "upstream not looked at"),
         }
-        task.trying.end(id);
+        task.trying.end(number(&upstream));
     });
 }
+
+/// Notes that no connection could be opened, and that the upstream ended where its address says so.
+fn note_unreachable(host: &Host, upstream: &Upstream, err: &io::Error) {
+    log::info!(upstream = upstream.entry.id, err:%; "upstream unreachable");
+    if is_refused(err) {
+        quarantine::ended(host, upstream, End::Refused);
+    }
+}
+
+/// Returns whether nothing listens at an address any more.
+fn is_refused(err: &io::Error) -> bool {
+    err.kind() == io::ErrorKind::ConnectionRefused
+}
+
+/// Tries an upstream until it is reached or gone.
+async fn try_on(host: &Host, upstream: &Upstream) {
+    let lost = clock::now();
+    let mut pause = FIRST_PAUSE;
+    // One that started again under its id is another one.
+    let is_listed = || host.with_list(|it| it.directory.all().any(|it| it.hash == upstream.hash));
+    while is_listed() {
+        clock::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+        if let Ok(it) = host.pool.open(upstream.entry.address).await {
+            host.pool.put(number(upstream), it, None);
+            host.balancer().reachable(number(upstream));
+            let lost_ms = (clock::now() - lost).as_millis() as u64;
+            log::info!(upstream = upstream.entry.id, lost_ms; "upstream reachable");
+            return;
+        }
+    }
+}
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -151,7 +151,7 @@
         if let Some(mut live) = self.live.take() {
             let timed_out = self.exchange.call.left().is_zero();
             live.run.end(if timed_out { Ending::Cancelled } else { Ending::Broken });
-            self.exchange.broke(&live.upstream.entry.id, &cause);
+            self.exchange.broke(&live.upstream, &cause);
         }
         self.events.take_partial();
         if self.first.is_none() || !self.exchange.may_repeat() {
--- a/crates/portfield-host/src/serve.rs
+++ b/crates/portfield-host/src/serve.rs
@@ -52,7 +52,7 @@
                 _ => "the answer did not end in time".to_owned(),
             };
             run.end(Ending::Broken);
-            exchange.broke(&upstream.entry.id, &cause);
+            exchange.broke(&upstream, &cause);
             if exchange.may_repeat() {
                 return Err(exchange);
             }
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -14,11 +14,19 @@
         Readers, Refusal, RetryBudget, host_hash,
     },
     catalog::{Catalog, Directory, Upstream},
+    quarantine::Breaks,
 };
 use portfield_net::{clock, rt::Runtime};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{metrics::Metrics, moment::Moment, pool::Pool, reach::Trying, settings::Settings};
+use crate::{
+    metrics::Metrics,
+    moment::Moment,
+    pool::Pool,
+    quarantine::{self, End},
+    reach::Trying,
+    settings::Settings,
+};
 
 /// Silence of the store after which the list of upstreams is taken from other hosts.
 ///
@@ -101,6 +109,7 @@
     others: Mutex<Others>,
     readers: Mutex<Readers>,
     governor: Mutex<Governor>,
+    breaks: Mutex<Breaks>,
     /// When the process was told to stop.
     stopping: Moment,
     /// Held by every request that is not answered yet.
@@ -137,6 +146,7 @@
             own_hash: place.host,
             readers: Mutex::default(),
             governor: Mutex::default(),
+            breaks: Mutex::default(),
             stopping: Moment::default(),
             active: Arc::new(()),
             store_heard: Moment::default(),
@@ -186,11 +196,15 @@
     pub(crate) fn update_list(&self, f: impl FnOnce(&mut Listed)) {
         let here = self.settings().data_centre.clone();
         let mut listed = self.listed.write().unwrap_or_else(PoisonError::into_inner);
+        let before: Vec<Arc<Upstream>> = listed.directory.ready().cloned().collect();
         f(&mut listed);
         listed.group(&here);
         let ids: HashSet<u32> = listed.directory.all().map(|it| number(it)).collect();
+        let is_reborn = |it: &&Arc<Upstream>| listed.directory.is_reborn(it);
+        let reborn: Vec<Arc<Upstream>> = before.iter().filter(is_reborn).cloned().collect();
         drop(listed);
         self.balancer().retain(|id| ids.contains(&id));
+        reborn.iter().for_each(|it| quarantine::ended(self, it, End::Reborn));
     }
 
     /// Reads the list of upstreams.
@@ -267,6 +281,11 @@
         self.governor.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the runs that broke of late.
+    pub(crate) fn breaks(&self) -> MutexGuard<'_, Breaks> {
+        self.breaks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether a caller's connection is to be closed after its answer.
     pub(crate) fn sheds(&self) -> bool {
         self.is_stopping() || self.governor().is_busy() || !self.accepts()
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -219,6 +219,12 @@
         self.all().filter(|it| it.entry.state == State::Ready)
     }
 
+    /// Returns whether another incarnation has an upstream's entry.
+    pub fn is_reborn(&self, upstream: &Upstream) -> bool {
+        let known = self.known.get(&upstream.entry.id);
+        known.is_some_and(|it| it.upstream.hash != upstream.hash)
+    }
+
     /// Returns whether no upstream is known.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
--- a/crates/portfield/src/lib.rs
+++ b/crates/portfield/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - [`catalog`]: routes, workspaces and upstreams as a host on the platform knows them
 //! - [`balance`]: where a request goes, by each host's own decision on a shared digest
+//! - [`quarantine`]: requests that end the upstreams that run them
 //! - [`fleet`]: the configuration that operators state, its plans and its revisions
 //! - [`member`]: which hosts are alive, and which of them owns a shard
 //! - [`schedule`]: queues, fair order and slots of the shards that a host owns
@@ -23,6 +24,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod member;
+pub mod quarantine;
 pub mod route;
 pub mod schedule;
 pub mod timer;
