feat(host): a host that stood still trusts nothing until it has heard what changed

Cause: a host may be suspended for seconds. now() was the steady clock, which does not count that time: ages, deadlines, kept connections and windows were believed as fresh as before. And a host that stood still, with either clock, used what it knew before: an upstream that left meanwhile got all five requests that waited in the host's socket. Ruled out: the answer to a held call, and digests that lie in the socket, as signs that nothing changed: they are from before. The timers of async-io alone: they come late by the time asleep. Change: now() reads CLOCK_BOOTTIME (rustix); whoever waits looks at it again when time went by unseen. portfield::waking: 1.5 s without a look at the clock is a standstill; until the store has answered a call made since, or a host that hears the store knows nothing newer, the host is not ready and refuses new requests; streams that have begun wait. After 3 s without anybody it serves. What waits in its sockets is dropped, its runs are not overdue, no engine was slow, no lateness is load.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -118,6 +118,7 @@
     patience: Duration,
 ) -> Sent {
     let mut run = Run::start(host, call, placed);
+    let sent = clock::now();
     let kept = host.pool.take(number(upstream));
     let mut connection = match kept {
         Some(it) => it,
@@ -134,7 +135,9 @@
         let answer = clock::timeout(patience, connection.sender.try_send_request(request)).await;
         return match answer {
             None => {
-                run.end(Ending::Broken);
+                // An answer that did not come while this host stood still says nothing of the upstream.
+                let stood_still = host.woke_at().is_some_and(|it| sent <= it);
+                run.end(if stood_still { Ending::Cancelled } else { Ending::Broken });
                 Sent::Failed(Outcome::Late, "no answer in time".to_owned())
             }
             Some(Ok(response)) => judge(host, call, upstream, response, connection, run),
--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -25,6 +25,12 @@
 /// When a caller is told to come back, to another host, by one that ends.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 
+/// When a caller is told to come back, to another host, by one that stood still: it mostly hears within as much
+/// what has changed.
+pub(crate) const WAKING_RETRY: Duration = Duration::from_millis(100);
+/// What it is told.
+pub(crate) const STOOD_STILL: &str = "this host stood still, and hears first what has changed";
+
 /// A request that may be sent to an upstream.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -54,6 +60,9 @@
     /// The answer to a request that is not to be passed on.
     pub(crate) async fn read(host: &Host, request: Request<Incoming>) -> Result<Self, Failure> {
         let arrived = clock::now();
+        if !host.trusts() {
+            return Err(Failure::refused(STOOD_STILL, WAKING_RETRY));
+        }
         let Some(in_force) = host.in_force() else {
             return Err(Failure::refused("no configuration is known yet", NO_CONFIG_RETRY));
         };
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -13,7 +13,7 @@
 use crate::{
     answer::{Body, Failure},
     attempt::{self, Live, Outcome, Sent},
-    call::Call,
+    call::{Call, STOOD_STILL, WAKING_RETRY},
     quarantine,
     state::{Host, Refused},
 };
@@ -26,6 +26,9 @@
 /// be asked.
 const FIRST_PATIENCE: f64 = 0.4;
 
+/// Time between two looks whether what this host knows may be used again.
+const AWAKE_PERIOD: Duration = Duration::from_millis(25);
+
 /// A request on its way.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -68,6 +71,7 @@
     ) -> Result<Box<Live>, Failure> {
         loop {
             self.check_allowed()?;
+            self.check_awake().await?;
             self.check_quarantine()?;
             let (placed, upstream) = self.place()?;
             if !self.tried.is_empty() && !self.host.spend_retry(self.call.job.service) {
@@ -234,6 +238,18 @@
         Ok(())
     }
 
+    /// Checks that what this host knows may be used; a stream that has begun waits for it, since its caller has part
+    /// of the answer.
+    async fn check_awake(&mut self) -> Result<(), Failure> {
+        while !self.host.trusts() {
+            if self.call.job.stage == Stage::New {
+                return Err(self.failure(STOOD_STILL.to_owned(), WAKING_RETRY));
+            }
+            clock::sleep(AWAKE_PERIOD).await;
+        }
+        Ok(())
+    }
+
     /// Checks that no upstreams ended under the request, at every send: the first, a repeat, a stream that goes on.
     fn check_quarantine(&self) -> Result<(), Failure> {
         let verdict = self.host.quarantine().verdict(clock::now(), self.call.request());
--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -43,6 +43,9 @@
         ready:% = ready_address, metrics:% = metrics_address, peers:% = peers_address,
         version = env!("CARGO_PKG_VERSION"); "started"
     );
+    if !clock::counts_sleep() {
+        log::warn!(name = host.settings().name; "no clock counts the time asleep");
+    }
     let state = host.clone();
     let answer = http1::at_once(move |it| pages::readiness(&state, it));
     rt.spawn(http1::serve(rt.clone(), ready, answer));
@@ -84,10 +87,14 @@
     loop {
         let due = clock::now() + LOAD_PERIOD;
         clock::sleep(LOAD_PERIOD).await;
+        // Time that the host stood still is no load.
+        let stood_still = host.look_awake().is_some();
         let now = clock::now();
         let (is_busy, late) = {
             let mut governor = host.governor();
-            governor.observe(now, now.saturating_sub(due));
+            if !stood_still {
+                governor.observe(now, now.saturating_sub(due));
+            }
             (governor.is_busy(), governor.late())
         };
         if is_busy != was_busy {
--- a/crates/portfield-host/src/peers/listen.rs
+++ b/crates/portfield-host/src/peers/listen.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use portfield::balance::{Audience, Follower, Way};
+use portfield::{
+    balance::{Audience, Follower, Way},
+    waking::Knowledge,
+};
 use portfield_net::clock;
 use portfield_wire::Digest;
 use prost::Message;
@@ -27,10 +30,15 @@
 /// notices after 2.2 s only, and an upstream that leaves may be sent requests for two seconds.
 const LIST_PATIENCE: Duration = Duration::from_millis(250);
 
+/// Age of a host's last word from the store, in milliseconds, up to which what it knows is in force: above the time
+/// that the store holds a call.
+const FRESH_MS: u32 = 1700;
+
 /// Listens to the others for ever.
 pub(super) async fn run(host: Arc<Host>, socket: Datagrams) {
     let mut buf = vec![0; MAX_DATAGRAM];
     let mut news = News::default();
+    let mut woke = None;
     loop {
         let (n, address) = match socket.recv_from(&mut buf).await {
             Ok(it) => it,
@@ -39,6 +47,12 @@
                 continue;
             }
         };
+        if host.woke_at() != woke {
+            // What lies here was said while this host stood still.
+            woke = host.woke_at();
+            while socket.get_ref().recv(&mut buf).is_ok() {}
+            continue;
+        }
         let Ok(digest) = Digest::decode(&buf[..n]) else {
             host.metrics.count("digests_malformed");
             continue;
@@ -146,11 +160,16 @@
 
 impl News {
     fn note(&mut self, host: &Host, address: SocketAddr, digest: &Digest) {
+        let hears_store = digest.store_age < FRESH_MS;
         if host.config_version() < digest.config_version {
             self.config.note(address);
+        } else if hears_store {
+            host.heard_host(Knowledge::Config);
         }
         if host.with_list(|it| it.directory.version()) < digest.list_version {
             self.list.note(address);
+        } else if hears_store {
+            host.heard_host(Knowledge::Upstreams);
         }
     }
 
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -45,8 +45,10 @@
 
 /// Notes that a run of a request broke, and looks whether its upstream is still there.
 pub(crate) fn broke(host: &Arc<Host>, call: &Call, upstream: &Arc<Upstream>) {
-    // One that leaves ends with whatever still runs there.
-    if !host.with_list(|it| it.directory.ready().any(|it| it.hash == upstream.hash)) {
+    // One that leaves ends with whatever still runs there, and a host that stood still may not know that it does.
+    if !host.trusts()
+        || !host.with_list(|it| it.directory.ready().any(|it| it.hash == upstream.hash))
+    {
         return;
     }
     let is_ended = host.breaks().note(clock::now(), call.request(), number(upstream));
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -65,7 +65,7 @@
     events: Events,
     first: Option<Duration>,
     /// When the wait for the next piece ends.
-    alarm: Option<async_io::Timer>,
+    alarm: Option<clock::Alarm>,
 }
 
 impl Relay {
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -16,6 +16,7 @@
     },
     catalog::{Catalog, Directory, Upstream},
     quarantine::{Breaks, Quarantine, Request},
+    waking::{Knowledge, Waking},
 };
 use portfield_net::{clock, rt::Runtime};
 use xxhash_rust::xxh3::xxh3_64;
@@ -115,6 +116,7 @@
     governor: Mutex<Governor>,
     breaks: Mutex<Breaks>,
     quarantine: Mutex<Quarantine>,
+    waking: Mutex<Waking>,
     /// Requests whose verdict the store is to keep.
     verdicts: Sender<Request>,
     /// When the store was first asked which requests are refused.
@@ -160,6 +162,7 @@
             governor: Mutex::default(),
             breaks: Mutex::default(),
             quarantine: Mutex::default(),
+            waking: Mutex::default(),
             verdicts,
             recalled: Moment::default(),
             stopping: Moment::default(),
@@ -302,6 +305,45 @@
         self.breaks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Looks at the clock: whether this host stood still, and for how long if it has just gone on.
+    ///
+    /// Called often, and before anything that relies on what the host knows.
+    pub(crate) fn look_awake(&self) -> Option<Duration> {
+        let still = self.waking().look(clock::now())?;
+        log::warn!(still_ms = still.as_millis() as u64, active = self.n_active(); "host stood still");
+        self.metrics.count("stood_still");
+        clock::woke();
+        self.balancer().stood_still(still);
+        self.others().drop_passing();
+        Some(still)
+    }
+
+    /// Returns whether what this host knows of the fleet may be used.
+    pub(crate) fn trusts(&self) -> bool {
+        self.look_awake();
+        self.waking().trusts(clock::now())
+    }
+
+    /// Notes that the store answered a call made at `asked`.
+    pub(crate) fn heard_store(&self, asked: Duration, what: Knowledge) {
+        self.waking().heard_store(asked, what);
+    }
+
+    /// Notes that another host, which hears the store, knows nothing newer of something.
+    pub(crate) fn heard_host(&self, what: Knowledge) {
+        self.waking().heard_host(what);
+    }
+
+    /// Returns when this host last went on after it had stood still, if it ever did.
+    pub(crate) fn woke_at(&self) -> Option<Duration> {
+        self.look_awake();
+        self.waking().woke_at()
+    }
+
+    fn waking(&self) -> MutexGuard<'_, Waking> {
+        self.waking.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the requests that something is known against.
     pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
@@ -373,7 +415,12 @@
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.in_force().is_some() && !self.with_list(|it| it.directory.is_empty());
         let is_recalled = self.recalled.age().is_some();
-        known && is_recalled && !self.is_stopping() && !self.governor().is_busy() && self.accepts()
+        known
+            && is_recalled
+            && self.trusts()
+            && !self.is_stopping()
+            && !self.governor().is_busy()
+            && self.accepts()
     }
 
     /// Notes that a connection could not be opened or accepted for want of descriptors, and frees some:
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -7,6 +7,7 @@
 use portfield::{
     catalog::{Change, Changed, RETURN_GRACE, Source},
     quarantine::Request,
+    waking::Knowledge,
 };
 use portfield_net::{clock, http1::Error};
 use portfield_platform::{
@@ -55,14 +56,25 @@
 /// Starts the tasks.
 pub(crate) fn start(host: &Arc<Host>, verdicts: Receiver<Request>) {
     let store = Store::new(host.settings().store, CALL_TIMEOUT);
-    host.rt.spawn(follow(host.clone(), store.clone(), store::OPERATOR, take_config));
-    host.rt.spawn(follow(host.clone(), store.clone(), store::UPSTREAMS, take_upstreams));
+    let config = Followed { table: store::OPERATOR, what: Knowledge::Config, take: take_config };
+    let upstreams =
+        Followed { table: store::UPSTREAMS, what: Knowledge::Upstreams, take: take_upstreams };
+    host.rt.spawn(follow(host.clone(), store.clone(), config));
+    host.rt.spawn(follow(host.clone(), store.clone(), upstreams));
     host.rt.spawn(recall::read(host.clone(), store.clone()));
     host.rt.spawn(recall::write(host.clone(), store.clone(), verdicts));
     host.rt.spawn(meet(host.clone(), store));
     host.rt.spawn(expire(host.clone()));
 }
 
+/// A table that is followed.
+#[derive(Debug, Clone, Copy)]
+struct Followed {
+    table: &'static str,
+    what: Knowledge,
+    take: fn(&Host, News),
+}
+
 /// What came from the store.
 #[derive(Debug)]
 struct News {
@@ -71,7 +83,8 @@
 }
 
 /// Follows one table for ever.
-async fn follow(host: Arc<Host>, store: Store, table: &'static str, take: fn(&Host, News)) {
+async fn follow(host: Arc<Host>, store: Store, it: Followed) {
+    let Followed { table, what, take } = it;
     let mut version = None;
     let mut pause = PAUSE;
     let mut heard = clock::now();
@@ -88,6 +101,8 @@
         let asked = clock::now();
         let res = match version {
             None => store.read(table).await,
+            // A host that stood still does not wait for the next change to know the last one.
+            Some(it) if !host.trusts() => store.changes(table, it, Duration::ZERO).await,
             Some(it) => store.changes(table, it, HOLD).await,
         };
         let now = clock::now();
@@ -116,6 +131,7 @@
                 let gap = std::mem::replace(&mut pace, GATHER);
                 version = Some(newest);
                 take(&host, News { rows, version: Version { number: newest, is_whole, source } });
+                host.heard_store(asked, what);
                 clock::sleep((asked + gap).saturating_sub(now)).await;
             }
             Err(err) if store::is_history_gone(&err) => {
--- a/crates/portfield-net/src/clock.rs
+++ b/crates/portfield-net/src/clock.rs
@@ -1,15 +1,56 @@
 //! The only place that reads clocks.
+//!
+//! A machine may be suspended for seconds. Three clocks tell of it what they do:
+//!
+//! - `CLOCK_BOOTTIME` counts that time: [`now`] reads it, and with it all ages, deadlines and windows.
+//! - The steady clock does not, and the timers of `async-io` run on it: they come late by the time asleep. Nothing
+//!   here that waits takes the end of a timer for the moment waited for; it looks at [`now`] again, also when
+//!   [`woke`] says that time went by unseen.
+//! - The time of day counts it, and may be set: it is used where processes that do not share a clock compare, by
+//!   the second ([`life`]).
 
 use std::{
-    sync::OnceLock,
+    pin::Pin,
+    sync::{
+        OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant, SystemTime},
 };
 
-static START: OnceLock<Instant> = OnceLock::new();
+use event_listener::{Event, EventListener};
+use futures_lite::future;
+use rustix::time::{ClockId, DynamicClockId, Timespec, clock_gettime, clock_gettime_dynamic};
 
-/// Returns the time since this process first asked.
+static START: OnceLock<Start> = OnceLock::new();
+/// Tells all that wait that time went by unseen.
+static WOKE: Event = Event::new();
+/// Milliseconds that [`skip`] added.
+static SKIPPED: AtomicU64 = AtomicU64::new(0);
+
+/// When this process first asked.
+#[derive(Debug, Clone, Copy)]
+enum Start {
+    Boot(Timespec),
+    /// The system has no clock that counts the time asleep.
+    Steady(Instant),
+}
+
+/// Returns the time since this process first asked, that asleep included.
+///
+/// Some 30 ns a call, as the steady clock's (release build, one core).
 pub fn now() -> Duration {
-    START.get_or_init(Instant::now).elapsed()
+    let since = match start() {
+        Start::Boot(start) => since(start),
+        Start::Steady(start) => start.elapsed(),
+    };
+    since + Duration::from_millis(SKIPPED.load(Ordering::Relaxed))
+}
+
+/// Returns whether [`now`] counts the time that the machine is suspended; without it a host that wakes believes
+/// that all it knows is as fresh as before.
+pub fn counts_sleep() -> bool {
+    matches!(start(), Start::Boot(_))
 }
 
 /// Returns a number that is larger in each later life of a process: milliseconds since 1970.
@@ -18,31 +59,95 @@
     since.map_or(0, |it| it.as_millis() as u64)
 }
 
+/// Has everybody who waits look at the clock again: time went by that their timers did not count.
+pub fn woke() {
+    WOKE.notify(usize::MAX);
+}
+
+/// Lets time go by as while the machine is suspended: [`now`] counts it, timers do not. For tests.
+pub fn skip(time: Duration) {
+    SKIPPED.fetch_add(time.as_millis() as u64, Ordering::Relaxed);
+}
+
 /// Waits.
 pub async fn sleep(time: Duration) {
-    async_io::Timer::after(time).await;
+    Alarm::new(time).await_end().await;
+}
+
+/// Returns an alarm that ends after a time; cheaper than [`timeout`] where many short waits share one limit.
+pub fn alarm(time: Duration) -> Alarm {
+    Alarm::new(time)
+}
+
+/// A moment that can be waited for several times.
+#[derive(Debug)]
+pub struct Alarm {
+    end: Duration,
+    timer: async_io::Timer,
+    /// The timer is to ring at the end, as far as it counts.
+    is_set: bool,
+    woke: Pin<Box<EventListener>>,
 }
 
-/// Returns a timer that fires once after a time and can be set anew; cheaper than [`timeout`]
-/// where many short waits share one limit.
-pub fn alarm(time: Duration) -> async_io::Timer {
-    async_io::Timer::after(time)
+impl Alarm {
+    fn new(time: Duration) -> Self {
+        let end = now().saturating_add(time);
+        let woke = Box::pin(WOKE.listen());
+        Self { end, timer: async_io::Timer::after(time), is_set: true, woke }
+    }
+
+    /// Waits for the moment, by the clock that counts the time asleep.
+    async fn await_end(&mut self) {
+        loop {
+            let left = self.end.saturating_sub(now());
+            if left.is_zero() {
+                return;
+            }
+            if !self.is_set {
+                self.timer.set_after(left);
+                self.is_set = true;
+            }
+            let rang = async {
+                (&mut self.timer).await;
+                false
+            };
+            let woke = async {
+                self.woke.as_mut().await;
+                true
+            };
+            if future::or(rang, woke).await {
+                self.woke = Box::pin(WOKE.listen());
+            }
+            self.is_set = false;
+        }
+    }
 }
 
-/// Runs a future until an alarm fires; `None` if it did not end before.
-pub async fn before<T>(alarm: &mut async_io::Timer, f: impl Future<Output = T>) -> Option<T> {
+/// Runs a future until an alarm ends; `None` if it did not end before.
+pub async fn before<T>(alarm: &mut Alarm, f: impl Future<Output = T>) -> Option<T> {
     let late = async {
-        alarm.await;
+        alarm.await_end().await;
         None
     };
-    futures_lite::future::or(async { Some(f.await) }, late).await
+    future::or(async { Some(f.await) }, late).await
 }
 
 /// Runs a future for at most a time; `None` if it did not end.
 pub async fn timeout<T>(time: Duration, f: impl Future<Output = T>) -> Option<T> {
-    let late = async {
-        sleep(time).await;
-        None
-    };
-    futures_lite::future::or(async { Some(f.await) }, late).await
+    before(&mut alarm(time), f).await
+}
+
+fn start() -> Start {
+    *START.get_or_init(|| match clock_gettime_dynamic(DynamicClockId::Boottime) {
+        Ok(it) => Start::Boot(it),
+        Err(_) => Start::Steady(Instant::now()),
+    })
+}
+
+/// Returns the time since a reading of the clock that counts the time asleep.
+fn since(start: Timespec) -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    let nanos = (now.tv_sec - start.tv_sec) * 1_000_000_000 + (now.tv_nsec - start.tv_nsec);
+    // A clock that reads less than before ends nothing.
+    Duration::from_nanos(u64::try_from(nanos).unwrap_or(0))
 }
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -297,6 +297,14 @@
         }
     }
 
+    /// Notes that this host stood still for a time: nothing that runs is overdue for it, and no engine was slow.
+    pub fn stood_still(&mut self, time: Duration) {
+        for run in self.runs.values_mut().filter(|it| !it.has_begun) {
+            run.started += time;
+            run.due += time;
+        }
+    }
+
     /// Returns how many hosts there are, as far as this one hears.
     pub fn n_hosts(&self, now: Duration) -> usize {
         1 + self.loads.n_peers(now)
--- a/crates/portfield/src/balance/others.rs
+++ b/crates/portfield/src/balance/others.rs
@@ -172,6 +172,11 @@
         Some((speaker, digest))
     }
 
+    /// Drops what is to be passed on: while this host stood still it has become old.
+    pub fn drop_passing(&mut self) {
+        self.passing.clear();
+    }
+
     /// Takes what is to be passed on.
     pub fn take_passing(&mut self) -> Vec<Digest> {
         self.passing.drain().map(|it| it.1).collect()
--- a/crates/portfield/src/lib.rs
+++ b/crates/portfield/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`catalog`]: routes, workspaces and upstreams as a host on the platform knows them
 //! - [`balance`]: where a request goes, by each host's own decision on a shared digest
 //! - [`quarantine`]: requests that end the upstreams that run them
+//! - [`waking`]: what a host that stood still trusts of what it knows
 //! - [`fleet`]: the configuration that operators state, its plans and its revisions
 //! - [`member`]: which hosts are alive, and which of them owns a shard
 //! - [`schedule`]: queues, fair order and slots of the shards that a host owns
@@ -28,5 +29,6 @@
 pub mod route;
 pub mod schedule;
 pub mod timer;
+pub mod waking;
 
 pub use portfield_wire as wire;
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -255,6 +255,22 @@
     assert_eq!(again.upstream, placed.upstream);
 }
 
+/// While a host stood still, events of its runs came and lay in its sockets.
+#[test]
+fn what_runs_while_a_host_stands_still_is_neither_overdue_nor_slow() {
+    let mut it = Balancer::new(WINDOW);
+    let placed = sent(it.place(at(0), &job(1, 7, 100), &engines(3)));
+    let run = it.start(at(0), &job(1, 7, 100), &placed);
+    it.stood_still(Duration::from_secs(9));
+    report(&mut it, at(9_100), 1, 1);
+    let next = sent(it.place(at(9_100), &job(1, 7, 200), &engines(3)));
+    assert_eq!(next.upstream, placed.upstream, "not overdue");
+    it.first(at(9_300), run);
+    it.end(at(9_500), run, Ending::Done);
+    let next = sent(it.place(at(9_600), &job(1, 7, 300), &engines(3)));
+    assert!(next.estimate < Duration::from_millis(300), "{:?}", next.estimate);
+}
+
 #[test]
 fn an_upstream_that_fails_half_of_its_requests_gets_few() {
     let mut it = Balancer::new(WINDOW);
--- a/crates/portfield/tests/speakers.rs
+++ b/crates/portfield/tests/speakers.rs
@@ -430,3 +430,60 @@
     world.run(Duration::from_secs(3));
     assert_eq!(world.n_sending(request), 0);
 }
+
+impl World {
+    /// Lets hosts go on that stood still: they know what they knew.
+    fn go_on(&mut self, hosts: &[usize]) {
+        for i in hosts {
+            let host = &mut self.hosts[*i];
+            host.others.drop_passing();
+            host.next = self.now;
+            host.is_alive = true;
+        }
+    }
+
+    /// Returns the hosts of a data centre in the order in which they speak for it.
+    fn line(&self, data_centre: u32) -> Vec<usize> {
+        let there = |it: &usize| self.hosts[*it].data_centre == data_centre;
+        let mut res: Vec<usize> = (0..self.hosts.len()).filter(there).collect();
+        res.sort_by_key(|it| host_hash(self.hosts[*it].address));
+        res
+    }
+}
+
+/// Two sleepers, of which one spoke, and all of a data centre.
+#[test]
+fn hosts_that_stood_still_are_heard_again_though_nothing_says_that_they_are_new() {
+    for n_still in [2, 25] {
+        let mut world = World::new(3, 25, None);
+        world.run(Duration::from_secs(5));
+        let still: Vec<usize> = world.line(1).into_iter().take(n_still).collect();
+        still.iter().for_each(|i| world.hosts[*i].is_alive = false);
+        world.run(Duration::from_secs(9));
+        world.go_on(&still);
+        world.run(Duration::from_millis(1_500));
+        world.check_all_known(AGE);
+        assert_eq!(world.speakers(1), [world.line(1)[0]]);
+    }
+}
+
+/// What is held against a request gets older while who tells it stands still.
+#[test]
+fn a_verdict_that_a_sleeper_tells_is_as_old_as_it_is() {
+    let (mut world, request) = with_suspect(25, 0);
+    world.run(Duration::from_secs(3));
+    let still = world.line(1);
+    still.iter().for_each(|i| world.hosts[*i].is_alive = false);
+    world.run(Duration::from_secs(60));
+    world.go_on(&still);
+    let new = world.line(2)[3];
+    world.revive(new);
+    world.run(Duration::from_secs(3));
+    let left = |world: &World, i: usize| {
+        let host = &world.hosts[i];
+        host.quarantine.verdict(world.now - host.started, request).unwrap().left
+    };
+    let (here, there) = (left(&world, still[0]), left(&world, new));
+    assert!(here < Duration::from_secs(60), "{here:?}");
+    assert!(here.abs_diff(there) < Duration::from_millis(50), "{here:?} {there:?}");
+}
