--- a/crates/portfield-host/src/front.rs
+++ b/crates/portfield-host/src/front.rs
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use portfield_net::{
-    clock,
+    clock, contain,
     rpc::HyperTimer,
     socket::{self, Socket},
 };
@@ -47,7 +47,8 @@
             Some(Ok((stream, _))) => {
                 let (task, stop, open) = (host.clone(), stop.clone(), open.clone());
                 host.rt.spawn(async move {
-                    connection(task, stream, stop).await;
+                    // Else a request that ends this host would go to the next one.
+                    contain::run("caller's connection", connection(task, stream, stop)).await;
                     drop(open);
                 });
             }
--- a/crates/portfield-host/src/peers/listen.rs
+++ b/crates/portfield-host/src/peers/listen.rs
@@ -10,7 +10,7 @@
     balance::{Audience, Follower, Way},
     waking::Knowledge,
 };
-use portfield_net::clock;
+use portfield_net::{clock, contain};
 use portfield_wire::Digest;
 use prost::Message;
 
@@ -57,7 +57,8 @@
             host.metrics.count("digests_malformed");
             continue;
         };
-        take(&host, &socket, address, digest, &mut news);
+        // Who says it says it to all.
+        contain::call("digest", || take(&host, &socket, address, digest, &mut news));
         news.fetch(&host);
     }
 }
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -18,7 +18,7 @@
     quarantine::{Breaks, Quarantine, Request},
     waking::{Knowledge, Waking},
 };
-use portfield_net::{clock, rt::Runtime};
+use portfield_net::{clock, contain, rt::Runtime};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -192,7 +192,9 @@
     /// Puts a configuration in force, unless one as new is already; `source` says where it came
     /// from.
     pub(crate) fn adopt(&self, bytes: Bytes, source: &str) {
-        let catalog = match portfield_platform::config::decode(&bytes) {
+        let decode = || portfield_platform::config::decode(&bytes);
+        let Some(decoded) = contain::call("configuration", decode) else { return };
+        let catalog = match decoded {
             Ok(it) => it,
             Err(err) => {
                 log::error!(err:%, source; "configuration not readable");
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -9,7 +9,7 @@
     quarantine::Request,
     waking::Knowledge,
 };
-use portfield_net::{clock, http1::Error};
+use portfield_net::{clock, contain, http1::Error};
 use portfield_platform::{
     store::{self, Row, Rows, Store},
     upstreams,
@@ -187,7 +187,9 @@
     /// Reads the row; one of another writer names no upstream.
     fn change(&self) -> Change {
         let Some(entry) = &self.entry else { return Change::Gone(self.id.clone()) };
-        match upstreams::decode(&self.id, entry) {
+        let decoded = contain::call("entry", || upstreams::decode(&self.id, entry));
+        let Some(decoded) = decoded else { return Change::Foreign(self.id.clone()) };
+        match decoded {
             Ok(it) => Change::Set(it),
             Err(err) => {
                 log::warn!(upstream = self.id, err:%; "entry not readable");
--- a/crates/portfield-net/src/lib.rs
+++ b/crates/portfield-net/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is plumbing: no decision about routing or fairness is made in it.
 
 pub mod clock;
+pub mod contain;
 pub mod daemon;
 pub mod dial;
 pub mod events;
