refactor: tokens of a job, header of a sum, versions known are computed in one place each

Ruled out: a change of what is decided: an order's rank hashes eight bytes in place of four, so other upstreams are preferred for a part than before, as many. Change: Job::tokens, Known, one literal for the sum's header. A caller without a workspace is logged under the account that its refusal is noted in.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -85,7 +85,8 @@
             host.metrics.count("refused{reason=\"Overload\"}");
             let tokens = head.prompt.as_ref().map_or(0.0, Prompt::cost);
             host.balancer().refused(arrived, owner, tokens);
-            log_overload(host, &head, &route, workspace.as_deref(), tokens, overload);
+            let refused = Refused { owner, tokens, overload };
+            log_overload(host, &head, &route, workspace.as_deref(), refused);
             return Err(Failure::refused("this host is overloaded", STOPPING_RETRY));
         }
         let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -143,7 +144,7 @@
 
     /// Returns what the request counts in its workspace's share, in tokens.
     pub(crate) fn tokens(&self) -> f64 {
-        self.job.prompt.as_ref().map_or(0.0, Prompt::cost)
+        self.job.tokens()
     }
 
     /// Returns the time that is left.
@@ -152,16 +153,25 @@
     }
 }
 
+/// A request that this host has no processor time for.
+#[derive(Debug, Clone, Copy)]
+struct Refused {
+    /// Hash of its workspace's name, zero without one.
+    owner: u32,
+    tokens: f64,
+    /// Why, where it is not for the number of requests at once.
+    overload: Option<Overload>,
+}
+
 fn log_overload(
     host: &Host,
     head: &request::Head,
     route: &Route,
     workspace: Option<&Workspace>,
-    tokens: f64,
-    overload: Option<Overload>,
+    Refused { owner, tokens, overload }: Refused,
 ) {
     let name = workspace.map_or("", |it| it.name.as_str());
-    let account = host.balancer().account(clock::now(), hash(name));
+    let account = host.balancer().account(clock::now(), owner);
     log::info!(
         request = head.id, route = route.name, workspace = name, tokens,
         offered = overload.map_or(0.0, |it| it.offered),
--- a/crates/portfield-host/src/peers/listen.rs
+++ b/crates/portfield-host/src/peers/listen.rs
@@ -80,9 +80,14 @@
         learn(host, &digest);
         return;
     }
+    let known =
+        Known { config: host.config_version(), list: host.with_list(|it| it.directory.version()) };
     let relayed = std::mem::take(&mut digest.relayed).into_iter().map(|it| (it, Way::Relayed));
     for (digest, way) in std::iter::once((digest, Way::Direct)).chain(relayed) {
-        take_one(host, &audience, from, &digest, news);
+        take_one(host, &audience, from, &digest);
+        if digest.host != host.own_hash() {
+            news.note(host, known, digest.address.parse().unwrap_or(from), &digest);
+        }
         let passed = host.others().pass_on(digest, way);
         if let Some((speaker, digest)) = passed {
             tell::send(host, socket, &digest, [speaker]);
@@ -102,7 +107,7 @@
 }
 
 /// Takes one digest.
-fn take_one(host: &Host, audience: &Audience, from: SocketAddr, digest: &Digest, news: &mut News) {
+fn take_one(host: &Host, audience: &Audience, from: SocketAddr, digest: &Digest) {
     if digest.host == host.own_hash() {
         return;
     }
@@ -122,7 +127,13 @@
     if audience.counts(digest) {
         host.balancer().merge(now, digest);
     }
-    news.note(host, digest.address.parse().unwrap_or(from), digest);
+}
+
+/// The versions that this host knows, when a datagram comes.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    config: u64,
+    list: u64,
 }
 
 /// What other hosts know that this one does not.
@@ -160,14 +171,14 @@
 }
 
 impl News {
-    fn note(&mut self, host: &Host, address: SocketAddr, digest: &Digest) {
+    fn note(&mut self, host: &Host, known: Known, address: SocketAddr, digest: &Digest) {
         let hears_store = digest.store_age < FRESH_MS;
-        if host.config_version() < digest.config_version {
+        if known.config < digest.config_version {
             self.config.note(address);
         } else if hears_store {
             host.heard_host(Knowledge::Config);
         }
-        if host.with_list(|it| it.directory.version()) < digest.list_version {
+        if known.list < digest.list_version {
             self.list.note(address);
         } else if hears_store {
             host.heard_host(Knowledge::Upstreams);
--- a/crates/portfield-host/src/peers/tell.rs
+++ b/crates/portfield-host/src/peers/tell.rs
@@ -101,9 +101,19 @@
 
 /// Tells what this host's data centre did; `own` is its own digest of that moment.
 fn sum(host: &Host, own: &Digest) -> Digest {
-    let mut res = header(host, own.sequence);
-    res.host = u64::from(own.data_centre);
-    res.passed_on = true;
+    // The header of its own digest, with the data centre in place of the host.
+    let mut res = Digest {
+        host: u64::from(own.data_centre),
+        incarnation: own.incarnation,
+        sequence: own.sequence,
+        config_version: own.config_version,
+        list_version: own.list_version,
+        data_centre: own.data_centre,
+        store_age: own.store_age,
+        address: own.address.clone(),
+        passed_on: true,
+        ..Digest::default()
+    };
     host.balancer().summarize(clock::now(), &mut res);
     quarantine::summarize(host, &mut res);
     res
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -150,8 +150,7 @@
             Refusal::Busy
         };
         let retry = millis(best.times.wait - limit).clamp(AWAY.0, AWAY.1);
-        let asked = job.prompt.as_ref().map_or(0.0, Prompt::cost);
-        self.refused(now, job.workspace, asked);
+        self.refused(now, job.workspace, job.tokens());
         Placement::Refuse { reason, retry, estimate: best.estimate(), share: standing.share() }
     }
 
@@ -208,7 +207,7 @@
             let shared = chain.len().saturating_sub(1);
             let parts = chain.iter().take(shared).map(|it| it.hash).collect();
             self.loads.tell(placed.upstream, parts);
-            let taken = prompt.cost();
+            let taken = job.tokens();
             self.shares.note(now, job.workspace, Usage { asked: taken, taken });
         }
         self.runs.insert(self.n_runs, run);
--- a/crates/portfield/src/balance/choice.rs
+++ b/crates/portfield/src/balance/choice.rs
@@ -71,10 +71,11 @@
 
     /// Returns an upstream's rank; the highest goes first.
     pub(super) fn rank(self, upstream: u32) -> u64 {
-        match self {
-            Self::Part(it) => xxh3_64_with_seed(&it.to_le_bytes(), u64::from(upstream)),
-            Self::Drawn(it) => xxh3_64_with_seed(&it.to_le_bytes(), u64::from(upstream)),
-        }
+        let number = match self {
+            Self::Part(it) => u64::from(it),
+            Self::Drawn(it) => it,
+        };
+        xxh3_64_with_seed(&number.to_le_bytes(), u64::from(upstream))
     }
 }
 
--- a/crates/portfield/src/balance/job.rs
+++ b/crates/portfield/src/balance/job.rs
@@ -44,6 +44,31 @@
     pub engine: Option<EngineSpec>,
 }
 
+impl Job {
+    /// Returns what the request counts in its workspace's share, in tokens; nothing without a prompt.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{Job, Prompt, Stage};
+    /// use std::time::Duration;
+    ///
+    /// let job = Job {
+    ///     workspace: 7,
+    ///     service: 1,
+    ///     prompt: Some(Prompt { input: 1_000, output: 50, ..Prompt::default() }),
+    ///     objective: Duration::from_millis(800),
+    ///     waited: Duration::ZERO,
+    ///     stage: Stage::New,
+    ///     engine: None,
+    /// };
+    /// assert_eq!(job.tokens(), 1_100.0);
+    /// ```
+    pub fn tokens(&self) -> f64 {
+        self.prompt.as_ref().map_or(0.0, Prompt::cost)
+    }
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Placed {
