fix(host): while a data centre cannot be heard, verdicts are read from the store

Ruled out: a lower threshold while hosts are silent: killed hosts are too, and innocent ones would pay; a held call of the table by all hosts at all times: half as many calls to the store again. Change: Others::misses_centre (all hosts of a data centre heard within a minute are silent for 0.8 s); while it holds and something is suspected here, the table is read each 1.5 s. Before: no such read.

--- a/crates/portfield-host/src/recall.rs
+++ b/crates/portfield-host/src/recall.rs
@@ -20,24 +20,40 @@
 /// Longest such pause: what is kept matters after a loss of all hosts only, and a store that is down is not to be
 /// asked by each of them all the time.
 const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+/// Time between two looks at the table while a data centre cannot be heard: what it knows of a lethal request is to be
+/// known here within three seconds.
+const CUT_PERIOD: Duration = Duration::from_millis(1500);
 /// Rows for each workspace: a later verdict replaces one in the same place.
 const PLACES: u64 = 16;
 /// Rows removed in one call.
 const MAX_REMOVED: usize = 100;
 
-/// Reads once what the store keeps.
+/// Reads what the store keeps: once at the start, and while a data centre cannot be heard that may know more.
 pub(crate) async fn read(host: Arc<Host>, store: Store) {
     let mut pause = PAUSE;
-    let rows = loop {
-        match store.read(store::QUARANTINE).await {
-            Ok(it) => break it.rows,
-            Err(err) => {
-                // Other hosts may tell it; callers do not wait for a store that is down.
-                host.note_recalled();
-                log::warn!(err:%; "quarantine not read");
-                clock::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
-            }
+    while !read_once(&host, &store).await {
+        clock::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+    loop {
+        clock::sleep(CUT_PERIOD).await;
+        let is_cut = host.others().misses_centre(clock::now());
+        // Where nothing is suspected here nothing lethal has come yet.
+        if is_cut && 0 < host.quarantine().n_suspects() {
+            read_once(&host, &store).await;
+        }
+    }
+}
+
+/// Reads what the store keeps; returns whether it told.
+async fn read_once(host: &Host, store: &Store) -> bool {
+    let rows = match store.read(store::QUARANTINE).await {
+        Ok(it) => it.rows,
+        Err(err) => {
+            // Other hosts may tell it; callers do not wait for a store that is down.
+            host.note_recalled();
+            log::warn!(err:%; "quarantine not read");
+            return false;
         }
     };
     let (kept, past): (Vec<_>, Vec<_>) = rows.into_iter().map(decode).partition(Result::is_ok);
@@ -45,7 +61,7 @@
     if !suspects.is_empty() {
         log::info!(n = suspects.len(); "quarantine read");
     }
-    take(&host, &suspects, Source::Store);
+    take(host, &suspects, Source::Store);
     host.note_recalled();
     let keys: Vec<String> = past.into_iter().filter_map(Result::err).take(MAX_REMOVED).collect();
     if !keys.is_empty()
@@ -53,6 +69,7 @@
     {
         log::warn!(err:%; "quarantine not cleaned");
     }
+    true
 }
 
 /// Writes the requests that come in.
--- a/crates/portfield/src/balance/others.rs
+++ b/crates/portfield/src/balance/others.rs
@@ -20,6 +20,12 @@
 /// counts for.
 const SPEAKER_GONE: Duration = Duration::from_secs(10);
 
+/// Silence of all hosts of a data centre after which it counts as cut off: several digests in a row are not lost by
+/// chance, and what either side learns is to reach the other within three seconds.
+const CENTRE_SILENT: Duration = Duration::from_millis(800);
+/// The same, after which it counts as ended: nobody is there who would learn anything.
+const CENTRE_GONE: Duration = Duration::from_secs(60);
+
 /// How a digest came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
@@ -112,6 +118,21 @@
         self.hosts.values().any(|it| it.data_centre == Some(self.place.data_centre))
     }
 
+    /// Returns whether all hosts of some data centre that was heard within the last minute are silent: it is cut off, or
+    /// ended.
+    pub fn misses_centre(&self, now: Duration) -> bool {
+        let mut heard: Map<u32, Duration> = Map::default();
+        let hosts = self.hosts.values().filter_map(|it| Some((it.data_centre?, it.heard)));
+        let speakers = self.speakers.iter().map(|(place, it)| (*place, it.heard));
+        for (place, at) in hosts.chain(speakers).filter(|it| it.0 != self.place.data_centre) {
+            let last = heard.entry(place).or_default();
+            *last = (*last).max(at);
+        }
+        let is_missed =
+            |at: &Duration| !at.is_zero() && *at + CENTRE_SILENT < now && now < *at + CENTRE_GONE;
+        heard.values().any(is_missed)
+    }
+
     /// Learns that there is a host, and where it stands if that is told.
     pub fn learn(&mut self, address: SocketAddr, data_centre: Option<u32>) {
         let it = self.hosts.entry(address).or_insert_with(|| stranger(address));
--- a/crates/portfield/tests/speakers.rs
+++ b/crates/portfield/tests/speakers.rs
@@ -487,3 +487,28 @@
     assert!(here < Duration::from_secs(60), "{here:?}");
     assert!(here.abs_diff(there) < Duration::from_millis(50), "{here:?} {there:?}");
 }
+
+/// Evidence of the two sides of a cut adds up by the store, which a host reads while it misses a data centre.
+#[test]
+fn a_data_centre_that_falls_silent_is_missed_and_a_host_that_does_is_not() {
+    for n_each in [3, 20] {
+        let mut world = World::new(3, n_each, None);
+        world.run(Duration::from_secs(5));
+        let misses = |world: &World, i: usize| {
+            let host = &world.hosts[i];
+            host.others.misses_centre(world.now - host.started)
+        };
+        let near = world.line(0)[0];
+        assert!(!misses(&world, near));
+        let there = world.line(1);
+        there[1..].iter().for_each(|i| world.hosts[*i].is_alive = false);
+        world.run(Duration::from_secs(3));
+        assert!(!misses(&world, near), "one of {n_each} is there");
+        world.hosts[there[0]].is_alive = false;
+        world.run(Duration::from_secs(2));
+        assert!(misses(&world, near), "none of {n_each} is there");
+        assert!(misses(&world, world.line(2)[1]));
+        world.run(Duration::from_secs(62));
+        assert!(!misses(&world, near), "it has ended");
+    }
+}
