--- a/crates/portfield-host/tests/knowledge.rs
+++ b/crates/portfield-host/tests/knowledge.rs
@@ -3,7 +3,8 @@
 mod fleet;
 
 use std::{
-    net::UdpSocket,
+    io::ErrorKind,
+    net::{TcpListener, UdpSocket},
     thread,
     time::{Duration, Instant},
 };
@@ -328,3 +329,29 @@
     until("the host is ready", || host.is_ready());
     std::thread::sleep(Duration::ZERO);
 }
+
+/// A host went on trying the address of the earlier life for as long as the id was listed.
+#[test]
+fn the_address_of_an_earlier_life_is_tried_no_more() {
+    let mut fleet = Fleet::new(1, 0);
+    let gone = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = gone.local_addr().unwrap();
+    drop(gone);
+    let entry = |address, born: u64| {
+        let mut res = fleet.plains[0].entry_at(address, "desk", "ready");
+        res["born"] = json!(born);
+        res
+    };
+    let (earlier, now) = (entry(address, 1), entry(fleet.plains[0].address(), 2));
+    fleet.store.put("servers", "plain-0", &earlier);
+    let host = fleet.host();
+    host.send(&request("check", "r1"));
+    until("it is tried", || !host.logged("upstream unreachable").is_empty());
+    fleet.store.put("servers", "plain-0", &now);
+    until("the new one serves", || host.send(&request("check", "r2")).status == 200);
+    let again = TcpListener::bind(address).unwrap();
+    again.set_nonblocking(true).unwrap();
+    // Twice the longest pause between two tries.
+    thread::sleep(Duration::from_millis(1200));
+    assert_eq!(again.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+}
