fix(host): an upstream that is gone is not tried once more

Ruled out: the comparison of incarnations, which holds; put back to ids the test is red as well. Change: the list is looked at after the pause, before the try.

--- a/crates/portfield-host/src/reach.rs
+++ b/crates/portfield-host/src/reach.rs
@@ -111,8 +111,11 @@
     let mut pause = FIRST_PAUSE;
     // One that started again under its id is another one.
     let is_listed = || host.with_list(|it| it.directory.all().any(|it| it.hash == upstream.hash));
-    while is_listed() {
+    loop {
         clock::sleep(pause).await;
+        if !is_listed() {
+            return;
+        }
         pause = (pause * 2).min(LONGEST_PAUSE);
         if let Ok(it) = host.pool.open(upstream.entry.address).await {
             host.pool.put(number(upstream), it, None);
