feat(host): a request that one more end would condemn goes where least runs

Cause: the ends before a verdict are paid each time, by all that runs at the engine; a lethal request went where its shared part is kept, which is where most run. Ruled out: the same for who is under one end: bystanders sent again would meet the lethal one at the calmest engine, and share its ends. Rendezvous by fingerprint: no better than chance. Change: Quarantine::is_last_try, Balancer::calmest, Room::Apart; also after a hold, when one end suffices.

--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -15,7 +15,7 @@
     attempt::{self, Live, Outcome, Sent},
     call::{Call, STOOD_STILL, WAKING_RETRY},
     quarantine,
-    state::{Host, Refused},
+    state::{Host, Refused, Room},
 };
 
 /// Upstreams that may turn a request away beyond the attempts that its route allows.
@@ -95,8 +95,10 @@
     /// Picks an upstream, or the refusal to give.
     fn place(&mut self) -> Result<(Placed, Arc<Upstream>), Failure> {
         self.call.job.waited = clock::now().saturating_sub(self.call.arrived);
+        let is_last_try = self.host.quarantine().is_last_try(clock::now(), self.call.request());
+        let room = if is_last_try { Room::Apart } else { Room::Any };
         let Refused { reason, retry, estimate, share } =
-            match self.host.place(&self.call.job, &self.call.service, &self.tried) {
+            match self.host.place(&self.call.job, &self.call.service, &self.tried, room) {
                 Ok(it) => return Ok(it),
                 Err(it) => it,
             };
@@ -203,7 +205,7 @@
         if !self.may_repeat() {
             return false;
         }
-        let placed = self.host.place(&self.call.job, &self.call.service, &self.tried);
+        let placed = self.host.place(&self.call.job, &self.call.service, &self.tried, Room::Any);
         placed.is_ok_and(|(it, _)| !self.tried.contains(&it.upstream))
     }
 
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// Where a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Room {
+    /// Wherever it is served best.
+    Any,
+    /// Where least runs: it may end its upstream.
+    Apart,
+}
+
 /// Why a request is sent to no upstream.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Refused {
@@ -248,16 +257,28 @@
         job: &Job,
         service: &str,
         tried: &[u32],
+        room: Room,
     ) -> Result<(Placed, Arc<Upstream>), Refused> {
         let ready = self.with_list(|it| it.ready.get(service).cloned()).unwrap_or_default();
         let untried = || ready.candidates.iter().filter(|it| !tried.contains(&it.upstream));
         // Where no other is left, the same upstream may be asked again.
-        let res = if tried.is_empty() || untried().next().is_none() {
-            self.balancer().place(clock::now(), job, &ready.candidates)
+        let mut balancer = self.balancer();
+        let now = clock::now();
+        let some: Vec<Candidate>;
+        let candidates = if tried.is_empty() || untried().next().is_none() {
+            &ready.candidates
         } else {
-            let untried: Vec<Candidate> = untried().copied().collect();
-            self.balancer().place(clock::now(), job, &untried)
+            some = untried().copied().collect();
+            &some
+        };
+        let res = match room {
+            Room::Any => balancer.place(now, job, candidates),
+            Room::Apart => {
+                let calmest = balancer.calmest(now, candidates);
+                balancer.place(now, job, calmest.as_slice())
+            }
         };
+        drop(balancer);
         let placed = match res {
             Placement::Send(it) => it,
             Placement::Refuse { reason, retry, estimate, share } => {
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -154,6 +154,16 @@
         Placement::Refuse { reason, retry, estimate: best.estimate(), share: standing.share() }
     }
 
+    /// Returns the upstream at which least runs, of those that are not left alone: if it ends, the fewest requests end
+    /// with it.
+    pub fn calmest(&self, now: Duration, candidates: &[Candidate]) -> Option<Candidate> {
+        let node = |it: &Candidate| self.loads.get(it.upstream);
+        let is_open = |it: &&Candidate| !node(it).is_some_and(|it| it.health.is_blocked(now));
+        let running = |it: &Candidate| node(it).map_or(0.0, |it| it.total().running);
+        let open = candidates.iter().filter(is_open);
+        open.min_by(|a, b| running(a).total_cmp(&running(b))).copied()
+    }
+
     /// Notes that a request of so many tokens was refused: its workspace asked for them and had none.
     ///
     /// **NOTE:** Also what a host refuses before it looks for an upstream. A workspace whose callers all came
--- a/crates/portfield/src/quarantine/register.rs
+++ b/crates/portfield/src/quarantine/register.rs
@@ -6,7 +6,11 @@
     time::Duration,
 };
 
-use super::{breaks::Request, case::Case, fingerprint::Fingerprint};
+use super::{
+    breaks::Request,
+    case::{Case, LETHAL_ENDS},
+    fingerprint::Fingerprint,
+};
 use crate::{balance::Audience, wire};
 
 /// Each so many digests all requests that are refused are told: a host that has just started, or could not be
@@ -88,6 +92,13 @@
         verdict(request, case, now + EPOCH)
     }
 
+    /// Returns whether one more end under a request makes the verdict: what runs beside it is at risk.
+    pub fn is_last_try(&self, now: Duration, request: Request) -> bool {
+        let cases = self.cases.get(&request.workspace);
+        let case = cases.and_then(|it| it.get(&request.fingerprint));
+        case.is_some_and(|it| LETHAL_ENDS <= it.n_ends() + 1 && it.left(now + EPOCH).is_none())
+    }
+
     /// Notes that an upstream ended while this host's runs of some requests were there; returns those that are
     /// refused from now on.
     pub fn ended(&mut self, now: Duration, requests: &[Request], upstream: u32) -> Vec<Verdict> {
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -255,6 +255,25 @@
     assert_eq!(again.upstream, placed.upstream);
 }
 
+/// A request that may end its upstream goes where it takes the fewest others with it.
+#[test]
+fn the_calmest_upstream_is_the_one_at_which_least_runs() {
+    let mut it = Balancer::new(WINDOW);
+    for (upstream, n) in [(1, 3), (2, 1), (3, 2)] {
+        let only = [Candidate { upstream, slots: 64, near: true }];
+        for _ in 0..n {
+            let placed = sent(it.place(at(0), &job(1, 7, 100), &only));
+            it.start(at(0), &job(1, 7, 100), &placed);
+        }
+    }
+    assert_eq!(it.calmest(at(1), &engines(3)).unwrap().upstream, 2);
+    let blocked = it.place(at(1), &job(1, 7, 100), &engines(2)[1..]);
+    let run = it.start(at(1), &job(1, 7, 100), &sent(blocked));
+    it.end(at(2), run, Ending::Unreachable);
+    assert_eq!(it.calmest(at(3), &engines(3)).unwrap().upstream, 3);
+    assert_eq!(it.calmest(at(3), &[]), None);
+}
+
 /// While a host stood still, events of its runs came and lay in its sockets.
 #[test]
 fn what_runs_while_a_host_stands_still_is_neither_overdue_nor_slow() {
--- a/crates/portfield/tests/quarantine.rs
+++ b/crates/portfield/tests/quarantine.rs
@@ -101,6 +101,19 @@
     assert_eq!(it.verdict(NOW, elsewhere), None, "another workspace");
 }
 
+#[test]
+fn the_last_try_before_a_verdict_is_known_as_such() {
+    let mut it = Quarantine::default();
+    end(&mut it, request(1), 10, 1);
+    assert!(!it.is_last_try(NOW, request(1)));
+    end(&mut it, request(1), 11, 1);
+    assert!(it.is_last_try(NOW, request(1)));
+    end(&mut it, request(1), 12, 1);
+    assert!(!it.is_last_try(NOW, request(1)), "it is not tried at all");
+    assert!(it.is_last_try(NOW + HOLD, request(1)), "it is tried again");
+    assert!(!it.is_last_try(NOW, request(2)));
+}
+
 #[test]
 fn ends_that_three_hosts_saw_add_up_and_the_same_one_counts_once() {
     let mut hosts: Vec<Quarantine> = (0..3).map(|_| Quarantine::default()).collect();
