--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -18,10 +18,11 @@
 
 use crate::{
     call::Call,
+    placing::number,
     pool::Connection,
     quarantine::{self, End},
     reach,
-    state::{Host, number},
+    state::Host,
 };
 
 /// What became of sending a request.
--- /dev/null
+++ b/crates/portfield-host/src/awake.rs
@@ -0,0 +1,45 @@
+//! Whether this host stood still, and trusts what it knows of the fleet.
+
+use std::time::Duration;
+
+use portfield::waking::Knowledge;
+use portfield_net::clock;
+
+use crate::state::Host;
+
+impl Host {
+    /// Looks at the clock: whether this host stood still, and for how long if it has just gone on.
+    ///
+    /// Called often, and before anything that relies on what the host knows.
+    pub(crate) fn look_awake(&self) -> Option<Duration> {
+        let still = self.waking().look(clock::now())?;
+        log::warn!(still_ms = still.as_millis() as u64, active = self.n_active(); "host stood still");
+        self.metrics.count("stood_still");
+        clock::woke();
+        self.balancer().stood_still(still);
+        self.others().drop_passing();
+        Some(still)
+    }
+
+    /// Returns whether what this host knows of the fleet may be used.
+    pub(crate) fn trusts(&self) -> bool {
+        self.look_awake();
+        self.waking().trusts(clock::now())
+    }
+
+    /// Notes that the store answered a call made at `asked`.
+    pub(crate) fn heard_store(&self, asked: Duration, what: Knowledge) {
+        self.waking().heard_store(asked, what);
+    }
+
+    /// Notes that another host, which hears the store, knows nothing newer of something.
+    pub(crate) fn heard_host(&self, what: Knowledge) {
+        self.waking().heard_host(what);
+    }
+
+    /// Returns when this host last went on after it had stood still, if it ever did.
+    pub(crate) fn woke_at(&self) -> Option<Duration> {
+        self.look_awake();
+        self.waking().woke_at()
+    }
+}
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -14,8 +14,9 @@
     answer::{Body, Failure},
     attempt::{self, Live, Outcome, Sent},
     call::{Call, STOOD_STILL, WAKING_RETRY},
+    placing::{Refused, Room},
     quarantine,
-    state::{Host, Refused, Room},
+    state::Host,
 };
 
 /// Upstreams that may turn a request away beyond the attempts that its route allows.
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+mod awake;
 mod call;
 mod exchange;
 mod front;
@@ -13,6 +14,7 @@
 mod moment;
 mod pages;
 mod peers;
+mod placing;
 mod pool;
 mod quarantine;
 mod reach;
--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -17,7 +17,8 @@
 use tonic::{Request, Response, Status};
 
 use crate::{
-    state::{Host, Listed},
+    placing::Listed,
+    state::Host,
     watch::{ListRow, Version, take_list},
 };
 
--- /dev/null
+++ b/crates/portfield-host/src/placing.rs
@@ -0,0 +1,146 @@
+//! The list of upstreams, and which of them a request is sent to.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use portfield::{
+    balance::{Candidate, Job, Placed, Placement, Refusal},
+    catalog::{Directory, Upstream},
+};
+use portfield_net::clock;
+
+use crate::{
+    quarantine::{self, End},
+    state::Host,
+};
+
+/// Upstreams and the entries they were read from, by id.
+#[derive(Debug, Default)]
+pub(crate) struct Listed {
+    pub directory: Directory,
+    pub entries: HashMap<String, Bytes>,
+    /// By service, made anew with each change: every request reads it.
+    ready: HashMap<String, Arc<Ready>>,
+}
+
+/// The upstreams of a service that take new requests, both lists in the same order.
+#[derive(Debug, Default)]
+struct Ready {
+    upstreams: Vec<Arc<Upstream>>,
+    candidates: Vec<Candidate>,
+}
+
+impl Listed {
+    fn group(&mut self, here: &str) {
+        let mut ready: HashMap<String, Ready> = HashMap::new();
+        for it in self.directory.ready() {
+            let group = ready.entry(it.entry.service.clone()).or_default();
+            group.upstreams.push(it.clone());
+            group.candidates.push(Candidate {
+                upstream: number(it),
+                slots: it.entry.slots,
+                near: it.entry.data_centre == here,
+            });
+        }
+        self.ready = ready.into_iter().map(|(service, it)| (service, Arc::new(it))).collect();
+    }
+}
+
+/// Where a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Room {
+    /// Wherever it is served best.
+    Any,
+    /// Where least runs: it may end its upstream.
+    Apart,
+}
+
+/// Why a request is sent to no upstream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Refused {
+    pub reason: Refusal,
+    /// When to come back.
+    pub retry: Duration,
+    /// The estimate that decided.
+    pub estimate: Duration,
+    /// What its workspace has had, as a multiple of its share.
+    pub share: f64,
+}
+
+impl Host {
+    /// Changes the list of upstreams.
+    pub(crate) fn update_list(&self, f: impl FnOnce(&mut Listed)) {
+        let here = self.settings().data_centre.clone();
+        let mut listed = self.listed.write().unwrap_or_else(PoisonError::into_inner);
+        let before: Vec<Arc<Upstream>> = listed.directory.ready().cloned().collect();
+        f(&mut listed);
+        listed.group(&here);
+        let ids: HashSet<u32> = listed.directory.all().map(|it| number(it)).collect();
+        let is_reborn = |it: &&Arc<Upstream>| listed.directory.is_reborn(it);
+        let reborn: Vec<Arc<Upstream>> = before.iter().filter(is_reborn).cloned().collect();
+        drop(listed);
+        self.balancer().retain(|id| ids.contains(&id));
+        reborn.iter().for_each(|it| quarantine::ended(self, it, End::Reborn));
+    }
+
+    /// Reads the list of upstreams.
+    pub(crate) fn with_list<T>(&self, f: impl FnOnce(&Listed) -> T) -> T {
+        f(&self.listed.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Picks an upstream, one that was not tried yet if there is any.
+    ///
+    /// # Errors
+    ///
+    /// Why the request is refused.
+    pub(crate) fn place(
+        &self,
+        job: &Job,
+        service: &str,
+        tried: &[u32],
+        room: Room,
+    ) -> Result<(Placed, Arc<Upstream>), Refused> {
+        let ready = self.with_list(|it| it.ready.get(service).cloned()).unwrap_or_default();
+        let untried = || ready.candidates.iter().filter(|it| !tried.contains(&it.upstream));
+        // Where no other is left, the same upstream may be asked again.
+        let mut balancer = self.balancer();
+        let now = clock::now();
+        let some: Vec<Candidate>;
+        let candidates = if tried.is_empty() || untried().next().is_none() {
+            &ready.candidates
+        } else {
+            some = untried().copied().collect();
+            &some
+        };
+        let res = match room {
+            Room::Any => balancer.place(now, job, candidates),
+            Room::Apart => {
+                let calmest = balancer.calmest(now, candidates);
+                balancer.place(now, job, calmest.as_slice())
+            }
+        };
+        drop(balancer);
+        let placed = match res {
+            Placement::Send(it) => it,
+            Placement::Refuse { reason, retry, estimate, share } => {
+                return Err(Refused { reason, retry, estimate, share });
+            }
+        };
+        let chosen = ready.upstreams.iter().find(|it| number(it) == placed.upstream);
+        chosen.map(|it| (placed, it.clone())).ok_or(Refused {
+            reason: Refusal::NoUpstream,
+            retry: placed.estimate,
+            estimate: placed.estimate,
+            share: placed.share,
+        })
+    }
+}
+
+/// Returns an upstream's number among the hosts.
+pub(crate) fn number(it: &Upstream) -> u32 {
+    it.hash as u32
+}
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -10,11 +10,7 @@
 use portfield_net::clock;
 use portfield_wire::{Digest, Suspect};
 
-use crate::{
-    call::Call,
-    reach,
-    state::{Host, number},
-};
+use crate::{call::Call, placing::number, reach, state::Host};
 
 /// Most requests that a log line names.
 const MAX_NAMED: usize = 20;
--- a/crates/portfield-host/src/reach.rs
+++ b/crates/portfield-host/src/reach.rs
@@ -11,8 +11,9 @@
 use portfield_net::clock;
 
 use crate::{
+    placing::number,
     quarantine::{self, End},
-    state::{Host, number},
+    state::Host,
 };
 
 /// Time before the first try; on a link that loses packets the next one mostly succeeds.
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -14,8 +14,8 @@
     answer::Body,
     attempt::{Live, explain},
     exchange::Exchange,
+    placing::number,
     quarantine,
-    state::number,
 };
 
 /// Silence after which a stream that another upstream may go on with is moved there, as a
--- a/crates/portfield-host/src/serve.rs
+++ b/crates/portfield-host/src/serve.rs
@@ -12,8 +12,9 @@
     attempt::{self, Live},
     call::Call,
     exchange::Exchange,
+    placing::number,
     quarantine, relay,
-    state::{Host, number},
+    state::Host,
 };
 
 /// Serves a request to its end.
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -1,7 +1,7 @@
 //! What one host knows and decides with, shared by its tasks.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     io,
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::Duration,
@@ -11,22 +11,17 @@
 use bytes::Bytes;
 use portfield::{
     balance::{
-        Audience, Balancer, Candidate, Follower, Governor, Job, Others, Place, Placed, Placement,
-        Readers, Refusal, RetryBudget, host_hash,
+        Audience, Balancer, Follower, Governor, Others, Place, Readers, RetryBudget, host_hash,
     },
-    catalog::{Catalog, Directory, Upstream},
+    catalog::Catalog,
     quarantine::{Breaks, Quarantine, Request},
-    waking::{Knowledge, Waking},
+    waking::Waking,
 };
 use portfield_net::{clock, contain, rt::Runtime};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    metrics::Metrics,
-    moment::Moment,
-    pool::Pool,
-    quarantine::{self, End},
-    reach::Trying,
+    metrics::Metrics, moment::Moment, placing::Listed, pool::Pool, reach::Trying,
     settings::Settings,
 };
 
@@ -53,59 +48,6 @@
     pub bytes: Bytes,
 }
 
-/// Upstreams and the entries they were read from, by id.
-#[derive(Debug, Default)]
-pub(crate) struct Listed {
-    pub directory: Directory,
-    pub entries: HashMap<String, Bytes>,
-    /// By service, made anew with each change: every request reads it.
-    ready: HashMap<String, Arc<Ready>>,
-}
-
-/// The upstreams of a service that take new requests, both lists in the same order.
-#[derive(Debug, Default)]
-struct Ready {
-    upstreams: Vec<Arc<Upstream>>,
-    candidates: Vec<Candidate>,
-}
-
-impl Listed {
-    fn group(&mut self, here: &str) {
-        let mut ready: HashMap<String, Ready> = HashMap::new();
-        for it in self.directory.ready() {
-            let group = ready.entry(it.entry.service.clone()).or_default();
-            group.upstreams.push(it.clone());
-            group.candidates.push(Candidate {
-                upstream: number(it),
-                slots: it.entry.slots,
-                near: it.entry.data_centre == here,
-            });
-        }
-        self.ready = ready.into_iter().map(|(service, it)| (service, Arc::new(it))).collect();
-    }
-}
-
-/// Where a request may be sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Room {
-    /// Wherever it is served best.
-    Any,
-    /// Where least runs: it may end its upstream.
-    Apart,
-}
-
-/// Why a request is sent to no upstream.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Refused {
-    pub reason: Refusal,
-    /// When to come back.
-    pub retry: Duration,
-    /// The estimate that decided.
-    pub estimate: Duration,
-    /// What its workspace has had, as a multiple of its share.
-    pub share: f64,
-}
-
 /// One router process.
 #[derive(Debug)]
 pub(crate) struct Host {
@@ -117,7 +59,7 @@
     pub incarnation: u64,
     own_hash: u64,
     in_force: RwLock<Option<InForce>>,
-    listed: RwLock<Listed>,
+    pub listed: RwLock<Listed>,
     balancer: Mutex<Balancer>,
     budgets: Mutex<HashMap<u32, RetryBudget>>,
     others: Mutex<Others>,
@@ -222,78 +164,11 @@
         self.metrics.count("config_changes");
     }
 
-    /// Changes the list of upstreams.
-    pub(crate) fn update_list(&self, f: impl FnOnce(&mut Listed)) {
-        let here = self.settings().data_centre.clone();
-        let mut listed = self.listed.write().unwrap_or_else(PoisonError::into_inner);
-        let before: Vec<Arc<Upstream>> = listed.directory.ready().cloned().collect();
-        f(&mut listed);
-        listed.group(&here);
-        let ids: HashSet<u32> = listed.directory.all().map(|it| number(it)).collect();
-        let is_reborn = |it: &&Arc<Upstream>| listed.directory.is_reborn(it);
-        let reborn: Vec<Arc<Upstream>> = before.iter().filter(is_reborn).cloned().collect();
-        drop(listed);
-        self.balancer().retain(|id| ids.contains(&id));
-        reborn.iter().for_each(|it| quarantine::ended(self, it, End::Reborn));
-    }
-
-    /// Reads the list of upstreams.
-    pub(crate) fn with_list<T>(&self, f: impl FnOnce(&Listed) -> T) -> T {
-        f(&self.listed.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
     /// Returns the decision state.
     pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Picks an upstream, one that was not tried yet if there is any.
-    ///
-    /// # Errors
-    ///
-    /// Why the request is refused.
-    pub(crate) fn place(
-        &self,
-        job: &Job,
-        service: &str,
-        tried: &[u32],
-        room: Room,
-    ) -> Result<(Placed, Arc<Upstream>), Refused> {
-        let ready = self.with_list(|it| it.ready.get(service).cloned()).unwrap_or_default();
-        let untried = || ready.candidates.iter().filter(|it| !tried.contains(&it.upstream));
-        // Where no other is left, the same upstream may be asked again.
-        let mut balancer = self.balancer();
-        let now = clock::now();
-        let some: Vec<Candidate>;
-        let candidates = if tried.is_empty() || untried().next().is_none() {
-            &ready.candidates
-        } else {
-            some = untried().copied().collect();
-            &some
-        };
-        let res = match room {
-            Room::Any => balancer.place(now, job, candidates),
-            Room::Apart => {
-                let calmest = balancer.calmest(now, candidates);
-                balancer.place(now, job, calmest.as_slice())
-            }
-        };
-        drop(balancer);
-        let placed = match res {
-            Placement::Send(it) => it,
-            Placement::Refuse { reason, retry, estimate, share } => {
-                return Err(Refused { reason, retry, estimate, share });
-            }
-        };
-        let chosen = ready.upstreams.iter().find(|it| number(it) == placed.upstream);
-        chosen.map(|it| (placed, it.clone())).ok_or(Refused {
-            reason: Refusal::NoUpstream,
-            retry: placed.estimate,
-            estimate: placed.estimate,
-            share: placed.share,
-        })
-    }
-
     /// Counts a request towards a service's retry budget.
     pub(crate) fn earn_retry(&self, service: u32) {
         self.with_budget(service, |it, _| it.earn(clock::now()));
@@ -328,42 +203,8 @@
         self.breaks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Looks at the clock: whether this host stood still, and for how long if it has just gone on.
-    ///
-    /// Called often, and before anything that relies on what the host knows.
-    pub(crate) fn look_awake(&self) -> Option<Duration> {
-        let still = self.waking().look(clock::now())?;
-        log::warn!(still_ms = still.as_millis() as u64, active = self.n_active(); "host stood still");
-        self.metrics.count("stood_still");
-        clock::woke();
-        self.balancer().stood_still(still);
-        self.others().drop_passing();
-        Some(still)
-    }
-
-    /// Returns whether what this host knows of the fleet may be used.
-    pub(crate) fn trusts(&self) -> bool {
-        self.look_awake();
-        self.waking().trusts(clock::now())
-    }
-
-    /// Notes that the store answered a call made at `asked`.
-    pub(crate) fn heard_store(&self, asked: Duration, what: Knowledge) {
-        self.waking().heard_store(asked, what);
-    }
-
-    /// Notes that another host, which hears the store, knows nothing newer of something.
-    pub(crate) fn heard_host(&self, what: Knowledge) {
-        self.waking().heard_host(what);
-    }
-
-    /// Returns when this host last went on after it had stood still, if it ever did.
-    pub(crate) fn woke_at(&self) -> Option<Duration> {
-        self.look_awake();
-        self.waking().woke_at()
-    }
-
-    fn waking(&self) -> MutexGuard<'_, Waking> {
+    /// Returns whether this host has stood still, and what it has heard since.
+    pub(crate) fn waking(&self) -> MutexGuard<'_, Waking> {
         self.waking.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -494,11 +335,6 @@
     }
 }
 
-/// Returns an upstream's number among the hosts.
-pub(crate) fn number(it: &Upstream) -> u32 {
-    it.hash as u32
-}
-
 /// Returns the number of a name among the hosts.
 pub(crate) fn hash(name: &str) -> u32 {
     xxh3_64(name.as_bytes()) as u32
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -16,8 +16,9 @@
 };
 
 use crate::{
+    placing::Listed,
     recall,
-    state::{Host, Listed, hash},
+    state::{Host, hash},
 };
 
 /// Longest time that the store holds a call until something changes.
