--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -162,7 +162,8 @@
         let word = outcome.as_str();
         log::warn!(
             request = self.call.id, upstream = upstream.entry.id, outcome = word, cause,
-            fingerprint = self.call.request().fingerprint_text(), left_ms = self.call.left().as_millis() as u64; "attempt failed"
+            fingerprint = self.call.request().fingerprint_text(),
+            left_ms = self.call.left().as_millis() as u64; "attempt failed"
         );
         self.host.metrics.count(&format!("attempts_failed{{outcome=\"{word}\"}}"));
         if outcome == Outcome::Late && !self.call.kind().is_repeatable() {
@@ -176,7 +177,8 @@
         quarantine::broke(&self.host, &self.call, upstream);
         log::warn!(
             request = self.call.id, upstream = upstream.entry.id, outcome = "unknown", cause,
-            fingerprint = self.call.request().fingerprint_text(), left_ms = self.call.left().as_millis() as u64; "answer broke"
+            fingerprint = self.call.request().fingerprint_text(),
+            left_ms = self.call.left().as_millis() as u64; "answer broke"
         );
         self.host.metrics.count("answers_broken");
     }
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -14,6 +14,7 @@
 
 /// Most requests that a log line names.
 const MAX_NAMED: usize = 20;
+
 /// What shows that an upstream has ended.
 ///
 /// That its entry is gone shows nothing: those of a data centre that is cut off go too, and the upstreams there
@@ -35,7 +36,7 @@
     Own,
     /// Another host's digest.
     Host,
-    /// The store, after this host's start.
+    /// The store: after this host's start, or while it misses a data centre.
     Store,
 }
 
--- a/crates/portfield/src/quarantine/case.rs
+++ b/crates/portfield/src/quarantine/case.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::{breaks::Request, register::Scope};
+use super::breaks::Request;
 use crate::wire;
 
 /// Upstreams that have to end under a request before it is refused.
@@ -28,6 +28,18 @@
 /// How often what is new is repeated in digests, against lost datagrams.
 const REPEATS: u32 = 3;
 
+/// Which digest something is told in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Scope {
+    /// This host's own: what it saw itself.
+    Own,
+    /// This host's own, with all requests that are refused: hosts that have just started, or could not be reached,
+    /// learn of them.
+    Whole,
+    /// The sum of its data centre: what any host there saw, and all requests that are refused.
+    Sum,
+}
+
 /// An upstream that ended while the request ran there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct End {
--- a/crates/portfield/src/quarantine/register.rs
+++ b/crates/portfield/src/quarantine/register.rs
@@ -8,7 +8,7 @@
 
 use super::{
     breaks::Request,
-    case::{Case, LETHAL_ENDS},
+    case::{Case, LETHAL_ENDS, Scope},
     fingerprint::Fingerprint,
 };
 use crate::{balance::Audience, wire};
@@ -28,18 +28,6 @@
 /// The time of a process's start: what happened before it has a time too.
 const EPOCH: Duration = Duration::from_secs(3600);
 
-/// Which digest something is told in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Scope {
-    /// This host's own: what it saw itself.
-    Own,
-    /// This host's own, with all requests that are refused: hosts that have just started, or could not be reached,
-    /// learn of them.
-    Whole,
-    /// The sum of its data centre: what any host there saw, and all requests that are refused.
-    Sum,
-}
-
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Verdict {
