test(soak): every third seed pauses hosts for as long as a standstill

Cause: the soak paused hosts for 0.8 s at the most; a standstill begins at 1.5 s. Before: no standstill in the soak.

--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -23,7 +23,7 @@
 use portfield_platform_standins::{Harm, Proxy, StoreFault, UpstreamFault};
 
 /// Seeds that CI runs; a seed that ever failed is added with a line on its cause.
-const SEEDS: [u64; 2] = [1, 2];
+const SEEDS: [u64; 3] = [1, 2, 3];
 /// Time that a seed takes in CI.
 const CI_TIME: Duration = Duration::from_secs(6);
 const N_HOSTS: usize = 3;
@@ -55,6 +55,8 @@
     log: Vec<String>,
     /// Data centres of the hosts in turn; with two, each hears of the other by sums.
     places: &'static [&'static str],
+    /// Longest time for which a host is paused, in milliseconds: every third seed has standstills.
+    longest_pause: u64,
 }
 
 impl Soak {
@@ -79,6 +81,7 @@
             rng: fastrand::Rng::with_seed(seed),
             version: 1,
             log: Vec::new(),
+            longest_pause: if seed.is_multiple_of(3) { 2600 } else { 800 },
             places: if seed.is_multiple_of(2) { &["north"] } else { &["north", "south"] },
         };
         for idx in 0..N_HOSTS {
@@ -107,7 +110,7 @@
             1 => self.restart(host, "-TERM"),
             2 => {
                 self.hosts[host].signal("-STOP");
-                thread::sleep(Duration::from_millis(self.rng.u64(50..800)));
+                thread::sleep(Duration::from_millis(self.rng.u64(50..self.longest_pause)));
                 self.hosts[host].signal("-CONT");
                 format!("host {host} paused")
             }
