refactor(host): the quarantine looks at no address itself; test(ctl): quarantine listed and lifted

Cause: quarantine.rs and reach.rs named each other; two private types had the name of a public one; the command had no test. No decision changed.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -85,7 +85,7 @@
             host.metrics.count("refused{reason=\"Overload\"}");
             let tokens = head.prompt.as_ref().map_or(0.0, Prompt::cost);
             host.balancer().refused(arrived, owner, tokens);
-            let refused = Refused { owner, tokens, overload };
+            let refused = Overloaded { owner, tokens, overload };
             log_overload(host, &head, &route, workspace.as_deref(), refused);
             return Err(Failure::refused("this host is overloaded", STOPPING_RETRY));
         }
@@ -155,7 +155,7 @@
 
 /// A request that this host has no processor time for.
 #[derive(Debug, Clone, Copy)]
-struct Refused {
+struct Overloaded {
     /// Hash of its workspace's name, zero without one.
     owner: u32,
     tokens: f64,
@@ -168,7 +168,7 @@
     head: &request::Head,
     route: &Route,
     workspace: Option<&Workspace>,
-    Refused { owner, tokens, overload }: Refused,
+    Overloaded { owner, tokens, overload }: Overloaded,
 ) {
     let name = workspace.map_or("", |it| it.name.as_str());
     let account = host.balancer().account(clock::now(), owner);
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -15,7 +15,7 @@
     attempt::{self, Live, Outcome, Sent},
     call::{Call, STOOD_STILL, WAKING_RETRY},
     placing::{Refused, Room},
-    quarantine,
+    quarantine, reach,
     state::Host,
 };
 
@@ -155,7 +155,7 @@
     ) -> Result<(), Failure> {
         if outcome.may_have_run() {
             self.note_run();
-            quarantine::broke(&self.host, &self.call, upstream);
+            self.note_break(upstream);
         } else {
             self.n_turned += 1;
         }
@@ -172,9 +172,16 @@
         Ok(())
     }
 
+    /// Notes that a run broke, and looks whether its upstream ended with it.
+    fn note_break(&self, upstream: &Arc<Upstream>) {
+        if quarantine::broke(&self.host, &self.call, upstream) {
+            reach::look(&self.host, upstream);
+        }
+    }
+
     /// Notes that the answer of the upstream asked last broke.
     pub(crate) fn broke(&self, upstream: &Arc<Upstream>, cause: &str) {
-        quarantine::broke(&self.host, &self.call, upstream);
+        self.note_break(upstream);
         log::warn!(
             request = self.call.id, upstream = upstream.entry.id, outcome = "unknown", cause,
             fingerprint = self.call.request().fingerprint_text(),
--- a/crates/portfield-host/src/pages.rs
+++ b/crates/portfield-host/src/pages.rs
@@ -36,7 +36,7 @@
 
 /// A request that is refused.
 #[derive(Debug, Serialize)]
-struct Refused {
+struct Row {
     fingerprint: String,
     /// Its workspace, empty where the configuration has none of that hash.
     workspace: String,
@@ -46,14 +46,14 @@
     left_s: u64,
 }
 
-fn refused(host: &Host) -> Vec<Refused> {
+fn refused(host: &Host) -> Vec<Row> {
     let catalog = host.in_force().map(|it| it.catalog);
     let name = |number: u32| {
         let mut all = catalog.iter().flat_map(|it| it.workspaces());
         all.find(|it| hash(&it.name) == number).map_or(String::new(), |it| it.name.clone())
     };
     let verdicts = host.quarantine().verdicts(clock::now());
-    let show = |it: &portfield::quarantine::Verdict| Refused {
+    let show = |it: &portfield::quarantine::Verdict| Row {
         fingerprint: it.request.fingerprint_text(),
         workspace: name(it.request.workspace),
         n_ends: it.n_ends,
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -1,6 +1,6 @@
 //! Requests that end upstreams: what this host sees of them, and what it refuses.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use portfield::{
     balance::Audience,
@@ -10,7 +10,7 @@
 use portfield_net::clock;
 use portfield_wire::{Digest, Suspect};
 
-use crate::{call::Call, placing::number, reach, state::Host};
+use crate::{call::Call, placing::number, state::Host};
 
 /// Most requests that a log line names.
 const MAX_NAMED: usize = 20;
@@ -40,20 +40,19 @@
     Store,
 }
 
-/// Notes that a run of a request broke, and looks whether its upstream is still there.
-pub(crate) fn broke(host: &Arc<Host>, call: &Call, upstream: &Arc<Upstream>) {
+/// Notes that a run of a request broke; returns whether it is to be found out that its upstream is still there.
+pub(crate) fn broke(host: &Host, call: &Call, upstream: &Upstream) -> bool {
     // One that leaves ends with whatever still runs there, and a host that stood still may not know that it does.
     if !host.trusts()
         || !host.with_list(|it| it.directory.ready().any(|it| it.hash == upstream.hash))
     {
-        return;
+        return false;
     }
     let is_ended = host.breaks().note(clock::now(), call.request(), number(upstream));
     if is_ended {
         suspect(host, &[call.request()], upstream);
-    } else {
-        reach::look(host, upstream);
     }
+    !is_ended
 }
 
 /// Notes that an upstream ended.
--- a/crates/portfield/tests/speakers.rs
+++ b/crates/portfield/tests/speakers.rs
@@ -451,7 +451,7 @@
     }
 }
 
-/// Two sleepers, of which one spoke, and all of a data centre.
+/// Two hosts, of which one spoke, and all of a data centre.
 #[test]
 fn hosts_that_stood_still_are_heard_again_though_nothing_says_that_they_are_new() {
     for n_still in [2, 25] {
@@ -469,7 +469,7 @@
 
 /// What is held against a request gets older while who tells it stands still.
 #[test]
-fn a_verdict_that_a_sleeper_tells_is_as_old_as_it_is() {
+fn a_verdict_told_by_a_host_that_stood_still_is_as_old_as_it_is() {
     let (mut world, request) = with_suspect(25, 0);
     world.run(Duration::from_secs(3));
     let still = world.line(1);
--- a/crates/portfieldctl/src/quarantine.rs
+++ b/crates/portfieldctl/src/quarantine.rs
@@ -10,7 +10,7 @@
 const PAGE: &str = "/quarantine";
 
 #[derive(Debug, Deserialize)]
-struct Refused {
+struct Row {
     fingerprint: String,
     workspace: String,
     n_ends: usize,
@@ -23,7 +23,7 @@
 ///
 /// Where the host does not answer.
 pub(crate) async fn show(host: SocketAddr) -> eyre::Result<String> {
-    let refused: Vec<Refused> = Target::direct(host).get(PAGE).await?;
+    let refused: Vec<Row> = Target::direct(host).get(PAGE).await?;
     if refused.is_empty() {
         return Ok("no request is refused\n".to_owned());
     }
--- /dev/null
+++ b/crates/portfieldctl/tests/quarantine.rs
@@ -0,0 +1,63 @@
+//! `portfieldctl quarantine`: what a host refuses, and letting it run again.
+
+use std::{
+    net::SocketAddr,
+    process::{Command, Output},
+    sync::{Arc, Mutex},
+    thread,
+};
+
+use futures_lite::future;
+use http_types::{Method, Request, Response};
+use portfield_net::{http1, rt::Runtime};
+use serde_json::json;
+
+/// A host's metrics address; keeps the paths that were deleted.
+fn host(deleted: &Arc<Mutex<Vec<String>>>) -> SocketAddr {
+    let rt = Runtime::default();
+    let (listener, address) =
+        future::block_on(http1::bind("127.0.0.1:0".parse().unwrap())).unwrap();
+    let deleted = deleted.clone();
+    let answer = http1::at_once(move |it: &Request| answer(it, &deleted));
+    let task = rt.clone();
+    thread::spawn(move || task.block_on(0, http1::serve(rt, listener, answer)));
+    address
+}
+
+fn answer(request: &Request, deleted: &Mutex<Vec<String>>) -> Response {
+    let path = request.url().path();
+    match request.method() {
+        Method::Get if path == "/quarantine" => http1::json(
+            200,
+            &json!([{ "fingerprint": "00c0ffee", "workspace": "masons", "n_ends": 3, "left_s": 97 }]),
+        ),
+        Method::Delete if path.ends_with("/00c0ffee") => {
+            deleted.lock().unwrap().push(path.to_owned());
+            http1::json(200, &"lifted")
+        }
+        _ => http1::json(404, &"nothing is known against this request here"),
+    }
+}
+
+fn run(address: SocketAddr, more: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_portfieldctl"))
+        .args(["quarantine", &address.to_string()])
+        .args(more)
+        .env_remove("PORTFIELD_PLATFORM")
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn what_a_host_refuses_is_listed_and_lifted() {
+    let deleted = Arc::default();
+    let address = host(&deleted);
+    let text = String::from_utf8(run(address, &[]).stdout).unwrap();
+    let row: Vec<&str> = text.lines().nth(1).unwrap().split_whitespace().collect();
+    assert_eq!(row, ["00c0ffee", "masons", "3", "97"]);
+    assert!(run(address, &["--lift", "00c0ffee"]).status.success());
+    assert_eq!(*deleted.lock().unwrap(), ["/quarantine/00c0ffee"]);
+    let unknown = run(address, &["--lift", "12"]);
+    assert!(!unknown.status.success());
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("nothing is known"));
+}
