refactor: no file of portfield-host or of balance is in a circle any more

Change: listed.rs (the list as requests are placed on it), trying.rs, and the constant for a host's last word stands where hosts' words are. No decision changed. Checks: clippy, all tests of portfield, lethal, knowledge and requests of the host.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     call::Call,
-    placing::number,
+    listed::number,
     pool::Connection,
     quarantine::{self, End},
     reach,
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod front;
 mod life;
+mod listed;
 mod metrics;
 mod moment;
 mod pages;
@@ -23,6 +24,7 @@
 mod serve;
 mod settings;
 mod state;
+mod trying;
 mod watch;
 
 use std::path::PathBuf;
--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -17,7 +17,7 @@
 use tonic::{Request, Response, Status};
 
 use crate::{
-    placing::Listed,
+    listed::Listed,
     state::Host,
     watch::{ListRow, Version, take_list},
 };
--- a/crates/portfield-host/src/placing.rs
+++ b/crates/portfield-host/src/placing.rs
@@ -1,55 +1,23 @@
-//! The list of upstreams, and which of them a request is sent to.
+//! Changes of the list of upstreams, and which of them a request is sent to.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashSet,
     sync::{Arc, PoisonError},
     time::Duration,
 };
 
-use bytes::Bytes;
 use portfield::{
     balance::{Candidate, Job, Placed, Placement, Refusal},
-    catalog::{Directory, Upstream},
+    catalog::Upstream,
 };
 use portfield_net::clock;
 
 use crate::{
+    listed::{Listed, number},
     quarantine::{self, End},
     state::Host,
 };
 
-/// Upstreams and the entries they were read from, by id.
-#[derive(Debug, Default)]
-pub(crate) struct Listed {
-    pub directory: Directory,
-    pub entries: HashMap<String, Bytes>,
-    /// By service, made anew with each change: every request reads it.
-    ready: HashMap<String, Arc<Ready>>,
-}
-
-/// The upstreams of a service that take new requests, both lists in the same order.
-#[derive(Debug, Default)]
-struct Ready {
-    upstreams: Vec<Arc<Upstream>>,
-    candidates: Vec<Candidate>,
-}
-
-impl Listed {
-    fn group(&mut self, here: &str) {
-        let mut ready: HashMap<String, Ready> = HashMap::new();
-        for it in self.directory.ready() {
-            let group = ready.entry(it.entry.service.clone()).or_default();
-            group.upstreams.push(it.clone());
-            group.candidates.push(Candidate {
-                upstream: number(it),
-                slots: it.entry.slots,
-                near: it.entry.data_centre == here,
-            });
-        }
-        self.ready = ready.into_iter().map(|(service, it)| (service, Arc::new(it))).collect();
-    }
-}
-
 /// Where a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Room {
@@ -139,8 +107,3 @@
         })
     }
 }
-
-/// Returns an upstream's number among the hosts.
-pub(crate) fn number(it: &Upstream) -> u32 {
-    it.hash as u32
-}
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -10,7 +10,7 @@
 use portfield_net::clock;
 use portfield_wire::{Digest, Suspect};
 
-use crate::{call::Call, placing::number, state::Host};
+use crate::{call::Call, listed::number, state::Host};
 
 /// Most requests that a log line names.
 const MAX_NAMED: usize = 20;
--- a/crates/portfield-host/src/reach.rs
+++ b/crates/portfield-host/src/reach.rs
@@ -1,17 +1,12 @@
 //! Finds out, without a request, when an upstream that could not be reached can be again.
 
-use std::{
-    collections::HashSet,
-    io,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{io, sync::Arc, time::Duration};
 
 use portfield::catalog::Upstream;
 use portfield_net::clock;
 
 use crate::{
-    placing::number,
+    listed::number,
     quarantine::{self, End},
     state::Host,
 };
@@ -24,22 +19,6 @@
 /// Time for which a new connection has to stay open, where a run broke, to show that its upstream goes on.
 const SECOND_LOOK: Duration = Duration::from_millis(100);
 
-/// Upstreams that are being tried.
-#[derive(Debug, Default)]
-pub(crate) struct Trying {
-    upstreams: Mutex<HashSet<u32>>,
-}
-
-impl Trying {
-    fn begin(&self, upstream: u32) -> bool {
-        self.upstreams.lock().unwrap_or_else(PoisonError::into_inner).insert(upstream)
-    }
-
-    fn end(&self, upstream: u32) {
-        self.upstreams.lock().unwrap_or_else(PoisonError::into_inner).remove(&upstream);
-    }
-}
-
 /// Starts to try an upstream that could not be reached, unless it is being tried, until it is reached or
 /// gone; `err` is what the last try said.
 pub(crate) fn start(host: &Arc<Host>, upstream: &Arc<Upstream>, err: &io::Error) {
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -14,7 +14,7 @@
     answer::Body,
     attempt::{Live, explain},
     exchange::Exchange,
-    placing::number,
+    listed::number,
     quarantine,
 };
 
--- a/crates/portfield-host/src/serve.rs
+++ b/crates/portfield-host/src/serve.rs
@@ -12,7 +12,7 @@
     attempt::{self, Live},
     call::Call,
     exchange::Exchange,
-    placing::number,
+    listed::number,
     quarantine, relay,
     state::Host,
 };
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -21,8 +21,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    metrics::Metrics, moment::Moment, placing::Listed, pool::Pool, reach::Trying,
-    settings::Settings,
+    listed::Listed, metrics::Metrics, moment::Moment, pool::Pool, settings::Settings,
+    trying::Trying,
 };
 
 /// Silence of the store after which the list of upstreams is taken from other hosts.
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    placing::Listed,
+    listed::Listed,
     recall,
     state::{Host, hash},
 };
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -2,13 +2,14 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::{cache::Cache, health::Health, map::Map, peer::Peer};
+use super::{
+    cache::Cache,
+    health::Health,
+    map::Map,
+    peer::{Peer, STALE},
+};
 use crate::wire;
 
-/// Time after which another host's last word no longer counts.
-///
-/// Its requests end with it, or its words are lost; ten digests in a row are not lost by chance.
-pub(crate) const STALE: Duration = Duration::from_millis(1500);
 /// How often what is new is repeated in digests, against lost datagrams.
 pub(crate) const REPEATS: u32 = 3;
 
--- a/crates/portfield/src/balance/peer.rs
+++ b/crates/portfield/src/balance/peer.rs
@@ -10,9 +10,13 @@
 
 use std::time::Duration;
 
-use super::{load::STALE, map::Map};
+use super::map::Map;
 use crate::wire;
 
+/// Time after which another host's last word no longer counts.
+///
+/// Its requests end with it, or its words are lost; ten digests in a row are not lost by chance.
+pub(crate) const STALE: Duration = Duration::from_millis(1500);
 /// Digests from a host's start within which all that it did counts as done just now: a second or
 /// two, of the four over which shares are kept. Without them what a host did before its first word
 /// is lost after each of its starts.
--- a/crates/portfield/src/balance/readers.rs
+++ b/crates/portfield/src/balance/readers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{load::STALE, map::Map};
+use super::{map::Map, peer::STALE};
 
 /// Up to so many hosts all of them follow the store: what they would save is under a hundredth of
 /// what they earn, and each learns of a change by itself.
