--- a/crates/portfield-host/src/pages.rs
+++ b/crates/portfield-host/src/pages.rs
@@ -75,7 +75,10 @@
 }
 
 fn metrics(host: &Host) -> Response {
-    let n_hosts = host.balancer().n_hosts(clock::now()) as f64;
+    let (n_hosts, least_part) = {
+        let (mut balancer, now) = (host.balancer(), clock::now());
+        (balancer.n_hosts(now) as f64, balancer.least_part(now))
+    };
     let (n_suspects, n_refused) = {
         let quarantine = host.quarantine();
         (quarantine.n_suspects(), quarantine.verdicts(clock::now()).len())
@@ -85,6 +88,7 @@
         ("list_version", host.with_list(|it| it.directory.version()) as f64),
         ("store_age_ms", host.store_age().as_millis() as f64),
         ("hosts", n_hosts),
+        ("least_part", least_part),
         ("late_ms", host.governor().late()),
         ("active", host.n_active() as f64),
         ("quarantine_suspects", n_suspects as f64),
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -191,6 +191,22 @@
         self.shares.account(now, workspace)
     }
 
+    /// Returns the least fairness ratio of the last seconds, as far as this host knows: the least part that a workspace
+    /// which was refused has had of what it asked, or of what the best served one has had if that is less.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::Balancer;
+    /// use std::time::Duration;
+    ///
+    /// let mut balancer = Balancer::new(Duration::from_secs(4));
+    /// assert_eq!(balancer.least_part(Duration::from_secs(1)), 1.0);
+    /// ```
+    pub fn least_part(&mut self, now: Duration) -> f64 {
+        self.shares.least_part(now)
+    }
+
     /// Notes that a request is sent to an upstream.
     pub fn start(&mut self, now: Duration, job: &Job, placed: &Placed) -> RunId {
         self.n_runs += 1;
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -203,6 +203,17 @@
         Account { asked: usage.asked, taken: usage.taken, level, best, age }
     }
 
+    /// Returns the least part that a workspace has had of what it asked, or of what the best served one has had if that
+    /// is less, over the window; one where nobody was refused.
+    pub(crate) fn least_part(&mut self, now: Duration) -> f64 {
+        let bucket = self.bucket(now);
+        self.windows.values_mut().for_each(|it| it.roll(bucket));
+        let sums = || self.windows.values().map(Window::sum);
+        let best = sums().map(|it| it.taken).fold(0.0, f64::max);
+        let refused = sums().filter(|it| it.taken < it.asked && 0.0 < best);
+        refused.map(|it| it.taken / it.asked.min(best)).fold(1.0, f64::min)
+    }
+
     /// Returns the most that a workspace gets in a window, `None` where all get what they ask.
     ///
     /// What all took together is what there is; the level shares it out by max-min.
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -470,6 +470,25 @@
     panic!("refused {n_refused} times and never sent elsewhere");
 }
 
+/// Of 20 requests each, one workspace has ten refused, another five.
+#[test]
+fn the_least_fairness_ratio_is_that_of_who_was_refused_most() {
+    let mut it = Balancer::new(WINDOW);
+    let placed = sent(it.place(at(0), &job(1, 7, 100), &engines(1)));
+    for (workspace, n_served) in [(1, 20), (2, 10), (3, 15)] {
+        let job = job(workspace, 7, 100);
+        for n in 0..20 {
+            if n < n_served {
+                it.start(at(n), &job, &placed);
+            } else {
+                it.refused(at(n), workspace, job.tokens());
+            }
+        }
+    }
+    assert_eq!(it.least_part(at(100)), 0.5);
+    assert_eq!(it.least_part(at(9_000)), 1.0, "forgotten after the window");
+}
+
 /// From logs nobody could tell whether a workspace was over its share, or the fleet believed so.
 #[test]
 fn a_refusal_by_share_can_be_told_with_both_sides() {
