refactor: quarantine and standstill use what was there already

Cause: read once more, the change wrote again what stood elsewhere: how often news is repeated and how often all is told (two constants of the digests), the age up to which a host hears the store, the header of a digest (copied field by field for a sum), the look-up of a case (four times), the head of a stand-in's stream; three functions only passed on a call. Ruled out: sharing reach::start and reach::look, and reading the gate and the last try in one look: more words than they save. Change: REPEATS, WHOLE_EVERY and FRESH are balance's own; tell.rs makes the header once for both; Quarantine::known; the rest is called directly; a datagram looks once whether the host stood still. 57 lines in place of 86, no decision changed.

--- a/crates/portfield-host/src/awake.rs
+++ b/crates/portfield-host/src/awake.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use portfield::waking::Knowledge;
 use portfield_net::clock;
 
 use crate::state::Host;
@@ -27,16 +26,6 @@
         self.waking().trusts(clock::now())
     }
 
-    /// Notes that the store answered a call made at `asked`.
-    pub(crate) fn heard_store(&self, asked: Duration, what: Knowledge) {
-        self.waking().heard_store(asked, what);
-    }
-
-    /// Notes that another host, which hears the store, knows nothing newer of something.
-    pub(crate) fn heard_host(&self, what: Knowledge) {
-        self.waking().heard_host(what);
-    }
-
     /// Returns when this host last went on after it had stood still, if it ever did.
     pub(crate) fn woke_at(&self) -> Option<Duration> {
         self.look_awake();
--- a/crates/portfield-host/src/peers/listen.rs
+++ b/crates/portfield-host/src/peers/listen.rs
@@ -7,7 +7,7 @@
 };
 
 use portfield::{
-    balance::{Audience, Follower, Way},
+    balance::{Audience, FRESH, Follower, Way},
     waking::Knowledge,
 };
 use portfield_net::{clock, contain};
@@ -19,7 +19,10 @@
     fetch::{self, Wanted},
     tell,
 };
-use crate::{quarantine, state::Host};
+use crate::{
+    quarantine::{self, Source},
+    state::Host,
+};
 
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
@@ -30,10 +33,6 @@
 /// notices after 2.2 s only, and an upstream that leaves may be sent requests for two seconds.
 const LIST_PATIENCE: Duration = Duration::from_millis(250);
 
-/// Age of a host's last word from the store, in milliseconds, up to which what it knows is in force: above the time
-/// that the store holds a call.
-const FRESH_MS: u32 = 1700;
-
 /// Listens to the others for ever.
 pub(super) async fn run(host: Arc<Host>, socket: Datagrams) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -47,9 +46,10 @@
                 continue;
             }
         };
-        if host.woke_at() != woke {
+        let woke_last = host.woke_at();
+        if woke_last != woke {
             // What lies here was said while this host stood still.
-            woke = host.woke_at();
+            woke = woke_last;
             while socket.get_ref().recv(&mut buf).is_ok() {}
             continue;
         }
@@ -123,7 +123,7 @@
     } else {
         host.metrics.count("sums");
     }
-    quarantine::hear(host, &digest.suspects);
+    quarantine::take(host, &digest.suspects, Source::Host);
     if audience.counts(digest) {
         host.balancer().merge(now, digest);
     }
@@ -172,16 +172,16 @@
 
 impl News {
     fn note(&mut self, host: &Host, known: Known, address: SocketAddr, digest: &Digest) {
-        let hears_store = digest.store_age < FRESH_MS;
+        let hears_store = Duration::from_millis(u64::from(digest.store_age)) < FRESH;
         if known.config < digest.config_version {
             self.config.note(address);
         } else if hears_store {
-            host.heard_host(Knowledge::Config);
+            host.waking().heard_host(Knowledge::Config);
         }
         if known.list < digest.list_version {
             self.list.note(address);
         } else if hears_store {
-            host.heard_host(Knowledge::Upstreams);
+            host.waking().heard_host(Knowledge::Upstreams);
         }
     }
 
--- a/crates/portfield-host/src/peers/tell.rs
+++ b/crates/portfield-host/src/peers/tell.rs
@@ -29,13 +29,14 @@
         clock::sleep(audience.period()).await;
         sequence += 1;
         audience = host.look();
-        let digest = own_digest(&host, &audience, sequence);
+        let header = header(&host, sequence);
+        let digest = own_digest(&host, &audience, header.clone());
         let (told, passed) = {
             let mut others = host.others();
             (others.told(sequence), others.take_passing())
         };
         if audience.speaks() {
-            let sum = sum(&host, &digest);
+            let sum = sum(&host, header);
             let told = host.others().told_sum(clock::now(), sequence);
             send(&host, &socket, &sum, told);
         }
@@ -74,9 +75,9 @@
     send(host, socket, &digest, [to]);
 }
 
-/// Tells what this host did.
-fn own_digest(host: &Host, audience: &Audience, sequence: u64) -> Digest {
-    let mut res = header(host, sequence);
+/// Adds what this host did to its header.
+fn own_digest(host: &Host, audience: &Audience, header: Digest) -> Digest {
+    let mut res = header;
     res.seeks_hosts = !host.others().knows_near();
     host.balancer().report(clock::now(), &mut res);
     quarantine::report(host, audience, &mut res);
@@ -99,21 +100,9 @@
     }
 }
 
-/// Tells what this host's data centre did; `own` is its own digest of that moment.
-fn sum(host: &Host, own: &Digest) -> Digest {
-    // The header of its own digest, with the data centre in place of the host.
-    let mut res = Digest {
-        host: u64::from(own.data_centre),
-        incarnation: own.incarnation,
-        sequence: own.sequence,
-        config_version: own.config_version,
-        list_version: own.list_version,
-        data_centre: own.data_centre,
-        store_age: own.store_age,
-        address: own.address.clone(),
-        passed_on: true,
-        ..Digest::default()
-    };
+/// Adds what this host's data centre did to the host's header, in whose place the data centre stands.
+fn sum(host: &Host, header: Digest) -> Digest {
+    let mut res = Digest { host: u64::from(header.data_centre), passed_on: true, ..header };
     host.balancer().summarize(clock::now(), &mut res);
     quarantine::summarize(host, &mut res);
     res
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -95,11 +95,6 @@
     true
 }
 
-/// Takes what another host tells.
-pub(crate) fn hear(host: &Host, suspects: &[Suspect]) {
-    take(host, suspects, Source::Host);
-}
-
 /// Takes what another host or the store tells.
 pub(crate) fn take(host: &Host, suspects: &[Suspect], source: Source) {
     if suspects.is_empty() {
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -131,7 +131,7 @@
                 let gap = std::mem::replace(&mut pace, GATHER);
                 version = Some(newest);
                 take(&host, News { rows, version: Version { number: newest, is_whole, source } });
-                host.heard_store(asked, what);
+                host.waking().heard_store(asked, what);
                 clock::sleep((asked + gap).saturating_sub(now)).await;
             }
             Err(err) if store::is_history_gone(&err) => {
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -34,7 +34,7 @@
 const SPARE_PART: f64 = 0.5;
 /// How many digests tell only the usage that is new, for each that tells all of it: a host that has just
 /// begun to listen knows all within a second.
-const WHOLE_EVERY: u64 = 8;
+pub(crate) const WHOLE_EVERY: u64 = 8;
 /// Weight of one more observation in an average.
 const SMOOTH: f64 = 0.05;
 
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -39,11 +39,13 @@
 mod speed;
 
 pub use audience::{Audience, Listener, Place};
+pub(crate) use balancer::WHOLE_EVERY;
 pub use balancer::{Balancer, RunId};
 pub use budget::RetryBudget;
 pub use governor::{Governor, Overload};
 pub use job::{Candidate, Ending, Job, Placed, Placement, Refusal, Stage};
+pub(crate) use load::REPEATS;
 pub use others::{Others, Way, host_hash};
 pub use prompt::{Part, Prompt};
-pub use readers::{Follower, Readers};
+pub use readers::{FRESH, Follower, Readers};
 pub use shares::{Account, Standing};
--- a/crates/portfield/src/balance/readers.rs
+++ b/crates/portfield/src/balance/readers.rs
@@ -11,7 +11,7 @@
 const PER_DATA_CENTRE: usize = 2;
 /// Age of a host's last word from the store above which it counts as cut off from it: above the
 /// time that the store holds a call, and below the two seconds in which a change must be in force.
-const FRESH: Duration = Duration::from_millis(1700);
+pub const FRESH: Duration = Duration::from_millis(1700);
 /// Hosts of a data centre that try the store beside the first ones, for each time that the age of the last
 /// word from it has doubled.
 ///
--- a/crates/portfield/src/quarantine/case.rs
+++ b/crates/portfield/src/quarantine/case.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use super::breaks::Request;
-use crate::wire;
+use crate::{balance::REPEATS, wire};
 
 /// Upstreams that have to end under a request before it is refused.
 ///
@@ -25,9 +25,6 @@
 /// on its way.
 const CLEARED_MEMORY: Duration = Duration::from_secs(10);
 
-/// How often what is new is repeated in digests, against lost datagrams.
-const REPEATS: u32 = 3;
-
 /// Which digest something is told in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Scope {
--- a/crates/portfield/src/quarantine/register.rs
+++ b/crates/portfield/src/quarantine/register.rs
@@ -11,11 +11,11 @@
     case::{Case, LETHAL_ENDS, Scope},
     fingerprint::Fingerprint,
 };
-use crate::{balance::Audience, wire};
+use crate::{
+    balance::{Audience, WHOLE_EVERY},
+    wire,
+};
 
-/// Each so many digests all requests that are refused are told: a host that has just started, or could not be
-/// reached, knows them within some seconds.
-const WHOLE_EVERY: u64 = 8;
 /// Requests told in one digest, of some 50 bytes each: what runs at an engine breaks with it, some twenty
 /// requests at nine hosts.
 const MAX_TOLD: usize = 24;
@@ -76,15 +76,13 @@
 impl Quarantine {
     /// Returns why a request is refused, `None` where it may be sent.
     pub fn verdict(&self, now: Duration, request: Request) -> Option<Verdict> {
-        let case = self.cases.get(&request.workspace)?.get(&request.fingerprint)?;
-        verdict(request, case, now + EPOCH)
+        verdict(request, self.known(request)?, now + EPOCH)
     }
 
     /// Returns whether one more end under a request makes the verdict: what runs beside it is at risk.
     pub fn is_last_try(&self, now: Duration, request: Request) -> bool {
-        let cases = self.cases.get(&request.workspace);
-        let case = cases.and_then(|it| it.get(&request.fingerprint));
-        case.is_some_and(|it| LETHAL_ENDS <= it.n_ends() + 1 && it.left(now + EPOCH).is_none())
+        self.known(request)
+            .is_some_and(|it| LETHAL_ENDS <= it.n_ends() + 1 && it.left(now + EPOCH).is_none())
     }
 
     /// Notes that an upstream ended while this host's runs of some requests were there; returns those that are
@@ -168,8 +166,7 @@
 
     /// Returns a request as it is told, for the store.
     pub fn record(&self, now: Duration, request: Request) -> Option<wire::Suspect> {
-        let case = self.cases.get(&request.workspace)?.get(&request.fingerprint)?;
-        Some(case.tell(now + EPOCH, request))
+        Some(self.known(request)?.tell(now + EPOCH, request))
     }
 
     /// Returns how many requests something is known against.
@@ -177,6 +174,10 @@
         all(&self.cases).filter(|it| 0 < it.1.n_ends()).count()
     }
 
+    fn known(&self, request: Request) -> Option<&Case> {
+        self.cases.get(&request.workspace)?.get(&request.fingerprint)
+    }
+
     fn tell(&mut self, now: Duration, scope: Scope) -> Vec<wire::Suspect> {
         self.prune(now);
         let mut told: Vec<(Request, &mut Case)> = all_mut(&mut self.cases)
@@ -215,8 +216,7 @@
     ///
     /// **NOTE:** After all that ran there has been noted: of two with the same ends neither explains the other's.
     fn explain(&mut self, requests: &[Request]) {
-        let case = |it: &Request| self.cases.get(&it.workspace)?.get(&it.fingerprint);
-        let lethal = requests.iter().filter_map(case).filter(|it| it.is_lethal());
+        let lethal = requests.iter().filter_map(|it| self.known(*it)).filter(|it| it.is_lethal());
         let new: Vec<u32> =
             lethal.flat_map(Case::upstreams).filter(|it| !self.explained.contains(it)).collect();
         if new.is_empty() {
