test(host): the address of an earlier life stays the test's own

Cause: the test freed a port and counted on nobody listening there; tests of the same run bind port 0 meanwhile. Shown: with a listener on that port the same failure, within 21 s, each time. Ruled out: a host that never tries; it tried and was let in. Change: the port is bound all along and only not listened on, then listened on for the last look: as strict, and nobody else can have it.

--- a/crates/portfield-host/tests/knowledge.rs
+++ b/crates/portfield-host/tests/knowledge.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io::ErrorKind,
-    net::{TcpListener, UdpSocket},
+    net::{SocketAddr, UdpSocket},
     thread,
     time::{Duration, Instant},
 };
@@ -18,6 +18,7 @@
 };
 use prost::Message;
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use tonic::{Request, Response, Status};
 
 /// A version above any that the stand-in of the store gives in a test.
@@ -334,9 +335,10 @@
 #[test]
 fn the_address_of_an_earlier_life_is_tried_no_more() {
     let mut fleet = Fleet::new(1, 0);
-    let gone = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = gone.local_addr().unwrap();
-    drop(gone);
+    // Bound and not listened on: nobody else gets the port meanwhile.
+    let gone = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    gone.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = gone.local_addr().unwrap().as_socket().unwrap();
     let entry = |address, born: u64| {
         let mut res = fleet.plains[0].entry_at(address, "desk", "ready");
         res["born"] = json!(born);
@@ -349,9 +351,9 @@
     until("it is tried", || !host.logged("upstream unreachable").is_empty());
     fleet.store.put("servers", "plain-0", &now);
     until("the new one serves", || host.send(&request("check", "r2")).status == 200);
-    let again = TcpListener::bind(address).unwrap();
-    again.set_nonblocking(true).unwrap();
+    gone.listen(1).unwrap();
+    gone.set_nonblocking(true).unwrap();
     // Twice the longest pause between two tries.
     thread::sleep(Duration::from_millis(1200));
-    assert_eq!(again.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+    assert_eq!(gone.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
 }
