--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -128,6 +128,12 @@
     let mut connection = match kept {
         Some(it) => it,
         None => match open(host, upstream).await {
+            // It may have been told to leave, or its data centre to get nothing, meanwhile.
+            Ok(_) if !host.with_list(|it| it.offers(upstream)) => {
+                run.end(Ending::Cancelled);
+                let text = "nothing more may be sent there";
+                return Sent::Failed(Outcome::NotSent, text.to_owned());
+            }
             Ok(it) => it,
             Err(NotOpen { ending, text }) => {
                 run.end(ending);
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -99,7 +99,7 @@
         let is_last_try = self.host.quarantine().is_last_try(clock::now(), self.call.request());
         let room = if is_last_try { Room::Apart } else { Room::Any };
         let Refused { reason, retry, estimate, share } =
-            match self.host.place(&self.call.job, &self.call.service, &self.tried, room) {
+            match self.host.place(&self.call, &self.tried, room) {
                 Ok(it) => return Ok(it),
                 Err(it) => it,
             };
@@ -112,7 +112,7 @@
             estimate_ms = estimate.as_millis() as u64, retry_ms = retry.as_millis() as u64,
             objective_ms = self.call.route.objective.as_millis() as u64,
             config = self.call.config_version,
-            list = self.host.with_list(|it| it.directory.version()),
+            list:% = self.host.with_list(|it| it.directory.version()),
             hosts = self.host.balancer().n_hosts(clock::now()); "not placed"
         );
         self.host.metrics.count(&format!("refused{{reason=\"{reason:?}\"}}"));
@@ -132,7 +132,7 @@
             ahead = placed.ahead, share = placed.share, attempt = self.tried.len() + 1,
             tokens = self.call.tokens(), fingerprint = self.call.request().fingerprint_text(),
             config = self.call.config_version,
-            list = self.host.with_list(|it| it.directory.version()),
+            list:% = self.host.with_list(|it| it.directory.version()),
             store_age_ms = self.host.store_age().as_millis() as u64; "placed"
         );
     }
@@ -218,7 +218,7 @@
         if !self.may_repeat() {
             return false;
         }
-        let placed = self.host.place(&self.call.job, &self.call.service, &self.tried, Room::Any);
+        let placed = self.host.place(&self.call, &self.tried, Room::Any);
         placed.is_ok_and(|(it, _)| !self.tried.contains(&it.upstream))
     }
 
--- a/crates/portfield-host/src/listed.rs
+++ b/crates/portfield-host/src/listed.rs
@@ -1,11 +1,15 @@
 //! The upstreams that this host knows, as requests are placed on them.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use portfield::{
     balance::Candidate,
-    catalog::{Directory, Upstream},
+    catalog::{Directory, Evacuations, Upstream},
 };
 
 /// Upstreams and the entries they were read from, by id.
@@ -13,8 +17,14 @@
 pub(crate) struct Listed {
     pub directory: Directory,
     pub entries: HashMap<String, Bytes>,
+    /// Data centres that are to get nothing.
+    pub evacuations: Evacuations,
     /// By service, made anew with each change: every request reads it.
     pub ready: HashMap<String, Arc<Ready>>,
+    /// Hashes of all of them.
+    offered: HashSet<u64>,
+    /// How long upstreams said that they stay cold, by hash; those that said so.
+    cold: HashMap<u64, Duration>,
 }
 
 /// The upstreams of a service that take new requests, both lists in the same order.
@@ -24,11 +34,38 @@
     pub candidates: Vec<Candidate>,
 }
 
+impl Ready {
+    /// Returns those of some data centres.
+    pub(crate) fn within(&self, is_allowed: impl Fn(&str) -> bool) -> Self {
+        let all = self.upstreams.iter().zip(&self.candidates);
+        let some = all.filter(|it| is_allowed(&it.0.entry.data_centre));
+        let (upstreams, candidates) = some.map(|(it, candidate)| (it.clone(), *candidate)).unzip();
+        Self { upstreams, candidates }
+    }
+}
+
 impl Listed {
+    /// Returns whether an upstream may be sent new requests.
+    pub(crate) fn offers(&self, upstream: &Upstream) -> bool {
+        self.offered.contains(&upstream.hash)
+    }
+
+    /// Returns the upstreams that say something else than before of how long they stay cold.
+    pub(crate) fn take_cold(&mut self) -> Vec<Arc<Upstream>> {
+        let told = |it: &Arc<Upstream>| self.cold.get(&it.hash).copied().unwrap_or_default();
+        let is_news = |it: &&Arc<Upstream>| it.entry.cold != told(it);
+        let res: Vec<_> = self.directory.all().filter(is_news).cloned().collect();
+        let cold = self.directory.all().filter(|it| !it.entry.cold.is_zero());
+        self.cold = cold.map(|it| (it.hash, it.entry.cold)).collect();
+        res
+    }
+
     /// Makes the lists by service anew; `here` is this host's data centre.
     pub(crate) fn group(&mut self, here: &str) {
         let mut ready: HashMap<String, Ready> = HashMap::new();
-        for it in self.directory.ready() {
+        let is_open = |it: &&Arc<Upstream>| !self.evacuations.covers(&it.entry.data_centre);
+        self.offered = self.directory.ready().filter(is_open).map(|it| it.hash).collect();
+        for it in self.directory.ready().filter(is_open) {
             let group = ready.entry(it.entry.service.clone()).or_default();
             group.upstreams.push(it.clone());
             group.candidates.push(Candidate {
--- /dev/null
+++ b/crates/portfield-host/src/orders.rs
@@ -0,0 +1,76 @@
+//! The operator's orders that a data centre gets nothing: how they come into force at this host.
+
+use std::{sync::Arc, time::Duration};
+
+use portfield::catalog::{Order, OrderChange, OrderList, StoreVersion};
+use portfield_net::clock;
+use portfield_platform::store::{self, Row};
+
+use crate::{
+    state::Host,
+    watch::{Extent, Reading},
+};
+
+/// Takes rows of the operator's table.
+///
+/// The row's key is the order: one whose value cannot be read stands all the same.
+pub(crate) fn take(host: &Arc<Host>, rows: &[Row], reading: &Reading) {
+    let order = |it: &Row| {
+        let data_centre = store::evacuated(&it.key)?.to_owned();
+        Some(Order { data_centre, row: it.version, is_lifted: it.value.is_none() })
+    };
+    let orders: Vec<Order> = rows.iter().filter_map(order).collect();
+    if orders.is_empty() && reading.extent == Extent::Changes {
+        return;
+    }
+    let Reading { version, extent, source } = *reading;
+    let source = match extent {
+        // Only a copy has lost what the operator wrote: a store that was merely away has not.
+        Extent::Copy => source,
+        Extent::Changes | Extent::Whole => portfield::catalog::Source::Current,
+    };
+    let mut changes = Vec::new();
+    host.update_list(|it| {
+        changes = match extent {
+            Extent::Changes => it.evacuations.apply(version, orders),
+            Extent::Whole | Extent::Copy => it.evacuations.replace(version, orders, source),
+        };
+    });
+    note(host, &changes, "store");
+}
+
+/// Takes another host's orders, as of a version of the store.
+pub(crate) fn learn(host: &Arc<Host>, version: StoreVersion, list: OrderList) {
+    let mut changes = Vec::new();
+    host.update_list(|it| changes = it.evacuations.learn(clock::now(), version, list));
+    note(host, &changes, "host");
+}
+
+/// Ends orders that the store has lost and the operator did not write again.
+pub(crate) fn expire(host: &Arc<Host>, now: Duration) {
+    if !host.with_list(|it| it.evacuations.has_late(now)) {
+        return;
+    }
+    let mut changes = Vec::new();
+    host.update_list(|it| changes = it.evacuations.expire(now));
+    note(host, &changes, "lost by the store");
+}
+
+/// Tells what came into force, and has upstreams that may be used again start slowly.
+fn note(host: &Arc<Host>, changes: &[OrderChange], source: &str) {
+    let orders = host.with_list(|it| it.evacuations.version());
+    for OrderChange { data_centre, is_lifted } in changes {
+        let store_age_ms = host.store_age().as_millis() as u64;
+        if *is_lifted {
+            log::warn!(data_centre, orders:%, source, store_age_ms; "evacuation over");
+            host.presume_cold_in(data_centre);
+        } else {
+            log::warn!(data_centre, orders:%, source, store_age_ms; "data centre evacuated");
+        }
+        host.metrics.count("evacuation_changes");
+        let regions = &host.settings().regions;
+        if !regions.is_empty() && !regions.contains_key(data_centre) {
+            log::warn!(data_centre; "an order names no data centre");
+        }
+    }
+}
--- a/crates/portfield-host/src/pages.rs
+++ b/crates/portfield-host/src/pages.rs
@@ -14,6 +14,8 @@
 const METRICS: &str = "/metrics";
 /// Path of the requests that are refused because upstreams ended under them; below it, each by its fingerprint.
 const QUARANTINE: &str = "/quarantine";
+/// Path of the data centres that are to get nothing.
+const EVACUATIONS: &str = "/evacuations";
 
 /// Answers the platform's question whether callers may be sent here.
 pub(crate) fn readiness(host: &Host, request: &Request) -> Response {
@@ -29,11 +31,28 @@
     match (request.method(), path, path.strip_prefix("/quarantine/")) {
         (Method::Get, METRICS, _) => metrics(host),
         (Method::Get, QUARANTINE, _) => http1::json(200, &refused(host)),
+        (Method::Get, EVACUATIONS, _) => http1::json(200, &evacuated(host)),
         (Method::Delete, _, Some(fingerprint)) => lift(host, fingerprint),
-        _ => http1::json(404, &"no such page; there are /metrics and /quarantine"),
+        _ => http1::json(404, &"no such page; there are /metrics, /quarantine and /evacuations"),
     }
 }
 
+/// A data centre that is to get nothing.
+#[derive(Debug, Serialize)]
+struct Evacuated {
+    data_centre: String,
+    /// Upstreams there that would else take requests.
+    n_upstreams: usize,
+}
+
+fn evacuated(host: &Host) -> Vec<Evacuated> {
+    host.with_list(|it| {
+        let n = |name: &str| it.directory.ready().filter(|it| it.entry.data_centre == name).count();
+        let show = |name: &str| Evacuated { data_centre: name.to_owned(), n_upstreams: n(name) };
+        it.evacuations.data_centres().map(show).collect()
+    })
+}
+
 /// A request that is refused.
 #[derive(Debug, Serialize)]
 struct Row {
@@ -79,13 +98,17 @@
         let (mut balancer, now) = (host.balancer(), clock::now());
         (balancer.n_hosts(now) as f64, balancer.least_part(now))
     };
+    let (list, n_evacuated) =
+        host.with_list(|it| (it.directory.version(), it.evacuations.data_centres().count()));
     let (n_suspects, n_refused) = {
         let quarantine = host.quarantine();
         (quarantine.n_suspects(), quarantine.verdicts(clock::now()).len())
     };
     let gauges = [
         ("config_version", host.config_version() as f64),
-        ("list_version", host.with_list(|it| it.directory.version()) as f64),
+        ("list_version", list.number as f64),
+        ("store_era", host.era() as f64),
+        ("evacuated", n_evacuated as f64),
         ("store_age_ms", host.store_age().as_millis() as f64),
         ("hosts", n_hosts),
         ("least_part", least_part),
--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -11,15 +11,18 @@
 
 use async_net::TcpStream;
 use bytes::Bytes;
-use portfield::catalog::Source;
+use portfield::catalog::{Order, OrderList, Source, StoreVersion};
 use portfield_net::{clock, rpc};
-use portfield_wire::{KnowledgeReply, KnowledgeRequest, ListedUpstream, peers_server::Peers};
+use portfield_wire::{
+    EvacuationOrder, KnowledgeReply, KnowledgeRequest, ListedUpstream, peers_server::Peers,
+};
 use tonic::{Request, Response, Status};
 
 use crate::{
     listed::Listed,
+    orders,
     state::Host,
-    watch::{ListRow, Version, take_list},
+    watch::{Extent, ListRow, Reading, take_list},
 };
 
 /// Time in which another host tells its configuration: a second host is asked within the two
@@ -36,6 +39,8 @@
 pub(super) enum Wanted {
     Config,
     List,
+    /// The operator's orders.
+    Orders,
 }
 
 /// Fetches from another host, unless the same is being fetched.
@@ -51,8 +56,8 @@
     let (task, is_fetching) = (host.clone(), is_fetching.clone());
     host.rt.spawn(async move {
         let time = match wanted {
-            Wanted::Config => CONFIG_TIMEOUT,
-            Wanted::List if task.with_list(|it| it.directory.version()) == 0 => LIST_TIMEOUT,
+            Wanted::Config | Wanted::Orders => CONFIG_TIMEOUT,
+            Wanted::List if task.with_list(|it| it.directory.is_empty()) => LIST_TIMEOUT,
             Wanted::List => CHANGES_TIMEOUT,
         };
         let late = || Err(eyre::eyre!("no answer in time"));
@@ -68,13 +73,9 @@
 async fn fetch(host: &Arc<Host>, address: SocketAddr, wanted: Wanted) -> eyre::Result<()> {
     let stream = TcpStream::connect(address).await?;
     let channel = rpc::Channel::open(&host.rt, stream).await?;
-    let (config, list) = (host.config_version(), host.with_list(|it| it.directory.version()));
-    // Nothing is newer than the highest version: that part is left out of the reply.
-    let request = match wanted {
-        Wanted::Config => KnowledgeRequest { config_version: config, list_version: u64::MAX },
-        Wanted::List => KnowledgeRequest { config_version: u64::MAX, list_version: list },
-    };
+    let request = request(host, wanted);
     let mut reply = channel.peers().knowledge(request).await?.into_inner();
+    take_orders(host, &mut reply);
     if !reply.config.is_empty() {
         host.adopt(Bytes::from(std::mem::take(&mut reply.config)), "host");
     }
@@ -85,6 +86,44 @@
     Ok(())
 }
 
+/// Asks for what is newer than this host knows; nothing is newer than the last version, so that the other parts are
+/// left out of the reply.
+fn request(host: &Host, wanted: Wanted) -> KnowledgeRequest {
+    let (mut config, mut list, mut orders) = (u64::MAX, StoreVersion::LAST, StoreVersion::LAST);
+    match wanted {
+        Wanted::Config => config = host.config_version(),
+        Wanted::List => list = host.with_list(|it| it.directory.version()),
+        Wanted::Orders => orders = host.with_list(|it| it.evacuations.version()),
+    }
+    KnowledgeRequest {
+        config_version: config,
+        list_version: list.number,
+        list_era: list.era,
+        orders_version: orders.number,
+        orders_era: orders.era,
+    }
+}
+
+/// Takes another host's orders of the operator.
+fn take_orders(host: &Arc<Host>, reply: &mut KnowledgeReply) {
+    let version = StoreVersion::new(reply.orders_era, reply.orders_version);
+    if version == StoreVersion::default() {
+        return;
+    }
+    let order = |it: EvacuationOrder, is_lifted| Order {
+        data_centre: it.data_centre,
+        row: it.row,
+        is_lifted,
+    };
+    let standing = std::mem::take(&mut reply.evacuations).into_iter().map(|it| {
+        let left = (0 < it.held).then(|| Duration::from_millis(u64::from(it.held)));
+        (order(it, false), left)
+    });
+    let lifted = std::mem::take(&mut reply.lifted).into_iter().map(|it| order(it, true));
+    let list = OrderList { standing: standing.collect(), lifted: lifted.collect() };
+    orders::learn(host, version, list);
+}
+
 /// Takes another host's list, or what changed in it.
 fn take_reply(host: &Host, reply: KnowledgeReply) {
     let now = clock::now();
@@ -94,17 +133,21 @@
         .filter(|it| 0 < it.held)
         .map(|it| (it.id.clone(), now + Duration::from_millis(u64::from(it.held))))
         .collect();
-    let set = reply.list.into_iter().map(|it| ListRow { id: it.id, entry: Some(it.entry) });
-    let gone = reply.gone.into_iter().map(|id| ListRow { id, entry: None });
+    let set = reply.list.into_iter().map(|it| ListRow {
+        id: it.id,
+        entry: Some(it.entry),
+        version: it.row,
+    });
+    let gone = reply.gone.into_iter().map(|id| ListRow { id, entry: None, version: 0 });
     let rows: Vec<ListRow> = set.chain(gone).collect();
     // The other host tells which entries may only have lapsed.
-    let version = Version {
-        number: reply.list_version,
-        is_whole: !reply.is_partial,
+    let reading = Reading {
+        version: StoreVersion::new(reply.list_era, reply.list_version),
+        extent: if reply.is_partial { Extent::Changes } else { Extent::Whole },
         source: Source::Current,
     };
     host.update_list(|it| {
-        take_list(it, rows, &version);
+        take_list(it, rows, &reading);
         held.iter().for_each(|(id, until)| it.directory.hold(id, *until));
     });
 }
@@ -136,16 +179,39 @@
             reply.config_version = it.catalog.version();
             reply.config = it.bytes.to_vec();
         }
-        self.host.with_list(|it| tell_list(it, request.list_version, &mut reply));
+        let list = StoreVersion::new(request.list_era, request.list_version);
+        let orders = StoreVersion::new(request.orders_era, request.orders_version);
+        self.host.with_list(|it| {
+            tell_list(it, list, &mut reply);
+            tell_orders(it, orders, &mut reply);
+        });
         Ok(Response::new(reply))
     }
 }
 
+/// Tells the operator's orders to a host that knows an older version of them.
+fn tell_orders(listed: &Listed, known: StoreVersion, reply: &mut KnowledgeReply) {
+    let version = listed.evacuations.version();
+    if version <= known {
+        return;
+    }
+    (reply.orders_version, reply.orders_era) = (version.number, version.era);
+    let OrderList { standing, lifted } = listed.evacuations.list(clock::now());
+    let tell = |it: Order, left: Option<Duration>| EvacuationOrder {
+        data_centre: it.data_centre,
+        row: it.row,
+        held: left.map_or(0, |it| (it.as_millis() as u32).max(1)),
+    };
+    reply.evacuations = standing.into_iter().map(|(it, left)| tell(it, left)).collect();
+    reply.lifted = lifted.into_iter().map(|it| tell(it, None)).collect();
+}
+
 /// Tells the list to a host that knows an older version of it, or what changed since where that is
 /// known: one entry of some 200 bytes in place of 65 KB at 325 upstreams.
-fn tell_list(listed: &Listed, known: u64, reply: &mut KnowledgeReply) {
-    reply.list_version = listed.directory.version();
-    if reply.list_version <= known {
+fn tell_list(listed: &Listed, known: StoreVersion, reply: &mut KnowledgeReply) {
+    let version = listed.directory.version();
+    (reply.list_version, reply.list_era) = (version.number, version.era);
+    if version <= known {
         return;
     }
     let now = clock::now();
@@ -153,7 +219,7 @@
         let held = listed.directory.held_until(id);
         let held = held.map_or(0, |it| (it.saturating_sub(now).as_millis() as u32).max(1));
         let entry = listed.entries.get(id)?.to_vec();
-        Some(ListedUpstream { id: id.clone(), entry, held })
+        Some(ListedUpstream { id: id.clone(), entry, held, row: listed.directory.row(id) })
     };
     match listed.directory.since(known) {
         Some(difference) => {
--- a/crates/portfield-host/src/peers/listen.rs
+++ b/crates/portfield-host/src/peers/listen.rs
@@ -8,6 +8,7 @@
 
 use portfield::{
     balance::{Audience, FRESH, Follower, Way},
+    catalog::StoreVersion,
     waking::Knowledge,
 };
 use portfield_net::{clock, contain};
@@ -80,8 +81,11 @@
         learn(host, &digest);
         return;
     }
-    let known =
-        Known { config: host.config_version(), list: host.with_list(|it| it.directory.version()) };
+    let known = host.with_list(|it| Known {
+        config: host.config_version(),
+        list: it.directory.version(),
+        orders: it.evacuations.version(),
+    });
     let relayed = std::mem::take(&mut digest.relayed).into_iter().map(|it| (it, Way::Relayed));
     for (digest, way) in std::iter::once((digest, Way::Direct)).chain(relayed) {
         take_one(host, &audience, from, &digest);
@@ -133,7 +137,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     config: u64,
-    list: u64,
+    list: StoreVersion,
+    /// The operator's orders.
+    orders: StoreVersion,
 }
 
 /// What other hosts know that this one does not.
@@ -141,12 +147,14 @@
 struct News {
     config: Newer,
     list: Newer,
+    orders: Newer,
     /// For how long this host's list has been behind.
     lag: Lag,
     /// When the list may be fetched again.
     list_due: Duration,
     is_fetching_config: Arc<AtomicBool>,
     is_fetching_list: Arc<AtomicBool>,
+    is_fetching_orders: Arc<AtomicBool>,
 }
 
 /// One of the hosts that know something newer, drawn by lot: a datagram tells of many, and all its
@@ -173,12 +181,17 @@
 impl News {
     fn note(&mut self, host: &Host, known: Known, address: SocketAddr, digest: &Digest) {
         let hears_store = Duration::from_millis(u64::from(digest.store_age)) < FRESH;
+        let orders = StoreVersion::new(digest.orders_era, digest.orders_version);
+        if known.orders < orders {
+            self.orders.note(address);
+        }
         if known.config < digest.config_version {
             self.config.note(address);
-        } else if hears_store {
+        } else if hears_store && orders <= known.orders {
             host.waking().heard_host(Knowledge::Config);
         }
-        if known.list < digest.list_version {
+        host.note_era(digest.list_era, "host");
+        if known.list < StoreVersion::new(digest.list_era, digest.list_version) {
             self.list.note(address);
         } else if hears_store {
             host.waking().heard_host(Knowledge::Upstreams);
@@ -190,6 +203,9 @@
         if let Some(from) = self.config.take() {
             fetch::start(host, from, Wanted::Config, &self.is_fetching_config);
         }
+        if let Some(from) = self.orders.take() {
+            fetch::start(host, from, Wanted::Orders, &self.is_fetching_orders);
+        }
         let Some(from) = self.list.take() else { return };
         let now = clock::now();
         let version = host.with_list(|it| it.directory.version());
@@ -205,12 +221,12 @@
 #[derive(Debug, Default)]
 struct Lag {
     /// The version that is behind, and since when.
-    since: Option<(u64, Duration)>,
+    since: Option<(StoreVersion, Duration)>,
 }
 
 impl Lag {
     /// Returns for how long the list of this version has been known to be behind.
-    fn grow(&mut self, now: Duration, version: u64) -> Duration {
+    fn grow(&mut self, now: Duration, version: StoreVersion) -> Duration {
         let since = match self.since {
             Some((same, since)) if same == version => since,
             _ => now,
--- a/crates/portfield-host/src/peers/tell.rs
+++ b/crates/portfield-host/src/peers/tell.rs
@@ -87,12 +87,16 @@
 /// Tells who this host is and which versions it knows.
 fn header(host: &Host, sequence: u64) -> Digest {
     let settings = host.settings();
+    let (list, orders) = host.with_list(|it| (it.directory.version(), it.evacuations.version()));
     Digest {
         host: host.own_hash(),
         incarnation: host.incarnation,
         sequence,
         config_version: host.config_version(),
-        list_version: host.with_list(|it| it.directory.version()),
+        list_version: list.number,
+        list_era: list.era,
+        orders_version: orders.number,
+        orders_era: orders.era,
         data_centre: hash(&settings.data_centre),
         store_age: host.store_age().as_millis().min(u128::from(u32::MAX)) as u32,
         address: settings.peers.to_string(),
--- a/crates/portfield-host/src/placing.rs
+++ b/crates/portfield-host/src/placing.rs
@@ -7,13 +7,14 @@
 };
 
 use portfield::{
-    balance::{Candidate, Job, Placed, Placement, Refusal},
-    catalog::Upstream,
+    balance::{Candidate, Placed, Placement, Refusal},
+    catalog::{Regions, Upstream},
 };
 use portfield_net::clock;
 
 use crate::{
-    listed::{Listed, number},
+    call::Call,
+    listed::{Listed, Ready, number},
     quarantine::{self, End},
     state::Host,
 };
@@ -47,11 +48,13 @@
         let before: Vec<Arc<Upstream>> = listed.directory.ready().cloned().collect();
         f(&mut listed);
         listed.group(&here);
+        let cold = listed.take_cold();
         let ids: HashSet<u32> = listed.directory.all().map(|it| number(it)).collect();
         let is_reborn = |it: &&Arc<Upstream>| listed.directory.is_reborn(it);
         let reborn: Vec<Arc<Upstream>> = before.iter().filter(is_reborn).cloned().collect();
         drop(listed);
         self.balancer().retain(|id| ids.contains(&id));
+        self.note_cold(&cold);
         reborn.iter().for_each(|it| quarantine::ended(self, it, End::Reborn));
     }
 
@@ -60,6 +63,20 @@
         f(&self.listed.read().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Returns the upstreams of a request's service, of the regions where its route and its workspace may be served.
+    fn candidates(&self, call: &Call) -> Arc<Ready> {
+        let ready = self.with_list(|it| it.ready.get(&call.service).cloned()).unwrap_or_default();
+        let workspace = call.workspace.as_ref().map(|it| &it.regions);
+        let bounds = || std::iter::once(&call.route.regions).chain(workspace);
+        if bounds().all(Regions::is_any) {
+            return ready;
+        }
+        let settings = self.settings();
+        // A data centre whose region nobody names is in none of them.
+        let region = |name: &str| settings.regions.get(name).map_or("", String::as_str);
+        Arc::new(ready.within(|it| bounds().all(|regions| regions.allows(region(it)))))
+    }
+
     /// Picks an upstream, one that was not tried yet if there is any.
     ///
     /// # Errors
@@ -67,12 +84,12 @@
     /// Why the request is refused.
     pub(crate) fn place(
         &self,
-        job: &Job,
-        service: &str,
+        call: &Call,
         tried: &[u32],
         room: Room,
     ) -> Result<(Placed, Arc<Upstream>), Refused> {
-        let ready = self.with_list(|it| it.ready.get(service).cloned()).unwrap_or_default();
+        let job = &call.job;
+        let ready = self.candidates(call);
         let untried = || ready.candidates.iter().filter(|it| !tried.contains(&it.upstream));
         // Where no other is left, the same upstream may be asked again.
         let mut balancer = self.balancer();
--- a/crates/portfield-host/src/reach.rs
+++ b/crates/portfield-host/src/reach.rs
@@ -27,8 +27,9 @@
     }
     note_unreachable(host, upstream, err);
     let (task, upstream) = (host.clone(), upstream.clone());
+    let first = err.kind().into();
     host.rt.spawn(async move {
-        try_on(&task, &upstream).await;
+        try_on(&task, &upstream, &first).await;
         task.trying.end(number(&upstream));
     });
 }
@@ -62,7 +63,7 @@
             }
             Err(err) if is_refused(&err) => {
                 note_unreachable(host, upstream, &err);
-                return try_on(host, upstream).await;
+                return try_on(host, upstream, &err).await;
             }
             Err(err) => {
                 log::debug!(upstream = upstream.entry.id, err:%; "upstream not looked at");
@@ -86,8 +87,11 @@
 }
 
 /// Tries an upstream until it is reached or gone.
-async fn try_on(host: &Host, upstream: &Upstream) {
+///
+/// One at whose address nothing listened meanwhile may have started anew, before its entry says so.
+async fn try_on(host: &Host, upstream: &Upstream, first: &io::Error) {
     let lost = clock::now();
+    let mut has_ended = is_refused(first);
     let mut pause = FIRST_PAUSE;
     // One that started again under its id is another one.
     let is_listed = || host.with_list(|it| it.directory.all().any(|it| it.hash == upstream.hash));
@@ -97,8 +101,13 @@
             return;
         }
         pause = (pause * 2).min(LONGEST_PAUSE);
-        if let Ok(it) = host.pool.open(upstream.entry.address).await {
+        let opened = host.pool.open(upstream.entry.address).await;
+        has_ended |= opened.as_ref().is_err_and(is_refused);
+        if let Ok(it) = opened {
             host.pool.put(number(upstream), it, None);
+            if has_ended {
+                host.presume_cold(upstream);
+            }
             host.balancer().reachable(number(upstream));
             let lost_ms = (clock::now() - lost).as_millis() as u64;
             log::info!(upstream = upstream.entry.id, lost_ms; "upstream reachable");
--- a/crates/portfield-host/src/recall.rs
+++ b/crates/portfield-host/src/recall.rs
@@ -89,6 +89,12 @@
     true
 }
 
+/// Has the store keep all that this host refuses: it has lost what it kept.
+pub(crate) fn keep_all(host: &Host) {
+    let verdicts = host.quarantine().verdicts(clock::now());
+    verdicts.iter().for_each(|it| host.keep_verdict(it.request));
+}
+
 /// Writes the requests that come in.
 pub(crate) async fn write(host: Arc<Host>, store: Store, requests: Receiver<Request>) {
     while let Ok(request) = requests.recv().await {
--- a/crates/portfield-host/src/settings.rs
+++ b/crates/portfield-host/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a host's router on the platform.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, path::Path, time::Duration};
 
 use portfield_net::settings::{Error, Reader};
 
@@ -40,6 +40,13 @@
     pub direct_hosts: usize,
     /// Most log lines a second.
     pub log_lines: u64,
+    /// What all hosts together may send to a cold upstream in a second, as a multiple of the rate that its service
+    /// names.
+    pub cold_overrun: f64,
+    /// Requests allowed beside that.
+    pub cold_slack: f64,
+    /// Region of each data centre, by its name.
+    pub regions: HashMap<String, String>,
 }
 
 impl Settings {
@@ -67,6 +74,9 @@
             active_limit: it.number("active_limit", 700, (1, 1_000_000)) as usize,
             direct_hosts: it.number("direct_hosts", 12, (1, 1_000)) as usize,
             log_lines: it.number("log_lines_s", 200, (1, 100_000)),
+            cold_overrun: it.fraction("cold_overrun", 1.0, (0.0, 1000.0)),
+            cold_slack: it.fraction("cold_slack", 0.0, (0.0, 1e6)),
+            regions: it.text_table("regions"),
         };
         it.finish()?;
         Ok(res)
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     io,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -72,6 +75,10 @@
     verdicts: Sender<Request>,
     /// When the store was first asked which requests are refused.
     recalled: Moment,
+    /// When the table of hosts was last read.
+    met: Moment,
+    /// How often the store came back from a copy of itself, as far as this host has heard.
+    era: AtomicU64,
     /// When the process was told to stop.
     stopping: Moment,
     /// Held by every request that is not answered yet.
@@ -116,6 +123,8 @@
             waking: Mutex::default(),
             verdicts,
             recalled: Moment::default(),
+            met: Moment::default(),
+            era: AtomicU64::new(0),
             stopping: Moment::default(),
             active: Arc::new(()),
             store_heard: Moment::default(),
@@ -218,6 +227,29 @@
         self.recalled.note();
     }
 
+    /// Notes that the table of hosts was read.
+    pub(crate) fn note_met(&self) {
+        self.met.note();
+    }
+
+    /// Returns whether the table of hosts was ever read.
+    pub(crate) fn has_met(&self) -> bool {
+        self.met.age().is_some()
+    }
+
+    /// Returns how often the store came back from a copy of itself, as far as this host has heard.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
+    /// Notes the era of the store; `source` says where it was heard.
+    pub(crate) fn note_era(&self, era: u64, source: &str) {
+        let before = self.era.fetch_max(era, Ordering::Relaxed);
+        if before < era {
+            log::warn!(era, before, source; "store went back");
+        }
+    }
+
     /// Has the store keep what is known against a request.
     pub(crate) fn keep_verdict(&self, request: Request) {
         if self.verdicts.try_send(request).is_err() {
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -1,11 +1,11 @@
-//! Follows the store: the configuration, the upstreams, the other hosts.
+//! Follows the store: what the operator wrote, and the upstreams.
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
 use bytes::Bytes;
 use portfield::{
-    catalog::{Change, Changed, RETURN_GRACE, Source},
+    catalog::{Change, Changed, RETURN_GRACE, Source, StoreVersion},
     quarantine::Request,
     waking::Knowledge,
 };
@@ -15,11 +15,7 @@
     upstreams,
 };
 
-use crate::{
-    listed::Listed,
-    recall,
-    state::{Host, hash},
-};
+use crate::{listed::Listed, meet, orders, recall, state::Host};
 
 /// Longest time that the store holds a call until something changes.
 ///
@@ -31,7 +27,7 @@
 /// Pause after a call that failed; grows by half of itself up to [`LONGEST_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause: a change must be in force two seconds after it was acknowledged.
-const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+pub(crate) const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// Least time between the beginnings of two calls for one table's changes: upstreams that come or
 /// go one after the other are told together, and a change must be in force in two seconds.
 const GATHER: Duration = Duration::from_millis(100);
@@ -45,9 +41,6 @@
 const LONGEST_ERROR: usize = 200;
 /// Time between two looks whether this host is to follow the store.
 const IDLE_PERIOD: Duration = Duration::from_millis(100);
-/// Time between two looks of a host that follows the store at the table of hosts; hosts learn of new
-/// ones from digests before.
-const HOSTS_PERIOD: Duration = Duration::from_secs(15);
 /// Upstreams that changed together, up to which each has a log line: a fleet of several hundred hosts
 /// that starts would else write a line for each upstream and host.
 const MAX_CHANGED_LINES: usize = 16;
@@ -57,13 +50,14 @@
 /// Starts the tasks.
 pub(crate) fn start(host: &Arc<Host>, verdicts: Receiver<Request>) {
     let store = Store::new(host.settings().store, CALL_TIMEOUT);
-    let config = Followed { table: store::OPERATOR, what: Knowledge::Config, take: take_config };
+    let operator =
+        Followed { table: store::OPERATOR, what: Knowledge::Config, take: take_operator };
     let upstreams =
         Followed { table: store::UPSTREAMS, what: Knowledge::Upstreams, take: take_upstreams };
-    host.rt.spawn(follow(host.clone(), store.clone(), config));
-    host.rt.spawn(follow(host.clone(), store.clone(), upstreams));
+    host.rt.spawn(Feed::new(host.clone(), store.clone(), operator).run());
+    host.rt.spawn(Feed::new(host.clone(), store.clone(), upstreams).run());
     host.rt.spawn(recall::write(host.clone(), store.clone(), verdicts));
-    host.rt.spawn(meet(host.clone(), store));
+    host.rt.spawn(meet::run(host.clone(), store));
     host.rt.spawn(expire(host.clone()));
 }
 
@@ -72,107 +66,186 @@
 struct Followed {
     table: &'static str,
     what: Knowledge,
-    take: fn(&Host, News),
+    take: fn(&Arc<Host>, News),
 }
 
 /// What came from the store.
 #[derive(Debug)]
 struct News {
     rows: Vec<Row>,
-    version: Version,
+    reading: Reading,
 }
 
-/// Follows one table for ever.
-async fn follow(host: Arc<Host>, store: Store, it: Followed) {
-    let Followed { table, what, take } = it;
-    let mut version = None;
-    let mut pause = PAUSE;
-    let mut heard = clock::now();
-    let mut returned = None::<Duration>;
-    let mut is_lost = false;
-    let mut pace = SETTLE;
-    loop {
-        if version.is_some() && !host.is_reader() {
-            // What changed meanwhile is told from this version on, or read anew.
-            clock::sleep(IDLE_PERIOD).await;
-            heard = clock::now();
-            continue;
+/// As of when a table was read, and what that says of rows that are missing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reading {
+    pub version: StoreVersion,
+    pub extent: Extent,
+    pub source: Source,
+}
+
+/// How much of a table was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Extent {
+    /// What changed since the last reading.
+    Changes,
+    /// All of it.
+    Whole,
+    /// All of it, from a store that came back from a copy of itself: what it has lost may be missing, and what was over
+    /// may be there.
+    Copy,
+}
+
+/// A table as this host follows it.
+struct Feed {
+    host: Arc<Host>,
+    store: Store,
+    followed: Followed,
+    /// Changes after this version are news; `None` where the whole table is to be read.
+    version: Option<StoreVersion>,
+    /// The era of the last answer that was taken.
+    era: Option<u64>,
+    pause: Duration,
+    heard: Duration,
+    /// When the store last answered again after an outage.
+    returned: Option<Duration>,
+    is_lost: bool,
+    pace: Duration,
+}
+
+impl Feed {
+    fn new(host: Arc<Host>, store: Store, followed: Followed) -> Self {
+        Self {
+            host,
+            store,
+            followed,
+            version: None,
+            era: None,
+            pause: PAUSE,
+            heard: clock::now(),
+            returned: None,
+            is_lost: false,
+            pace: SETTLE,
         }
-        let asked = clock::now();
-        let res = match version {
-            None => store.read(table).await,
-            // A host that stood still does not wait for the next change to know the last one.
-            Some(it) if !host.trusts() => store.changes(table, it, Duration::ZERO).await,
-            Some(it) => store.changes(table, it, HOLD).await,
-        };
-        let now = clock::now();
-        match res {
-            Ok(Rows { rows, version: newest }) => {
-                if is_lost {
-                    log::info!(table, silent_ms = (now - heard).as_millis() as u64; "store regained");
-                    is_lost = false;
-                }
-                if HOLD + OUTAGE < now - heard {
-                    returned = Some(now);
-                }
-                heard = now;
-                // A host that has only looked once follows nothing yet: others that do must not stop
-                // for it.
-                if version.is_some() {
-                    host.store_answered();
-                }
-                pause = PAUSE;
-                let recent = returned.filter(|it| now < *it + RETURN_GRACE);
-                let source = match recent {
-                    Some(returned) => Source::AfterOutage { returned },
-                    None => Source::Current,
-                };
-                let is_whole = version.is_none();
-                let gap = std::mem::replace(&mut pace, GATHER);
-                version = Some(newest);
-                take(&host, News { rows, version: Version { number: newest, is_whole, source } });
-                host.waking().heard_store(asked, what);
-                clock::sleep((asked + gap).saturating_sub(now)).await;
-            }
-            Err(err) if store::is_history_gone(&err) => {
-                log::info!(table, after = version.unwrap_or(0); "history gone, reading the whole table");
-                version = None;
+    }
+
+    /// Follows the table for ever.
+    async fn run(mut self) {
+        loop {
+            if self.version.is_some() && !self.host.is_reader() {
+                // What changed meanwhile is told from this version on, or read anew.
+                clock::sleep(IDLE_PERIOD).await;
+                self.heard = clock::now();
+                continue;
             }
-            Err(err) => {
-                host.metrics.count(&format!("store_failed{{table=\"{table}\"}}"));
-                if !is_lost {
-                    log::warn!(table, err:% = describe(&err); "store lost");
-                    is_lost = true;
+            let asked = clock::now();
+            match self.ask().await {
+                Ok(it) if it.version.era < self.host.era() => {
+                    let era = it.version.era;
+                    log::warn!(table = self.followed.table, era; "answer of an earlier store passed over");
+                    self.wait_longer().await;
+                }
+                Ok(it) if self.version.is_some_and(|last| last.era != it.version.era) => {
+                    // The same number may be of another change now: only the whole table tells.
+                    self.host.note_era(it.version.era, "store");
+                    self.version = None;
                 }
-                clock::sleep(pause).await;
-                pause = (pause + pause / 2).min(LONGEST_PAUSE);
+                Ok(it) => self.take(asked, it).await,
+                Err(err) => self.fail(&err).await,
             }
         }
     }
+
+    async fn ask(&self) -> Result<Rows, Error> {
+        let table = self.followed.table;
+        match self.version {
+            None => self.store.read(table).await,
+            // A host that stood still does not wait for the next change to know the last one.
+            Some(it) if !self.host.trusts() => self.store.changes(table, it, Duration::ZERO).await,
+            Some(it) => self.store.changes(table, it, HOLD).await,
+        }
+    }
+
+    async fn take(&mut self, asked: Duration, Rows { rows, version }: Rows) {
+        let (now, table) = (clock::now(), self.followed.table);
+        let silent = now - self.heard;
+        if std::mem::take(&mut self.is_lost) {
+            log::info!(table, silent_ms = silent.as_millis() as u64; "store regained");
+        }
+        if HOLD + OUTAGE < silent {
+            self.returned = Some(now);
+        }
+        self.heard = now;
+        // A host that has only looked once follows nothing yet: others that do must not stop
+        // for it.
+        if self.version.is_some() {
+            self.host.store_answered();
+        }
+        self.pause = PAUSE;
+        let extent = match (self.version, self.era) {
+            (Some(_), _) => Extent::Changes,
+            (None, Some(era)) if era < version.era => Extent::Copy,
+            (None, _) => Extent::Whole,
+        };
+        if extent == Extent::Copy {
+            self.returned = Some(now);
+        }
+        self.host.note_era(version.era, "store");
+        let recent = self.returned.filter(|it| now < *it + RETURN_GRACE);
+        let source = match recent {
+            Some(returned) => Source::AfterOutage { returned },
+            None => Source::Current,
+        };
+        let gap = std::mem::replace(&mut self.pace, GATHER);
+        (self.version, self.era) = (Some(version), Some(version.era));
+        let news = News { rows, reading: Reading { version, extent, source } };
+        (self.followed.take)(&self.host, news);
+        self.host.waking().heard_store(asked, self.followed.what);
+        clock::sleep((asked + gap).saturating_sub(now)).await;
+    }
+
+    async fn fail(&mut self, err: &Error) {
+        let table = self.followed.table;
+        if store::is_history_gone(err) {
+            let after = self.version.unwrap_or_default();
+            log::info!(table, after:% = after; "history gone, reading the whole table");
+            self.version = None;
+            return;
+        }
+        self.host.metrics.count(&format!("store_failed{{table=\"{table}\"}}"));
+        if !std::mem::replace(&mut self.is_lost, true) {
+            log::warn!(table, err:% = describe(err); "store lost");
+        }
+        self.wait_longer().await;
+    }
+
+    /// Pauses before the next call, longer each time.
+    async fn wait_longer(&mut self) {
+        clock::sleep(self.pause).await;
+        self.pause = (self.pause + self.pause / 2).min(LONGEST_PAUSE);
+    }
 }
 
 /// Writes an error shortened: an answer's body may be long.
-fn describe(err: &Error) -> String {
+pub(crate) fn describe(err: &Error) -> String {
     err.to_string().chars().take(LONGEST_ERROR).collect()
 }
 
-fn take_config(host: &Host, news: News) {
+fn take_operator(host: &Arc<Host>, news: News) {
+    orders::take(host, &news.rows, &news.reading);
     let row = news.rows.into_iter().rev().find(|it| it.key == store::CONFIG_KEY);
     if let Some(bytes) = row.and_then(|it| it.value) {
         host.adopt(Bytes::from(bytes), "store");
     }
 }
 
-fn take_upstreams(host: &Host, news: News) {
-    if news.rows.is_empty() && !news.version.is_whole {
+fn take_upstreams(host: &Arc<Host>, news: News) {
+    if news.rows.is_empty() && news.reading.extent == Extent::Changes {
         return;
     }
-    host.update_list(|it| apply(it, news));
-}
-
-fn apply(listed: &mut Listed, news: News) {
-    let rows = news.rows.into_iter().map(|row| ListRow { id: row.key, entry: row.value });
-    take_list(listed, rows.collect(), &news.version);
+    let row = |it: Row| ListRow { id: it.key, entry: it.value, version: it.version };
+    let rows = news.rows.into_iter().map(row).collect();
+    host.update_list(|it| take_list(it, rows, &news.reading));
 }
 
 /// One row of the list, as the store or another host tells it.
@@ -181,6 +254,8 @@
     pub id: String,
     /// The entry as the store holds it, `None` where it is gone.
     pub entry: Option<Vec<u8>>,
+    /// Version of the row, zero if that is not known.
+    pub version: u64,
 }
 
 impl ListRow {
@@ -199,93 +274,47 @@
     }
 }
 
-/// Which version a list or its changes are of, and what they say of missing entries.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Version {
-    pub number: u64,
-    /// The list is the whole table.
-    pub is_whole: bool,
-    pub source: Source,
-}
-
 /// Changes the list, with a log line for each upstream that changed, or one for many.
-pub(crate) fn take_list(listed: &mut Listed, rows: Vec<ListRow>, version: &Version) {
-    let changes: Vec<Change> = rows.iter().map(ListRow::change).collect();
-    let changed = if version.is_whole {
-        listed.directory.replace(version.number, changes, version.source)
-    } else {
-        listed.directory.apply(version.number, changes, version.source)
+pub(crate) fn take_list(listed: &mut Listed, rows: Vec<ListRow>, reading: &Reading) {
+    let Reading { version, extent, source } = *reading;
+    let changes = rows.iter().map(ListRow::change);
+    let directory = &mut listed.directory;
+    let changed = match extent {
+        Extent::Changes => directory.apply(version, changes.collect::<Vec<_>>(), source),
+        Extent::Whole => directory.replace(version, changes.collect::<Vec<_>>(), source),
+        Extent::Copy => {
+            let told = directory.without_past(changes.zip(rows.iter().map(|it| it.version)));
+            directory.replace(version, told, source)
+        }
     };
+    rows.iter().for_each(|it| directory.note_row(&it.id, it.version));
     let bytes = rows.into_iter().filter_map(|it| Some((it.id, Bytes::from(it.entry?))));
     listed.entries.extend(bytes);
     let known: HashSet<&str> = listed.directory.all().map(|it| it.entry.id.as_str()).collect();
     listed.entries.retain(|id, _| known.contains(id.as_str()));
-    log_changed(&changed, version.number);
+    log_changed(&changed, version);
 }
 
-fn log_changed(changed: &[Changed], list: u64) {
+fn log_changed(changed: &[Changed], list: StoreVersion) {
     if MAX_CHANGED_LINES < changed.len() {
         let n_gone = changed.iter().filter(|it| it.state.is_none()).count();
-        log::info!(n = changed.len(), n_gone, list; "upstreams changed");
+        log::info!(n = changed.len(), n_gone, list:%; "upstreams changed");
         return;
     }
     for it in changed {
         match it.state {
-            Some(state) => log::info!(upstream = it.id, state:?, list; "upstream changed"),
-            None => log::info!(upstream = it.id, list; "upstream gone"),
-        }
-    }
-}
-
-/// Writes this host's address to the store and reads the others'.
-async fn meet(host: Arc<Host>, store: Store) {
-    let me = host.settings().peers.to_string();
-    let place = host.settings().data_centre.clone();
-    while let Err(err) = store.write(store::HOSTS, &me, place.as_bytes()).await {
-        host.note_recalled();
-        log::warn!(err:% = describe(&err); "own address not written");
-        clock::sleep(LONGEST_PAUSE).await;
-    }
-    let mut is_first = true;
-    loop {
-        if !is_first && !host.is_reader() {
-            clock::sleep(HOSTS_PERIOD).await;
-            continue;
-        }
-        match store.read(store::HOSTS).await {
-            Ok(it) => {
-                it.rows.iter().filter(|it| it.key != me).for_each(|it| learn_host(&host, it));
-                if std::mem::replace(&mut is_first, false) {
-                    host.rt.spawn(recall::read(host.clone(), store.clone()));
-                }
-            }
-            Err(err) => {
-                // Callers do not wait for a store that is down.
-                host.note_recalled();
-                log::warn!(err:% = describe(&err); "hosts not read");
-                clock::sleep(LONGEST_PAUSE).await;
-                continue;
-            }
+            Some(state) => log::info!(upstream = it.id, state:?, list:%; "upstream changed"),
+            None => log::info!(upstream = it.id, list:%; "upstream gone"),
         }
-        clock::sleep(HOSTS_PERIOD).await;
     }
 }
 
-/// Learns of a host by its row: its address, and the name of its data centre.
-fn learn_host(host: &Host, row: &Row) {
-    let Ok(address) = row.key.parse() else {
-        log::warn!(key = row.key; "no host's address");
-        return;
-    };
-    let name = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
-    host.others().learn(address, name.map(hash));
-}
-
 async fn expire(host: Arc<Host>) {
     loop {
         clock::sleep(EXPIRE_PERIOD).await;
         host.pool.sweep();
         let now = clock::now();
+        orders::expire(&host, now);
         if !host.with_list(|it| it.directory.has_late(now)) {
             continue;
         }
--- a/crates/portfield-host/tests/knowledge.rs
+++ b/crates/portfield-host/tests/knowledge.rs
@@ -213,7 +213,7 @@
     let mut fleet = Fleet::new(1, 0);
     let host = fleet.host();
     let draining = fleet.plains[0].entry("desk", "draining").to_string().into_bytes();
-    let entry = ListedUpstream { id: "plain-0".to_owned(), entry: draining, held: 0 };
+    let entry = ListedUpstream { id: "plain-0".to_owned(), entry: draining, held: 0, row: 0 };
     let socket = serve_peer(&fleet, FakePeer { config: Vec::new(), list: vec![entry] });
     let mut sequence = 0;
     until("the upstream gets no more requests", || {
--- a/crates/portfield-net/src/http1.rs
+++ b/crates/portfield-net/src/http1.rs
@@ -76,6 +76,21 @@
         parse(&text)
     }
 
+    /// Reads a JSON value, and a header of the answer where it has it.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn get_with_header<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        name: &str,
+    ) -> Result<(T, Option<String>), Error> {
+        let request = self.request(Method::Get, path, Vec::new())?;
+        let (text, value) = self.exchange(request, name).await?;
+        Ok((parse(&text)?, value))
+    }
+
     /// Reads a JSON value unless it is still the one named by `tag` (RFC 9110, section 13.1.2);
     /// returns it with its new tag.
     ///
@@ -89,12 +104,12 @@
     ) -> Result<Option<(T, String)>, Error> {
         let mut request = self.request(Method::Get, path, Vec::new())?;
         request.insert_header("if-none-match", tag);
-        let (text, tag) = match self.exchange(request).await {
+        let (text, tag) = match self.exchange(request, "etag").await {
             Ok(it) => it,
             Err(Error::Status(304, _)) => return Ok(None),
             Err(err) => return Err(err),
         };
-        Ok(Some((parse(&text)?, tag)))
+        Ok(Some((parse(&text)?, tag.unwrap_or_default())))
     }
 
     /// Sends a JSON value and reads one.
@@ -119,7 +134,7 @@
     /// See [`Error`].
     pub async fn send(&self, method: Method, path: &str, body: Vec<u8>) -> Result<String, Error> {
         let request = self.request(method, path, body)?;
-        self.exchange(request).await.map(|it| it.0)
+        self.exchange(request, "etag").await.map(|it| it.0)
     }
 
     fn request(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Request, Error> {
@@ -131,20 +146,28 @@
         Ok(res)
     }
 
-    /// Returns the answer's body and its tag.
-    async fn exchange(&self, request: Request) -> Result<(String, String), Error> {
+    /// Returns the answer's body, and one of its headers where it has it.
+    async fn exchange(
+        &self,
+        request: Request,
+        name: &str,
+    ) -> Result<(String, Option<String>), Error> {
         let connect = self.links.connect(&self.data_centre, self.address);
         let stream = connect.await.map_err(|err| Error::Unsent(err.to_string()))?;
         let late = || Err(Error::Unclear("no answer in time".to_owned()));
-        clock::timeout(self.timeout, exchange(stream, request)).await.unwrap_or_else(late)
+        clock::timeout(self.timeout, exchange(stream, request, name)).await.unwrap_or_else(late)
     }
 }
 
-async fn exchange(stream: TcpStream, request: Request) -> Result<(String, String), Error> {
+async fn exchange(
+    stream: TcpStream,
+    request: Request,
+    name: &str,
+) -> Result<(String, Option<String>), Error> {
     let unclear = |err: http_types::Error| Error::Unclear(err.to_string());
     let mut response = async_h1::connect(stream, request).await.map_err(unclear)?;
     let header = |name: &str| response.header(name).map(|it| it.as_str().to_owned());
-    let (length, tag) = (header("content-length"), header("etag").unwrap_or_default());
+    let (length, value) = (header("content-length"), header(name));
     let status = response.status();
     if status == StatusCode::NotModified {
         return Err(Error::Status(status.into(), String::new()));
@@ -155,7 +178,7 @@
         return Err(Error::Unclear("the answer was cut short".to_owned()));
     }
     if status == StatusCode::Ok {
-        return Ok((text, tag));
+        return Ok((text, value));
     }
     Err(Error::Status(status.into(), text))
 }
--- a/crates/portfield-net/src/settings.rs
+++ b/crates/portfield-net/src/settings.rs
@@ -132,6 +132,30 @@
         res
     }
 
+    /// Takes a table of texts by name, empty if missing.
+    pub fn text_table(&mut self, key: &str) -> HashMap<String, String> {
+        let Some(value) = self.table.remove(key) else { return HashMap::new() };
+        let mut res = HashMap::new();
+        let Value::Table(table) = value else {
+            self.mistake(key, "must be a table of texts".to_owned());
+            return res;
+        };
+        for (name, it) in table {
+            match it.as_str().filter(|it| !it.is_empty()) {
+                Some(text) => {
+                    res.insert(name, text.to_owned());
+                }
+                None => {
+                    self.mistake(
+                        &format!("{key}.{name}"),
+                        "must be a text that is not empty".to_owned(),
+                    );
+                }
+            }
+        }
+        res
+    }
+
     /// Takes a number within a range.
     pub fn number(&mut self, key: &str, default: u64, range: (u64, u64)) -> u64 {
         let Some(value) = self.table.remove(key) else { return default };
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -114,7 +114,7 @@
         let chain = job.prompt.as_ref().map(Prompt::chain).unwrap_or_default();
         let order = Order::of(&chain, self.draw());
         let first = Speed::default();
-        let is_open = |id: &u32| !self.loads.get(*id).is_some_and(|it| it.health.is_blocked(now));
+        let is_open = |id: &u32| !self.loads.get(*id).is_some_and(|it| it.is_closed(now));
         let scales = Scales {
             now,
             loads: &self.loads,
@@ -158,7 +158,7 @@
     /// with it.
     pub fn calmest(&self, now: Duration, candidates: &[Candidate]) -> Option<Candidate> {
         let node = |it: &Candidate| self.loads.get(it.upstream);
-        let is_open = |it: &&Candidate| !node(it).is_some_and(|it| it.health.is_blocked(now));
+        let is_open = |it: &&Candidate| !node(it).is_some_and(|it| it.is_closed(now));
         let running = |it: &Candidate| node(it).map_or(0.0, |it| it.total().running);
         let open = candidates.iter().filter(is_open);
         open.min_by(|a, b| running(a).total_cmp(&running(b))).copied()
@@ -223,6 +223,7 @@
             service: job.service,
         };
         let node = self.loads.node(placed.upstream);
+        node.warmup.note(now);
         node.own.running += 1.0;
         node.own.pending += pending;
         if let (Some(prompt), Some(engine)) = (&job.prompt, job.engine) {
@@ -278,6 +279,40 @@
         self.loads.node(upstream).health.reachable();
     }
 
+    /// Notes that an upstream is cold until a time: this host may send it `quota` requests a second.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{Balancer, Candidate, Job, Placement, Stage};
+    /// use std::time::Duration;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let mut balancer = Balancer::new(second * 4);
+    /// let job = Job {
+    ///     workspace: 1,
+    ///     service: 1,
+    ///     prompt: None,
+    ///     objective: second,
+    ///     waited: Duration::ZERO,
+    ///     stage: Stage::New,
+    ///     engine: None,
+    /// };
+    /// let candidate = Candidate { upstream: 7, slots: 4, near: true };
+    /// balancer.cold(7, second * 3, 0);
+    /// let placed = |it: &mut Balancer, now| matches!(it.place(now, &job, &[candidate]), Placement::Send(_));
+    /// assert!(!placed(&mut balancer, second));
+    /// assert!(placed(&mut balancer, second * 3));
+    /// ```
+    pub fn cold(&mut self, upstream: u32, until: Duration, quota: u32) {
+        self.loads.node(upstream).warmup.begin(until, quota);
+    }
+
+    /// Notes that an upstream is not cold.
+    pub fn warm(&mut self, upstream: u32) {
+        self.loads.node(upstream).warmup.end();
+    }
+
     /// Writes what this host did into a digest for the others.
     pub fn report(&mut self, now: Duration, digest: &mut wire::Digest) {
         self.loads.expire(now);
--- a/crates/portfield/src/balance/choice.rs
+++ b/crates/portfield/src/balance/choice.rs
@@ -151,8 +151,8 @@
             cost: times.wait + times.own + reread + failing * objective + far,
             rank: self.order.rank(it.upstream),
             is_idle: job.engine.is_some_and(|it| is_idle(it, node)),
-            blocked: node.health.is_blocked(self.now),
-            opens: node.health.blocked_until(),
+            blocked: node.is_closed(self.now),
+            opens: node.opens(self.now),
         }
     }
 
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -7,6 +7,7 @@
     health::Health,
     map::Map,
     peer::{Peer, STALE},
+    warmup::Warmup,
 };
 use crate::wire;
 
@@ -33,6 +34,7 @@
     n_told: u32,
     pub cache: Cache,
     pub health: Health,
+    pub warmup: Warmup,
     /// This host's requests whose first event is overdue.
     pub n_overdue: u32,
 }
@@ -45,6 +47,16 @@
         self.n_told = REPEATS;
     }
 
+    /// Returns whether nothing is to be sent to it now.
+    pub(crate) fn is_closed(&self, now: Duration) -> bool {
+        self.health.is_blocked(now) || self.warmup.is_closed(now)
+    }
+
+    /// Returns when something may be sent to it.
+    pub(crate) fn opens(&self, now: Duration) -> Duration {
+        self.health.blocked_until().max(self.warmup.opens(now))
+    }
+
     /// Returns what this host tells of it.
     fn report(&self, upstream: u32) -> wire::UpstreamLoad {
         wire::UpstreamLoad {
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -10,6 +10,7 @@
 //! - `choice`: what each upstream would cost a request
 //! - `admission`: how long a request may wait there
 //! - `health`: upstreams that fail
+//! - `warmup`: upstreams that are cold
 //! - `shares`: max-min shares of the workspaces
 //! - [`Governor`]: whether this host itself keeps up
 //! - [`Audience`]: whom a host tells what it did
@@ -37,6 +38,7 @@
 mod readers;
 mod shares;
 mod speed;
+mod warmup;
 
 pub use audience::{Audience, Listener, Place};
 pub(crate) use balancer::WHOLE_EVERY;
@@ -49,3 +51,4 @@
 pub use prompt::{Part, Prompt};
 pub use readers::{FRESH, Follower, Readers};
 pub use shares::{Account, Standing};
+pub use warmup::cold_quota;
--- a/crates/portfield/src/balance/others.rs
+++ b/crates/portfield/src/balance/others.rs
@@ -141,6 +141,14 @@
         near.filter(|it| it.host < self.place.host).count() < n
     }
 
+    /// Returns the hosts of a data centre that are known, there or not, this one included if it stands there; by hash
+    /// of their addresses.
+    pub fn known_in(&self, data_centre: u32) -> Vec<u64> {
+        let is_in = |it: &&Listener| it.data_centre == Some(data_centre);
+        let own = (self.place.data_centre == data_centre).then_some(self.place.host);
+        self.hosts.values().filter(is_in).map(|it| it.host).chain(own).collect()
+    }
+
     /// Learns that there is a host, and where it stands if that is told.
     pub fn learn(&mut self, address: SocketAddr, data_centre: Option<u32>) {
         let it = self.hosts.entry(address).or_insert_with(|| stranger(address));
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -9,6 +9,8 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::StoreVersion;
+
 /// Time that an entry that lapsed while the store was away is kept after its return.
 ///
 /// The platform says that a live upstream's entry is back within about two seconds.
@@ -44,6 +46,9 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub state: State,
+    /// How long it stays cold, as of when it said so: until then it takes few requests a second, and ends when it
+    /// gets more. Zero where it is not.
+    pub cold: Duration,
 }
 
 /// An upstream with its number.
@@ -100,19 +105,30 @@
 /// The upstreams known, as of a version of the store.
 #[derive(Debug, Default)]
 pub struct Directory {
-    version: u64,
+    version: StoreVersion,
     known: BTreeMap<String, Known>,
-    /// Entries that are gone, with the version that told so.
-    gone: VecDeque<(u64, String)>,
-    /// Since which version all changes are known; zero while there is no list.
-    complete_since: u64,
+    gone: VecDeque<Gone>,
+    /// Since which version all changes are known; `None` while there is no list.
+    complete_since: Option<StoreVersion>,
+}
+
+/// An entry that is gone.
+#[derive(Debug)]
+struct Gone {
+    /// The version that told so.
+    version: StoreVersion,
+    id: String,
+    /// The last version of its row, zero if that is not known.
+    row: u64,
 }
 
 #[derive(Debug, Clone)]
 struct Known {
     upstream: Arc<Upstream>,
     /// The version that last told a change of it.
-    changed: u64,
+    changed: StoreVersion,
+    /// The version of its row, zero if that is not known.
+    row: u64,
     /// When an entry that is missing counts as gone.
     until: Option<Duration>,
 }
@@ -125,7 +141,7 @@
 
 impl Directory {
     /// Returns the store's version that the list is as of.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -133,10 +149,11 @@
     /// changes nothing.
     pub fn apply(
         &mut self,
-        version: u64,
+        version: impl Into<StoreVersion>,
         changes: impl IntoIterator<Item = Change>,
         source: Source,
     ) -> Vec<Changed> {
+        let version = version.into();
         if version < self.version {
             return Vec::new();
         }
@@ -148,17 +165,16 @@
     /// version changes nothing.
     pub fn replace(
         &mut self,
-        version: u64,
+        version: impl Into<StoreVersion>,
         list: impl IntoIterator<Item = Change>,
         source: Source,
     ) -> Vec<Changed> {
+        let version = version.into();
         if version < self.version {
             return Vec::new();
         }
         self.version = version;
-        if self.complete_since == 0 {
-            self.complete_since = version;
-        }
+        self.complete_since.get_or_insert(version);
         let list: Vec<Change> = list.into_iter().collect();
         let named: HashSet<&str> = list.iter().map(Change::id).collect();
         let missing = self.known.keys().filter(|it| !named.contains(it.as_str()));
@@ -167,18 +183,38 @@
     }
 
     /// Returns what changed since an older version; `None` where that is not known.
-    pub fn since(&self, version: u64) -> Option<Difference> {
-        if version < self.complete_since || self.complete_since == 0 {
+    pub fn since(&self, version: impl Into<StoreVersion>) -> Option<Difference> {
+        let version = version.into();
+        if version < self.complete_since? {
             return None;
         }
         let set = self.known.iter().filter(|it| version < it.1.changed);
-        let gone = self.gone.iter().filter(|it| version < it.0 && !self.known.contains_key(&it.1));
+        let is_news = |it: &&Gone| version < it.version && !self.known.contains_key(&it.id);
+        let gone = self.gone.iter().filter(is_news);
         Some(Difference {
             set: set.map(|it| it.0.clone()).collect(),
-            gone: gone.map(|it| it.1.clone()).collect(),
+            gone: gone.map(|it| it.id.clone()).collect(),
         })
     }
 
+    /// Notes the version of the row that an entry was last read from.
+    pub fn note_row(&mut self, id: &str, row: u64) {
+        if let Some(it) = self.known.get_mut(id) {
+            it.row = row;
+        }
+    }
+
+    /// Returns the version of the row that an entry was last read from, zero if that is not known.
+    pub fn row(&self, id: &str) -> u64 {
+        self.known.get(id).map_or(0, |it| it.row)
+    }
+
+    /// Takes out of the list of a store that went back what is known to be over: an upstream that left, by the same
+    /// version of its row, and one that was about to leave. Each change comes with its row's version.
+    pub fn without_past(&self, list: impl IntoIterator<Item = (Change, u64)>) -> Vec<Change> {
+        list.into_iter().filter_map(|(change, row)| self.still(change, row)).collect()
+    }
+
     /// Returns until when an entry is kept that is missing from the store.
     pub fn held_until(&self, id: &str) -> Option<Duration> {
         self.known.get(id)?.until
@@ -253,19 +289,40 @@
             return None;
         }
         let (id, state) = (entry.id.clone(), Some(entry.state));
+        let is_same = |it: &Known| {
+            it.upstream.entry == Entry { cold: it.upstream.entry.cold, ..entry.clone() }
+        };
+        // That an upstream becomes less cold is told on, and is no news to a reader of the log.
+        let is_news = !self.known.get(&id).is_some_and(is_same);
         let upstream = Arc::new(Upstream { hash: incarnation(&entry), entry });
-        let known = Known { upstream, changed: self.version, until: None };
+        let known = Known { upstream, changed: self.version, row: 0, until: None };
         self.known.insert(id.clone(), known);
-        Some(Changed { id, state })
+        is_news.then_some(Changed { id, state })
+    }
+
+    /// Returns what a copy of the store says of an upstream, as far as it may still hold.
+    fn still(&self, change: Change, row: u64) -> Option<Change> {
+        let Change::Set(mut entry) = change else { return Some(change) };
+        let is_past = |it: &Gone| it.id == entry.id && it.row == row && row != 0;
+        if self.gone.iter().any(is_past) && !self.known.contains_key(&entry.id) {
+            return None;
+        }
+        let known = self.known.get(&entry.id).map(|it| &it.upstream);
+        if known
+            .is_some_and(|it| it.hash == incarnation(&entry) && it.entry.state == State::Draining)
+        {
+            entry.state = State::Draining;
+        }
+        Some(Change::Set(entry))
     }
 
     fn remove(&mut self, id: &str) -> Option<Changed> {
-        self.known.remove(id)?;
-        self.gone.push_back((self.version, id.to_owned()));
+        let Known { row, .. } = self.known.remove(id)?;
+        self.gone.push_back(Gone { version: self.version, id: id.to_owned(), row });
         if MAX_GONE < self.gone.len()
-            && let Some((version, _)) = self.gone.pop_front()
+            && let Some(it) = self.gone.pop_front()
         {
-            self.complete_since = self.complete_since.max(version);
+            self.complete_since = self.complete_since.max(Some(it.version));
         }
         Some(Changed { id: id.to_owned(), state: None })
     }
--- a/crates/portfield/src/catalog/mod.rs
+++ b/crates/portfield/src/catalog/mod.rs
@@ -1,9 +1,15 @@
 //! What a host knows of routes, services, workspaces and upstreams.
 
 mod directory;
+mod evacuation;
 mod routes;
+mod version;
 
 pub use directory::{
     Change, Changed, Difference, Directory, Entry, RETURN_GRACE, Source, State, Upstream,
 };
-pub use routes::{Access, Catalog, EngineSpec, Kind, Limits, Route, Service, Target, Workspace};
+pub use evacuation::{Evacuations, ORDER_GRACE, Order, OrderChange, OrderList};
+pub use routes::{
+    Access, Catalog, EngineSpec, Kind, Limits, Regions, Route, Service, Target, Warming, Workspace,
+};
+pub use version::StoreVersion;
--- a/crates/portfield/src/catalog/routes.rs
+++ b/crates/portfield/src/catalog/routes.rs
@@ -45,6 +45,40 @@
     pub weight: f64,
 }
 
+/// Regions in which something may be served.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::catalog::Regions;
+///
+/// let some = Regions::from(vec!["riga".to_owned()]);
+/// assert!(some.allows("riga") && !some.allows("aberdeen"));
+/// assert!(Regions::default().allows("aberdeen"), "no region is named: all are allowed");
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Regions {
+    names: Vec<String>,
+}
+
+impl Regions {
+    /// Returns whether a region is allowed.
+    pub fn allows(&self, region: &str) -> bool {
+        self.is_any() || self.names.iter().any(|it| it == region)
+    }
+
+    /// Returns whether all are allowed.
+    pub fn is_any(&self) -> bool {
+        self.names.is_empty()
+    }
+}
+
+impl From<Vec<String>> for Regions {
+    fn from(names: Vec<String>) -> Self {
+        Self { names }
+    }
+}
+
 /// One route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
@@ -70,6 +104,8 @@
     pub max_attempts: u32,
     /// Who may use it.
     pub access: Access,
+    /// Where its requests may be served.
+    pub regions: Regions,
 }
 
 impl Route {
@@ -96,8 +132,17 @@
     pub event_tokens: u32,
 }
 
+/// How a service's upstreams are to be treated after their start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Warming {
+    /// Time for which one is cold.
+    pub time: Duration,
+    /// Requests a second that a cold one takes, from all hosts together.
+    pub rate: f64,
+}
+
 /// One service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: String,
@@ -107,6 +152,8 @@
     pub max_connections: u32,
     /// Set where the upstreams run a model.
     pub engine: Option<EngineSpec>,
+    /// Set where the upstreams are cold after their start.
+    pub warming: Option<Warming>,
 }
 
 /// Who is owed a share.
@@ -118,6 +165,8 @@
     pub keys: Vec<String>,
     /// Rank that goes before a route's, where set.
     pub priority: Option<i64>,
+    /// Where its requests may be served.
+    pub regions: Regions,
 }
 
 /// Bounds on what callers send, and the fleet's capacity.
@@ -147,6 +196,7 @@
 ///     name: prefix.to_owned(), host: "a".to_owned(), prefix: prefix.to_owned(),
 ///     kind: Kind::Safe, timeout: Duration::from_secs(1), objective: Duration::from_millis(100),
 ///     gap: None, priority: 1, max_attempts: 2, access: Access::Public,
+///     regions: Default::default(),
 ///     targets: vec![Target { service: "s".to_owned(), weight: 1.0 }],
 /// };
 /// let limits = Limits { head_bytes: 1, body_bytes: 1, head_time: Duration::ZERO,
--- a/crates/portfield/tests/directory.rs
+++ b/crates/portfield/tests/directory.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use portfield::catalog::{Change, Difference, Directory, Entry, RETURN_GRACE, Source, State};
+use portfield::catalog::{
+    Change, Difference, Directory, Entry, RETURN_GRACE, Source, State, StoreVersion,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -15,6 +17,7 @@
         data_centre: "north".to_owned(),
         slots: 6,
         state,
+        cold: Duration::ZERO,
     }
 }
 
@@ -220,3 +223,73 @@
         }
     }
 }
+
+/// A store that has just come back from a copy of itself.
+const COPY: Source = Source::AfterOutage { returned: SECOND };
+
+/// Takes the list of a store that went back, each entry with the version of its row.
+fn go_back(it: &mut Directory, version: StoreVersion, list: &[(Entry, u64)]) {
+    let list = list.iter().map(|(entry, row)| (Change::Set(entry.clone()), *row));
+    let told = it.without_past(list);
+    it.replace(version, told, COPY);
+}
+
+#[test]
+fn a_number_that_the_store_gives_out_again_is_of_a_later_change() {
+    let mut it = two();
+    it.apply(530, [Change::Set(entry("c", State::Ready))], Source::Current);
+    let later = StoreVersion::new(1, 512);
+    it.apply(later, [Change::Gone("c".to_owned())], Source::Current);
+    assert_eq!(ready(&it), ["a", "b"]);
+    it.apply(535, [Change::Set(entry("c", State::Ready))], Source::Current);
+    assert_eq!((ready(&it).len(), it.version()), (2, later), "an answer of the store before");
+    assert_eq!(it.since(530).unwrap().gone, ["c"], "told to hosts that know the store before");
+}
+
+/// What the copy has lost may be written again, as after an outage.
+#[test]
+fn who_is_missing_in_a_copy_is_kept_until_it_is_written_again() {
+    let mut it = two();
+    go_back(&mut it, StoreVersion::new(1, 3), &[(entry("b", State::Ready), 2)]);
+    assert_eq!(ready(&it), ["a", "b"]);
+    it.apply(StoreVersion::new(1, 6), [Change::Set(entry("a", State::Ready))], COPY);
+    assert!(it.expire(SECOND + RETURN_GRACE).is_empty());
+    go_back(&mut it, StoreVersion::new(2, 3), &[(entry("b", State::Ready), 2)]);
+    assert_eq!(it.expire(SECOND + RETURN_GRACE), ["a"]);
+}
+
+/// The copy shows an upstream that left as ready: with its old row it stays gone, with a later one it is back.
+#[test]
+fn who_left_does_not_come_back_with_a_copy() {
+    let mut it = two();
+    it.note_row("a", 4);
+    it.apply(530, [Change::Gone("a".to_owned())], Source::Current);
+    let list = |row| [(entry("a", State::Ready), row), (entry("b", State::Ready), 2)];
+    go_back(&mut it, StoreVersion::new(1, 500), &list(4));
+    assert_eq!(ready(&it), ["b"]);
+    go_back(&mut it, StoreVersion::new(2, 500), &list(505));
+    assert_eq!(ready(&it), ["a", "b"]);
+}
+
+#[test]
+fn who_was_about_to_leave_still_is_in_a_copy() {
+    let mut it = two();
+    it.apply(530, [Change::Set(entry("a", State::Draining))], Source::Current);
+    let list = [(entry("a", State::Ready), 4), (entry("b", State::Ready), 2)];
+    go_back(&mut it, StoreVersion::new(1, 500), &list);
+    assert_eq!(ready(&it), ["b"]);
+    // One that started anew under its id is another one.
+    go_back(&mut it, StoreVersion::new(2, 500), &[(born("a", 7), 4)]);
+    assert_eq!(ready(&it), ["a", "b"]);
+}
+
+/// That it becomes less cold is told to other hosts, and changes nothing else.
+#[test]
+fn how_cold_an_upstream_is_is_no_change_of_its_state() {
+    let mut it = two();
+    let cold = |millis| Entry { cold: Duration::from_millis(millis), ..entry("a", State::Ready) };
+    assert_eq!(it.apply(6, [Change::Set(cold(3000))], Source::Current), []);
+    assert_eq!(it.apply(7, [Change::Set(cold(1800))], Source::Current), []);
+    assert_eq!(it.since(6).unwrap().set, ["a"]);
+    assert_eq!(it.all().next().unwrap().entry.cold, Duration::from_millis(1800));
+}
--- a/crates/portfieldctl/src/main.rs
+++ b/crates/portfieldctl/src/main.rs
@@ -1,6 +1,7 @@
 //! `portfieldctl`: operators state an intent, read the plan and confirm it.
 
 mod change;
+mod evacuations;
 mod explain;
 mod logs;
 mod quarantine;
@@ -53,6 +54,11 @@
         #[arg(long, num_args = 1..)]
         logs: Vec<PathBuf>,
     },
+    /// Lists the data centres to which a host sends nothing, by the operator's order.
+    Evacuations {
+        /// Metrics address of any host.
+        host: SocketAddr,
+    },
     /// Lists the requests that hosts refuse because upstreams ended under them, or lets one run again.
     Quarantine {
         /// Metrics address of any host.
@@ -83,6 +89,7 @@
         Command::Status => status::show(&platform()?).await,
         Command::Explain { request, logs } if !logs.is_empty() => logs::show(&logs, &request),
         Command::Explain { request, .. } => explain::show(&platform()?, &request).await,
+        Command::Evacuations { host } => evacuations::show(host).await,
         Command::Quarantine { host, lift: Some(it) } => quarantine::lift(host, &it).await,
         Command::Quarantine { host, lift: None } => quarantine::show(host).await,
     }
--- a/crates/portfieldctl/tests/quarantine.rs
+++ b/crates/portfieldctl/tests/host_pages.rs
@@ -1,4 +1,4 @@
-//! `portfieldctl quarantine`: what a host refuses, and letting it run again.
+//! What a host tells operators: requests that it refuses, data centres that it sends nothing.
 
 use std::{
     net::SocketAddr,
@@ -31,6 +31,9 @@
             200,
             &json!([{ "fingerprint": "00c0ffee", "workspace": "masons", "n_ends": 3, "left_s": 97 }]),
         ),
+        Method::Get if path == "/evacuations" => {
+            http1::json(200, &json!([{ "data_centre": "north", "n_upstreams": 47 }]))
+        }
         Method::Delete if path.ends_with("/00c0ffee") => {
             deleted.lock().unwrap().push(path.to_owned());
             http1::json(200, &"lifted")
@@ -39,9 +42,9 @@
     }
 }
 
-fn run(address: SocketAddr, more: &[&str]) -> Output {
+fn run(command: &str, address: SocketAddr, more: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_portfieldctl"))
-        .args(["quarantine", &address.to_string()])
+        .args([command, &address.to_string()])
         .args(more)
         .env_remove("PORTFIELD_PLATFORM")
         .output()
@@ -52,12 +55,20 @@
 fn what_a_host_refuses_is_listed_and_lifted() {
     let deleted = Arc::default();
     let address = host(&deleted);
-    let text = String::from_utf8(run(address, &[]).stdout).unwrap();
+    let text = String::from_utf8(run("quarantine", address, &[]).stdout).unwrap();
     let row: Vec<&str> = text.lines().nth(1).unwrap().split_whitespace().collect();
     assert_eq!(row, ["00c0ffee", "masons", "3", "97"]);
-    assert!(run(address, &["--lift", "00c0ffee"]).status.success());
+    assert!(run("quarantine", address, &["--lift", "00c0ffee"]).status.success());
     assert_eq!(*deleted.lock().unwrap(), ["/quarantine/00c0ffee"]);
-    let unknown = run(address, &["--lift", "12"]);
+    let unknown = run("quarantine", address, &["--lift", "12"]);
     assert!(!unknown.status.success());
     assert!(String::from_utf8_lossy(&unknown.stderr).contains("nothing is known"));
 }
+
+#[test]
+fn data_centres_that_get_nothing_are_listed() {
+    let address = host(&Arc::default());
+    let text = String::from_utf8(run("evacuations", address, &[]).stdout).unwrap();
+    let row: Vec<&str> = text.lines().nth(1).unwrap().split_whitespace().collect();
+    assert_eq!(row, ["north", "47"]);
+}
