feat(host): calls to the store held as long as the bounds allow, the list gathered

Cause: calls were sized for hosts in touch after 3 s, whatever the settings say, and each change of an entry (cold upstreams tell each 1.2 s how cold they still are) ended a call within 100 ms. Ruled out: longer than 2.2 s, an outage in which entries lapse (3.2 s) could not be told from a held call.

--- a/crates/portfield-host/src/peers/listen.rs
+++ b/crates/portfield-host/src/peers/listen.rs
@@ -7,7 +7,7 @@
 };
 
 use portfield::{
-    balance::{Audience, FRESH, Follower, Way},
+    balance::{Audience, Follower, Way},
     catalog::StoreVersion,
     waking::Knowledge,
 };
@@ -180,7 +180,8 @@
 
 impl News {
     fn note(&mut self, host: &Host, known: Known, address: SocketAddr, digest: &Digest) {
-        let hears_store = Duration::from_millis(u64::from(digest.store_age)) < FRESH;
+        let hears_store =
+            Duration::from_millis(u64::from(digest.store_age)) < host.settings().pace.fresh;
         let orders = StoreVersion::new(digest.orders_era, digest.orders_version);
         if known.orders < orders {
             self.orders.note(address);
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -28,11 +28,6 @@
     trying::Trying,
 };
 
-/// Silence of the store after which the list of upstreams is taken from other hosts.
-///
-/// Longer than the store holds a call in which nothing changes.
-const STORE_SILENT: Duration = Duration::from_millis(2000);
-
 /// Time after a connection could not be accepted for which callers are sent elsewhere: the platform
 /// asks once a second, and descriptors are freed as answers end.
 const ACCEPT_TROUBLE: Duration = Duration::from_millis(1500);
@@ -116,7 +111,7 @@
             budgets: Mutex::default(),
             others: Mutex::new(Others::new(place, seeds)),
             own_hash: place.host,
-            readers: Mutex::default(),
+            readers: Mutex::new(Readers::new(settings.pace)),
             governor: Mutex::default(),
             breaks: Mutex::default(),
             quarantine: Mutex::default(),
@@ -304,7 +299,7 @@
 
     /// Returns whether the list of upstreams is to be taken from other hosts.
     pub(crate) fn needs_list(&self) -> bool {
-        STORE_SILENT < self.store_age() || !self.is_reader()
+        self.settings().pace.silent < self.store_age() || !self.is_reader()
     }
 
     /// Returns whether callers may be sent here.
--- a/crates/portfield-host/src/watch.rs
+++ b/crates/portfield-host/src/watch.rs
@@ -5,6 +5,7 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use portfield::{
+    balance::CALL_TIMEOUT,
     catalog::{Change, Changed, RETURN_GRACE, Source, StoreVersion},
     quarantine::Request,
     waking::Knowledge,
@@ -17,26 +18,21 @@
 
 use crate::{listed::Listed, meet, orders, recall, state::Host};
 
-/// Longest time that the store holds a call until something changes.
-///
-/// A cut hides changes until a held call is given up, so this and [`CALL_TIMEOUT`] together stay
-/// under the three seconds after which a host counts as in touch again.
-const HOLD: Duration = Duration::from_millis(1200);
-/// Time in which the store answers a call beyond that.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Pause after a call that failed; grows by half of itself up to [`LONGEST_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause: a change must be in force two seconds after it was acknowledged.
 pub(crate) const LONGEST_PAUSE: Duration = Duration::from_millis(600);
-/// Least time between the beginnings of two calls for one table's changes: upstreams that come or
-/// go one after the other are told together, and a change must be in force in two seconds.
+/// Least time between the beginnings of two calls for what the operator wrote.
 const GATHER: Duration = Duration::from_millis(100);
+/// The same for the list of upstreams: those that come, go or warm up one after the other are told together, and who
+/// leaves must get nothing more two seconds later.
+const GATHER_LIST: Duration = Duration::from_millis(300);
 /// Time after the first look at a table before its changes are followed: by then a host knows
 /// how many there are, and whether it is one that follows.
 const SETTLE: Duration = Duration::from_millis(1000);
 /// Silence of the store after which upstreams' entries may have lapsed: shorter than the three
-/// heartbeats of 1.2 s after which the platform removes one.
-const OUTAGE: Duration = Duration::from_millis(2000);
+/// heartbeats of 1.2 s after which the platform removes one, and longer than it holds a call.
+const OUTAGE: Duration = Duration::from_millis(3200);
 /// Characters of an error that are logged.
 const LONGEST_ERROR: usize = 200;
 /// Time between two looks whether this host is to follow the store.
@@ -50,10 +46,18 @@
 /// Starts the tasks.
 pub(crate) fn start(host: &Arc<Host>, verdicts: Receiver<Request>) {
     let store = Store::new(host.settings().store, CALL_TIMEOUT);
-    let operator =
-        Followed { table: store::OPERATOR, what: Knowledge::Config, take: take_operator };
-    let upstreams =
-        Followed { table: store::UPSTREAMS, what: Knowledge::Upstreams, take: take_upstreams };
+    let operator = Followed {
+        table: store::OPERATOR,
+        what: Knowledge::Config,
+        gather: GATHER,
+        take: take_operator,
+    };
+    let upstreams = Followed {
+        table: store::UPSTREAMS,
+        what: Knowledge::Upstreams,
+        gather: GATHER_LIST,
+        take: take_upstreams,
+    };
     host.rt.spawn(Feed::new(host.clone(), store.clone(), operator).run());
     host.rt.spawn(Feed::new(host.clone(), store.clone(), upstreams).run());
     host.rt.spawn(recall::write(host.clone(), store.clone(), verdicts));
@@ -66,6 +70,8 @@
 struct Followed {
     table: &'static str,
     what: Knowledge,
+    /// Least time between the beginnings of two calls.
+    gather: Duration,
     take: fn(&Arc<Host>, News),
 }
 
@@ -162,7 +168,7 @@
             None => self.store.read(table).await,
             // A host that stood still does not wait for the next change to know the last one.
             Some(it) if !self.host.trusts() => self.store.changes(table, it, Duration::ZERO).await,
-            Some(it) => self.store.changes(table, it, HOLD).await,
+            Some(it) => self.store.changes(table, it, self.host.settings().pace.hold).await,
         }
     }
 
@@ -172,7 +178,7 @@
         if std::mem::take(&mut self.is_lost) {
             log::info!(table, silent_ms = silent.as_millis() as u64; "store regained");
         }
-        if HOLD + OUTAGE < silent {
+        if OUTAGE < silent {
             self.returned = Some(now);
         }
         self.heard = now;
@@ -196,7 +202,7 @@
             Some(returned) => Source::AfterOutage { returned },
             None => Source::Current,
         };
-        let gap = std::mem::replace(&mut self.pace, GATHER);
+        let gap = std::mem::replace(&mut self.pace, self.followed.gather);
         (self.version, self.era) = (Some(version), Some(version.era));
         let news = News { rows, reading: Reading { version, extent, source } };
         (self.followed.take)(&self.host, news);
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -49,6 +49,6 @@
 pub(crate) use load::REPEATS;
 pub use others::{Others, Way, host_hash};
 pub use prompt::{Part, Prompt};
-pub use readers::{FRESH, Follower, Readers};
+pub use readers::{CALL_TIMEOUT, Follower, Readers, StorePace};
 pub use shares::{Account, Standing};
 pub use warmup::cold_quota;
--- a/crates/portfield/src/balance/readers.rs
+++ b/crates/portfield/src/balance/readers.rs
@@ -9,9 +9,57 @@
 const ALL: usize = 12;
 /// Hosts of a data centre that follow the store where there are more.
 const PER_DATA_CENTRE: usize = 2;
-/// Age of a host's last word from the store above which it counts as cut off from it: above the
-/// time that the store holds a call, and below the two seconds in which a change must be in force.
-pub const FRESH: Duration = Duration::from_millis(1700);
+/// Time in which the store answers a call beyond that for which it holds it.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time that a host needs to take what a call told, and to tell the others.
+const TAKING: Duration = Duration::from_millis(800);
+/// Shortest and longest time for which the store is asked to hold a call. The longest tells an outage of the store in
+/// which upstreams' entries lapse, three heartbeats of 1.2 s, from a call that is held.
+const HOLDS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(2200));
+/// Time above that for which a call is held, above which a host counts as cut off from the store.
+const FRESH_SLACK: Duration = Duration::from_millis(500);
+/// The same, above which the list of upstreams is taken from other hosts.
+const SILENT_SLACK: Duration = Duration::from_millis(800);
+
+/// How a host follows the store, by how soon the users count on what it says.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::balance::StorePace;
+/// use std::time::Duration;
+///
+/// let hold = |seconds| StorePace::new(Duration::from_secs(seconds)).hold.as_millis();
+/// assert_eq!((hold(3), hold(4), hold(5)), (1200, 2200, 2200));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StorePace {
+    /// Time for which the store holds a call in which nothing changes.
+    pub hold: Duration,
+    /// Age of a host's last word from the store above which it counts as cut off from it.
+    pub fresh: Duration,
+    /// Age above which the list is taken from other hosts.
+    pub silent: Duration,
+}
+
+impl StorePace {
+    /// Builds it from the time after a disturbance from which on hosts count as in touch: a cut hides changes until a
+    /// held call is given up, and by then they must have been taken.
+    ///
+    /// With 4 s calls are held for 2.2 s in place of 1.2 s: hosts that follow a store in which nothing changes make
+    /// half as many.
+    pub fn new(contact: Duration) -> Self {
+        let hold = contact.saturating_sub(CALL_TIMEOUT + TAKING).clamp(HOLDS.0, HOLDS.1);
+        Self { hold, fresh: hold + FRESH_SLACK, silent: hold + SILENT_SLACK }
+    }
+}
+
+impl Default for StorePace {
+    fn default() -> Self {
+        Self::new(Duration::from_secs(3))
+    }
+}
+
 /// Hosts of a data centre that try the store beside the first ones, for each time that the age of the last
 /// word from it has doubled.
 ///
@@ -52,9 +100,15 @@
 #[derive(Debug, Default)]
 pub struct Readers {
     others: Map<u64, Follower>,
+    pace: StorePace,
 }
 
 impl Readers {
+    /// Builds the state of a host that has heard nobody.
+    pub fn new(pace: StorePace) -> Self {
+        Self { others: Map::default(), pace }
+    }
+
     /// Notes what another host said.
     pub fn hear(&mut self, it: Follower) {
         self.others.insert(it.host, it);
@@ -70,10 +124,10 @@
         let is_near = |it: &&Follower| it.data_centre == data_centre && is_alive(it, now);
         let age = |it: &Follower| it.store_age + now.saturating_sub(it.heard);
         let before = || self.others.values().filter(is_near).filter(|it| it.host < host);
-        let n_fresh = before().filter(|it| age(it) < FRESH).count();
+        let n_fresh = before().filter(|it| age(it) < self.pace.fresh).count();
         let n_stale = before().count() - n_fresh;
         let newest = self.others.values().filter(is_near).map(age).min().unwrap_or_default();
-        n_fresh < PER_DATA_CENTRE && n_stale < PER_DATA_CENTRE + n_tries(newest)
+        n_fresh < PER_DATA_CENTRE && n_stale < PER_DATA_CENTRE + n_tries(newest, self.pace.fresh)
     }
 }
 
@@ -81,8 +135,8 @@
     now < it.heard + STALE
 }
 
-/// Returns how many more hosts try the store whose last word has that age.
-fn n_tries(age: Duration) -> usize {
-    let doublings = (age.as_secs_f64() / FRESH.as_secs_f64()).log2();
+/// Returns how many more hosts try the store where the last word from it has that age.
+fn n_tries(age: Duration, fresh: Duration) -> usize {
+    let doublings = (age.as_secs_f64() / fresh.as_secs_f64()).log2();
     if doublings < 0.0 { 0 } else { 1 + (doublings * TRIES_PER_DOUBLING) as usize }
 }
