--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -20,7 +20,8 @@
 };
 
 use fleet::{Answer, Fleet, Host, config, read_answer, request, until};
-use portfield_platform_standins::{Harm, Proxy, StoreFault, UpstreamFault};
+use portfield_platform_standins::{Harm, Proxy, StoreCopy, StoreFault, UpstreamFault};
+use serde_json::Value;
 
 /// Seeds that CI runs; a seed that ever failed is added with a line on its cause.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -55,6 +56,10 @@
     log: Vec<String>,
     /// Data centres of the hosts in turn; with two, each hears of the other by sums.
     places: &'static [&'static str],
+    /// What upstreams write to the store.
+    entries: Vec<(String, Value)>,
+    /// The store as it was some faults ago.
+    copy: StoreCopy,
     /// Longest time for which a host is paused, in milliseconds: every third seed has standstills.
     longest_pause: u64,
 }
@@ -62,7 +67,7 @@
 impl Soak {
     fn start(seed: u64) -> Self {
         let fleet = Fleet::new(2, 3);
-        let mut proxies = Vec::new();
+        let (mut proxies, mut entries) = (Vec::new(), Vec::new());
         let services = [("desk", &fleet.plains), ("model", &fleet.engines)];
         for (service, upstreams) in services {
             for it in upstreams {
@@ -70,11 +75,15 @@
                 let proxy = futures_lite::future::block_on(proxy).unwrap();
                 let entry = it.entry_at(proxy.address(), service, "ready");
                 fleet.store.put("servers", &it.id, &entry);
+                entries.push((it.id.clone(), entry));
                 proxies.push(proxy);
             }
         }
+        let copy = fleet.store.copy();
         let mut res = Self {
             fleet,
+            entries,
+            copy,
             hosts: Vec::new(),
             proxies,
             doors: Doors::default(),
@@ -105,7 +114,7 @@
         let proxy = self.rng.usize(..self.proxies.len());
         let upstreams: Vec<_> = self.fleet.plains.iter().chain(&self.fleet.engines).collect();
         let upstream = upstreams[self.rng.usize(..upstreams.len())].clone();
-        let name = match self.rng.u32(..12) {
+        let name = match self.rng.u32(..14) {
             0 => self.restart(host, "-KILL"),
             1 => self.restart(host, "-TERM"),
             2 => {
@@ -163,6 +172,7 @@
                 self.fleet.store.put("op", "config", &config(self.version));
                 format!("configuration {}", self.version)
             }
+            11 | 12 => self.go_back(),
             _ => {
                 self.fleet.store.forget_history();
                 self.heal();
@@ -172,6 +182,22 @@
         self.log.push(name);
     }
 
+    /// Has the store come back from its last copy; what the operator and upstreams wrote since is written again.
+    fn go_back(&mut self) -> String {
+        let now = self.fleet.store.copy();
+        let copy = std::mem::replace(&mut self.copy, now);
+        self.fleet.store.set_fault(StoreFault::Silent);
+        thread::sleep(Duration::from_millis(self.rng.u64(20..600)));
+        self.fleet.store.restore(copy);
+        self.fleet.store.set_fault(StoreFault::None);
+        thread::sleep(Duration::from_millis(self.rng.u64(0..400)));
+        self.fleet.store.put("op", "config", &config(self.version));
+        for (id, entry) in &self.entries {
+            self.fleet.store.put("servers", id, entry);
+        }
+        "store goes back".to_owned()
+    }
+
     fn restart(&mut self, idx: usize, signal: &str) -> String {
         self.hosts[idx].signal(signal);
         // A host that starts while the store is down learns from those it is told of.
