feat(balance): a part is read at one place while its preferred upstream is cold

Cause: the hosts that may send a cold upstream something took it for the preferred one, all others the next: a part was read at both.

--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -114,7 +114,7 @@
         let chain = job.prompt.as_ref().map(Prompt::chain).unwrap_or_default();
         let order = Order::of(&chain, self.draw());
         let first = Speed::default();
-        let is_open = |id: &u32| !self.loads.get(*id).is_some_and(|it| it.is_closed(now));
+        let is_open = |id: &u32| !self.loads.get(*id).is_some_and(|it| it.is_away(now));
         let scales = Scales {
             now,
             loads: &self.loads,
--- a/crates/portfield/src/balance/load.rs
+++ b/crates/portfield/src/balance/load.rs
@@ -52,6 +52,14 @@
         self.health.is_blocked(now) || self.warmup.is_closed(now)
     }
 
+    /// Returns whether parts of prompts are to be read elsewhere.
+    ///
+    /// All hosts agree on that, also those that may send a cold one something: else a part is read there by these and at
+    /// the next upstream by all others.
+    pub(crate) fn is_away(&self, now: Duration) -> bool {
+        self.health.is_blocked(now) || self.warmup.is_cold(now)
+    }
+
     /// Returns when something may be sent to it.
     pub(crate) fn opens(&self, now: Duration) -> Duration {
         self.health.blocked_until().max(self.warmup.opens(now))
--- a/crates/portfield/src/balance/warmup.rs
+++ b/crates/portfield/src/balance/warmup.rs
@@ -66,6 +66,11 @@
         self.until = Duration::ZERO;
     }
 
+    /// Returns whether the upstream is cold.
+    pub(crate) fn is_cold(&self, now: Duration) -> bool {
+        now < self.until
+    }
+
     /// Returns whether nothing may be sent now.
     pub(crate) fn is_closed(&self, now: Duration) -> bool {
         now < self.opens(now)
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -588,3 +588,20 @@
     assert_eq!(n_refused(0), 0);
     assert!(0 < n_refused(17), "{}", n_refused(17));
 }
+
+/// A part whose preferred upstream is cold is read at the next one by all hosts, those that may send the cold one something
+/// included: else it is read at both.
+#[test]
+fn hosts_agree_where_a_part_is_read_while_its_upstream_is_cold() {
+    let chosen = |cold: Option<(u32, u32)>| {
+        let mut host = Balancer::new(WINDOW);
+        if let Some((upstream, quota)) = cold {
+            host.cold(upstream, at(3_000), quota);
+        }
+        sent(host.place(at(0), &job(1, 7, 500), &engines(12))).upstream
+    };
+    let preferred = chosen(None);
+    let next = chosen(Some((preferred, 0)));
+    assert_ne!(next, preferred);
+    assert_eq!(chosen(Some((preferred, 3))), next);
+}
