fix(host): a cold upstream is limited only where its service names a rate

A configuration that comes after the list has upstreams tell again. Many that become cold together have one log line. Test: a_cold_upstream_whose_service_names_no_rate_takes_its_part.

--- a/crates/portfield-host/src/cold.rs
+++ b/crates/portfield-host/src/cold.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use portfield::{balance::cold_quota, catalog::Upstream};
+use portfield::{
+    balance::cold_quota,
+    catalog::{Upstream, Warming},
+};
 use portfield_net::clock;
 
 use crate::{
@@ -13,26 +16,33 @@
 /// Time from its start for which a host that could not read the table of hosts leaves cold upstreams alone: by then it
 /// has heard of the others, else it would send as if it were alone.
 const STARTING: Duration = Duration::from_secs(3);
+/// Upstreams that become cold together up to which each has a log line: a data centre may come back at once.
+const MAX_LINES: usize = 16;
+
+/// Whether the upstreams of a service are cold after their start.
+enum Start {
+    Cold(Warming),
+    /// They may take all that they have slots for.
+    Warm,
+    /// No configuration is known that says so.
+    Unknown,
+}
 
 impl Host {
     /// Takes what upstreams say of themselves.
     pub(crate) fn note_cold(&self, told: &[Arc<Upstream>]) {
-        for it in told {
-            if it.entry.cold.is_zero() {
-                self.balancer().warm(number(it));
-            } else {
-                self.begin_cold(it, it.entry.cold);
-            }
+        let (warm, cold): (Vec<_>, Vec<_>) = told.iter().partition(|it| it.entry.cold.is_zero());
+        warm.iter().for_each(|it| self.balancer().warm(number(it)));
+        let n_cold =
+            cold.iter().filter(|it| self.begin_cold(it, Some(it.entry.cold), cold.len())).count();
+        if MAX_LINES < n_cold {
+            log::info!(n = n_cold; "upstreams cold");
         }
     }
 
     /// Takes an upstream that may have started anew for cold, until it is known not to be.
     pub(crate) fn presume_cold(&self, upstream: &Upstream) {
-        let service =
-            self.in_force().and_then(|it| it.catalog.service(&upstream.entry.service).cloned());
-        if let Some(warming) = service.and_then(|it| it.warming) {
-            self.begin_cold(upstream, warming.time);
-        }
+        self.begin_cold(upstream, None, 1);
     }
 
     /// Takes the upstreams of a data centre for cold that was to get nothing.
@@ -40,24 +50,43 @@
         let is_there = |it: &&Arc<Upstream>| it.entry.data_centre == data_centre;
         let all: Vec<_> =
             self.with_list(|it| it.directory.ready().filter(is_there).cloned().collect());
-        all.iter().for_each(|it| self.presume_cold(it));
+        let n_cold = all.iter().filter(|it| self.begin_cold(it, None, all.len())).count();
+        if MAX_LINES < n_cold {
+            log::info!(n = n_cold, data_centre; "upstreams cold");
+        }
     }
 
-    fn begin_cold(&self, upstream: &Upstream, time: Duration) {
-        let quota = self.quota(upstream);
-        let id = &upstream.entry.id;
-        log::info!(upstream = id, cold_ms = time.as_millis() as u64, quota; "upstream cold");
+    /// Takes an upstream for cold, for as long as it says or its service names, if its service knows of that; returns
+    /// whether it does. `n_together` are taken for cold at this moment.
+    fn begin_cold(&self, upstream: &Upstream, told: Option<Duration>, n_together: usize) -> bool {
+        let (time, quota) = match (self.start_of(&upstream.entry.service), told) {
+            (Start::Cold(it), told) => (told.unwrap_or(it.time), self.quota(upstream, it)),
+            (Start::Unknown, Some(told)) => (told, 0),
+            (Start::Unknown, None) => return false,
+            (Start::Warm, _) => {
+                self.balancer().warm(number(upstream));
+                return false;
+            }
+        };
+        if n_together <= MAX_LINES {
+            let id = &upstream.entry.id;
+            log::info!(upstream = id, cold_ms = time.as_millis() as u64, quota; "upstream cold");
+        }
         self.balancer().cold(number(upstream), clock::now() + time, quota);
+        true
+    }
+
+    fn start_of(&self, service: &str) -> Start {
+        let Some(in_force) = self.in_force() else { return Start::Unknown };
+        let warming = in_force.catalog.service(service).and_then(|it| it.warming);
+        warming.map_or(Start::Warm, Start::Cold)
     }
 
     /// Returns how many requests a second this host may send to a cold upstream.
-    fn quota(&self, upstream: &Upstream) -> u32 {
+    fn quota(&self, upstream: &Upstream, warming: Warming) -> u32 {
         if !self.has_met() && clock::now() < STARTING {
             return 0;
         }
-        let service =
-            self.in_force().and_then(|it| it.catalog.service(&upstream.entry.service).cloned());
-        let Some(warming) = service.and_then(|it| it.warming) else { return 0 };
         let settings = self.settings();
         let most = warming.rate * settings.cold_overrun + settings.cold_slack;
         let hosts = self.others().known_in(hash(&upstream.entry.data_centre));
--- a/crates/portfield-host/src/listed.rs
+++ b/crates/portfield-host/src/listed.rs
@@ -50,6 +50,11 @@
         self.offered.contains(&upstream.hash)
     }
 
+    /// Has all upstreams tell again how long they stay cold: their services may be treated otherwise now.
+    pub(crate) fn retell_cold(&mut self) {
+        self.cold.clear();
+    }
+
     /// Returns the upstreams that say something else than before of how long they stay cold.
     pub(crate) fn take_cold(&mut self) -> Vec<Arc<Upstream>> {
         let told = |it: &Arc<Upstream>| self.cold.get(&it.hash).copied().unwrap_or_default();
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -164,6 +164,8 @@
         self.balancer().set_capacity(catalog.limits().tokens_rate);
         let version = catalog.version();
         *in_force = Some(InForce { catalog: Arc::new(catalog), bytes });
+        drop(in_force);
+        self.update_list(Listed::retell_cold);
         log::info!(version, old, source; "configuration in force");
         self.metrics.count("config_changes");
     }
--- a/crates/portfield-host/tests/evacuation.rs
+++ b/crates/portfield-host/tests/evacuation.rs
@@ -146,6 +146,17 @@
     });
 }
 
+/// Upstreams of a service that names no rate say that they are cold, as slow ones do: they take their part all the same.
+#[test]
+fn a_cold_upstream_whose_service_names_no_rate_takes_its_part() {
+    let mut fleet = Fleet::new(1, 0);
+    let mut cold = fleet.plains[0].entry("desk", "ready");
+    cold["cold_remaining_ms"] = json!(60_000);
+    fleet.store.put("servers", "plain-0", &cold);
+    let host = fleet.host();
+    assert_eq!(served_by(&host, 30), ["from plain-0"]);
+}
+
 /// With homes, a request is sent nowhere else, also where nothing is left at home.
 #[test]
 fn a_request_does_not_leave_the_regions_of_its_route_and_its_workspace() {
