--- a/crates/portfield-replay/src/main.rs
+++ b/crates/portfield-replay/src/main.rs
@@ -36,7 +36,7 @@
         /// Case files (TOML).
         cases: Vec<PathBuf>,
     },
-    /// Measures the slopes that docs/CAPACITY.md is worked out from.
+    /// Measures the slopes that docs/design/capacity-first-design.md is worked out from.
     Slopes,
     /// Replays the size to design for, in virtual time.
     Size {
--- a/crates/portfield-replay/src/slopes.rs
+++ b/crates/portfield-replay/src/slopes.rs
@@ -1,4 +1,4 @@
-//! Slopes for docs/CAPACITY.md: what one ticket, one exchange, one probe costs, and how it
+//! Slopes for docs/design/capacity-first-design.md: what one ticket, one exchange, one probe costs, and how it
 //! grows with workspaces.
 
 use std::{
