--- a/crates/portfield-net/tests/clock.rs
+++ b/crates/portfield-net/tests/clock.rs
@@ -1,15 +1,26 @@
 //! Waits, while time goes by that timers do not count.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
 
 use futures_lite::future;
 use portfield_net::clock;
 
 const LONG: Duration = Duration::from_secs(3600);
 
+/// Time that one test lets go by goes by for all: one at a time.
+static CLOCK: Mutex<()> = Mutex::new(());
+
+fn own_clock() -> MutexGuard<'static, ()> {
+    CLOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A host that was suspended went on waiting for what was left of each wait before.
 #[test]
 fn whoever_waits_looks_at_the_clock_again_after_time_asleep() {
+    let _clock = own_clock();
     assert!(clock::counts_sleep());
     let start = Instant::now();
     let asleep = async {
@@ -31,6 +42,7 @@
 
 #[test]
 fn a_wait_goes_on_that_is_not_over_after_time_asleep() {
+    let _clock = own_clock();
     let wait = clock::timeout(LONG, async {
         future::yield_now().await;
         clock::skip(LONG / 4);
@@ -43,6 +55,7 @@
 
 #[test]
 fn an_alarm_bounds_many_waits_and_stays_over() {
+    let _clock = own_clock();
     let mut alarm = clock::alarm(Duration::from_millis(20));
     future::block_on(async {
         assert_eq!(clock::before(&mut alarm, async { 7 }).await, Some(7));
