refactor(host): a change of the list returns what it changed; times held are written and read in one place

Read in the diff: three callers of update_list took its result out through a variable set in the closure, and two pairs of places in fetch.rs turned a time that is still held into milliseconds and back. update_list returns what its closure returns; held_ms and time_held serve the list and the orders.

--- a/crates/portfield-host/src/orders.rs
+++ b/crates/portfield-host/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use portfield::catalog::{Order, OrderChange, OrderList, StoreVersion};
+use portfield::catalog::{Order, OrderChange, OrderList, Source, StoreVersion};
 use portfield_net::clock;
 use portfield_platform::store::{self, Row};
 
@@ -27,22 +27,18 @@
     let source = match extent {
         // Only a copy has lost what the operator wrote: a store that was merely away has not.
         Extent::Copy => source,
-        Extent::Changes | Extent::Whole => portfield::catalog::Source::Current,
+        Extent::Changes | Extent::Whole => Source::Current,
     };
-    let mut changes = Vec::new();
-    host.update_list(|it| {
-        changes = match extent {
-            Extent::Changes => it.evacuations.apply(version, orders),
-            Extent::Whole | Extent::Copy => it.evacuations.replace(version, orders, source),
-        };
+    let changes = host.update_list(|it| match extent {
+        Extent::Changes => it.evacuations.apply(version, orders),
+        Extent::Whole | Extent::Copy => it.evacuations.replace(version, orders, source),
     });
     note(host, &changes, "store");
 }
 
 /// Takes another host's orders, as of a version of the store.
 pub(crate) fn learn(host: &Arc<Host>, version: StoreVersion, list: OrderList) {
-    let mut changes = Vec::new();
-    host.update_list(|it| changes = it.evacuations.learn(clock::now(), version, list));
+    let changes = host.update_list(|it| it.evacuations.learn(clock::now(), version, list));
     note(host, &changes, "host");
 }
 
@@ -51,8 +47,7 @@
     if !host.with_list(|it| it.evacuations.has_late(now)) {
         return;
     }
-    let mut changes = Vec::new();
-    host.update_list(|it| changes = it.evacuations.expire(now));
+    let changes = host.update_list(|it| it.evacuations.expire(now));
     note(host, &changes, "lost by the store");
 }
 
--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -116,7 +116,7 @@
         is_lifted,
     };
     let standing = std::mem::take(&mut reply.evacuations).into_iter().map(|it| {
-        let left = (0 < it.held).then(|| Duration::from_millis(u64::from(it.held)));
+        let left = time_held(it.held);
         (order(it, false), left)
     });
     let lifted = std::mem::take(&mut reply.lifted).into_iter().map(|it| order(it, true));
@@ -130,8 +130,7 @@
     let held: Vec<(String, Duration)> = reply
         .list
         .iter()
-        .filter(|it| 0 < it.held)
-        .map(|it| (it.id.clone(), now + Duration::from_millis(u64::from(it.held))))
+        .filter_map(|it| Some((it.id.clone(), now + time_held(it.held)?)))
         .collect();
     let set = reply.list.into_iter().map(|it| ListRow {
         id: it.id,
@@ -189,6 +188,16 @@
     }
 }
 
+/// Writes for how long something is still kept that the store lacks: zero where it does not lack it.
+fn held_ms(left: Option<Duration>) -> u32 {
+    left.map_or(0, |it| (it.as_millis() as u32).max(1))
+}
+
+/// Reads what [`held_ms`] wrote.
+fn time_held(millis: u32) -> Option<Duration> {
+    (0 < millis).then(|| Duration::from_millis(u64::from(millis)))
+}
+
 /// Tells the operator's orders to a host that knows an older version of them.
 fn tell_orders(listed: &Listed, known: StoreVersion, reply: &mut KnowledgeReply) {
     let version = listed.evacuations.version();
@@ -200,7 +209,7 @@
     let tell = |it: Order, left: Option<Duration>| EvacuationOrder {
         data_centre: it.data_centre,
         row: it.row,
-        held: left.map_or(0, |it| (it.as_millis() as u32).max(1)),
+        held: held_ms(left),
     };
     reply.evacuations = standing.into_iter().map(|(it, left)| tell(it, left)).collect();
     reply.lifted = lifted.into_iter().map(|it| tell(it, None)).collect();
@@ -217,7 +226,7 @@
     let now = clock::now();
     let entry = |id: &String| {
         let held = listed.directory.held_until(id);
-        let held = held.map_or(0, |it| (it.saturating_sub(now).as_millis() as u32).max(1));
+        let held = held_ms(held.map(|it| it.saturating_sub(now)));
         let entry = listed.entries.get(id)?.to_vec();
         Some(ListedUpstream { id: id.clone(), entry, held, row: listed.directory.row(id) })
     };
--- a/crates/portfield-host/src/placing.rs
+++ b/crates/portfield-host/src/placing.rs
@@ -41,12 +41,12 @@
 }
 
 impl Host {
-    /// Changes the list of upstreams.
-    pub(crate) fn update_list(&self, f: impl FnOnce(&mut Listed)) {
+    /// Changes the list of upstreams, or which of them may be used.
+    pub(crate) fn update_list<T>(&self, f: impl FnOnce(&mut Listed) -> T) -> T {
         let here = self.settings().data_centre.clone();
         let mut listed = self.listed.write().unwrap_or_else(PoisonError::into_inner);
         let before: Vec<Arc<Upstream>> = listed.directory.ready().cloned().collect();
-        f(&mut listed);
+        let res = f(&mut listed);
         listed.group(&here);
         let cold = listed.take_cold();
         let ids: HashSet<u32> = listed.directory.all().map(|it| number(it)).collect();
@@ -56,6 +56,7 @@
         self.balancer().retain(|id| ids.contains(&id));
         self.note_cold(&cold);
         reborn.iter().for_each(|it| quarantine::ended(self, it, End::Reborn));
+        res
     }
 
     /// Reads the list of upstreams.
