feat(host): a second in which a host refuses for want of processor time has one line that counts

Cause for it: of a host that refuses 2,000 requests a second most refusals have no line, and none of the lines says whether callers come on new connections or stay on theirs.

Change: requests, refusals, connections accepted and ended, the workspace of which most was refused; one line a second, only where something was refused. Test: a host that is allowed one request at a time.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -179,6 +179,7 @@
     Overloaded { owner, tokens, overload }: Overloaded,
 ) {
     let name = workspace.map_or("", |it| it.name.as_str());
+    host.intake.refused(name);
     let account = host.balancer().account(clock::now(), owner);
     log::info!(
         request = head.id, route = route.name, workspace = name, tokens,
--- a/crates/portfield-host/src/front.rs
+++ b/crates/portfield-host/src/front.rs
@@ -44,9 +44,12 @@
             }
             Some(Ok((stream, _))) => {
                 let (task, stop, open) = (host.clone(), stop.clone(), open.clone());
+                host.intake.accepted();
                 host.rt.spawn(async move {
                     // Else a request that ends this host would go to the next one.
-                    contain::run("caller's connection", connection(task, stream, stop)).await;
+                    let served = connection(task.clone(), stream, stop);
+                    contain::run("caller's connection", served).await;
+                    task.intake.ended();
                     drop(open);
                 });
             }
@@ -98,6 +101,7 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     host.metrics.count("requests");
+    host.intake.requested();
     let id = request.headers().get(portfield_platform::request::ATTEMPT_ID);
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
     let mut res = match read(&host, caller, request).await {
--- /dev/null
+++ b/crates/portfield-host/src/intake.rs
@@ -0,0 +1,76 @@
+//! What callers send to this host, and what it refuses for want of processor time, second by second.
+//!
+//! A refusal has a log line of its own, but a host that refuses thousands a second leaves most of them out. One line a
+//! second tells whether connections stay or come anew, and whose requests they carry.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+/// Counts since the last look.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub(crate) struct Counts {
+    /// Connections accepted.
+    pub n_accepted: u64,
+    /// Connections that ended.
+    pub n_ended: u64,
+    /// Requests read.
+    pub n_requests: u64,
+    /// Requests refused for want of processor time.
+    pub n_refused: u64,
+    /// The same, by workspace.
+    refused: HashMap<String, u64>,
+}
+
+impl Counts {
+    /// Returns the workspace of which most was refused, and how much.
+    pub(crate) fn most_refused(&self) -> (&str, u64) {
+        let most = self.refused.iter().max_by_key(|it| *it.1);
+        most.map_or(("", 0), |(name, n)| (name, *n))
+    }
+}
+
+/// Counts of callers' connections and requests.
+#[derive(Debug, Default)]
+pub(crate) struct Intake {
+    counts: Mutex<Counts>,
+}
+
+impl Intake {
+    /// Notes a new connection.
+    pub(crate) fn accepted(&self) {
+        self.counts().n_accepted += 1;
+    }
+
+    /// Notes the end of a connection.
+    pub(crate) fn ended(&self) {
+        self.counts().n_ended += 1;
+    }
+
+    /// Notes a request.
+    pub(crate) fn requested(&self) {
+        self.counts().n_requests += 1;
+    }
+
+    /// Notes a request of a workspace that is refused for want of processor time.
+    pub(crate) fn refused(&self, workspace: &str) {
+        let mut counts = self.counts();
+        counts.n_refused += 1;
+        match counts.refused.get_mut(workspace) {
+            Some(it) => *it += 1,
+            None => {
+                counts.refused.insert(workspace.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Returns what came since the last call.
+    pub(crate) fn take(&self) -> Counts {
+        std::mem::take(&mut self.counts())
+    }
+
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -84,6 +84,7 @@
 /// Tells the governor how late timers fire, and logs where callers are sent elsewhere.
 async fn watch_load(host: Arc<Host>) {
     let mut was_busy = false;
+    let mut counted = clock::now();
     loop {
         let due = clock::now() + LOAD_PERIOD;
         clock::sleep(LOAD_PERIOD).await;
@@ -101,9 +102,30 @@
             was_busy = is_busy;
             log::warn!(is_busy, late_ms = late, active = host.n_active(); "own load");
         }
+        if counted + INTAKE_PERIOD <= now {
+            counted = now;
+            log_intake(&host, late, is_busy);
+        }
     }
 }
 
+/// Time between two log lines that count what callers send to a host which refuses some of it.
+const INTAKE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Logs what callers sent of late, where some of it was refused for want of processor time.
+fn log_intake(host: &Host, late: f64, is_busy: bool) {
+    let counts = host.intake.take();
+    if counts.n_refused == 0 {
+        return;
+    }
+    let (workspace, n_of_it) = counts.most_refused();
+    log::info!(
+        requests = counts.n_requests, refused = counts.n_refused, workspace, refused_of_it = n_of_it,
+        accepted = counts.n_accepted, ended = counts.n_ended, active = host.n_active(),
+        late_ms = late, is_busy; "short of processor time"
+    );
+}
+
 /// Time that the last log lines get to be written.
 const LAST_LINES: Duration = Duration::from_millis(20).saturating_add(logs::GATHER);
 
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod exchange;
 mod front;
+mod intake;
 mod life;
 mod listed;
 mod meet;
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -24,8 +24,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    listed::Listed, metrics::Metrics, moment::Moment, pool::Pool, settings::Settings,
-    trying::Trying,
+    intake::Intake, listed::Listed, metrics::Metrics, moment::Moment, pool::Pool,
+    settings::Settings, trying::Trying,
 };
 
 /// Time after a connection could not be accepted for which callers are sent elsewhere: the platform
@@ -52,6 +52,7 @@
     pub rt: Runtime,
     pub settings: RwLock<Arc<Settings>>,
     pub metrics: Metrics,
+    pub intake: Intake,
     pub pool: Pool,
     pub trying: Trying,
     pub incarnation: u64,
@@ -104,6 +105,7 @@
             trying: Trying::default(),
             rt,
             metrics: Metrics::default(),
+            intake: Intake::default(),
             incarnation,
             in_force: RwLock::new(None),
             listed: RwLock::default(),
--- a/crates/portfield-host/tests/requests.rs
+++ b/crates/portfield-host/tests/requests.rs
@@ -384,3 +384,28 @@
     drop(waiting);
     assert_eq!(host.send(&request("check", "r1")).status, 200);
 }
+
+/// Of a host that refused thousands a second, most refusals had no line: nothing told whose requests they were, or
+/// whether callers came anew or stayed on their connections.
+#[test]
+fn a_second_in_which_a_host_refuses_for_itself_is_told_in_one_line() {
+    let mut fleet = Fleet::new(0, 1);
+    let host = fleet.start("active_limit = 1");
+    until("the host is ready", || host.is_ready());
+    let begun = |id: &str| {
+        let mut caller = connect(host.listen).unwrap();
+        caller.write_all(request("draft", id).as_bytes()).unwrap();
+        caller
+    };
+    // Streams that take a while: the third finds two more than may run at once.
+    let mut callers: Vec<_> = (0..6).map(|it| begun(&format!("s{it}"))).collect();
+    let statuses: Vec<_> = callers.iter_mut().map(|it| read_answer(it).unwrap().status).collect();
+    let n_refused = statuses.iter().filter(|it| **it == 503).count();
+    assert!(0 < n_refused, "{statuses:?}");
+    until("the second is told", || !host.logged("short of processor time").is_empty());
+    let lines = host.logged("short of processor time");
+    let sum = |name: &str| lines.iter().map(|it| it[name].as_u64().unwrap()).sum::<u64>();
+    assert_eq!(sum("refused"), n_refused as u64, "{lines:?}");
+    assert_eq!(sum("refused_of_it"), n_refused as u64);
+    assert_eq!(lines[0]["workspace"], "a");
+}
