test(balance): a flood is served no less than what one host bears (known red)

What users saw: a workspace whose callers all come to one host of an eighth of a core got far less than its share, while nearly all hosts were idle. The test plays sixty hosts with their processor time rationed, the platform that asks each once a second whether callers may be sent there, and one caller that keeps connections, in virtual time, with the governor that runs in the hosts.

What a host answers beside a refusal (whether the connection is closed, when to come back) and what the platform was told when it asked now go through the governor, so that hosts and test decide alike; nothing changes in what they do.

--- a/crates/portfield-host/src/answer.rs
+++ b/crates/portfield-host/src/answer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use portfield::balance::Answered;
 use portfield_platform::request::ATTEMPT_ID;
 use serde::Serialize;
 
@@ -27,6 +28,8 @@
     pub reason: String,
     /// When to come back.
     pub retry: Option<Duration>,
+    /// Whether it is for want of processor time.
+    pub answered: Answered,
 }
 
 #[derive(Debug, Serialize)]
@@ -41,18 +44,29 @@
 impl Failure {
     /// Builds the rejection of a bad request.
     pub(crate) fn bad(status: StatusCode, field: &'static str, reason: impl Into<String>) -> Self {
-        Self { status, field, reason: reason.into(), retry: None }
+        Self { status, field, reason: reason.into(), retry: None, answered: Answered::Served }
     }
 
     /// Builds the refusal of a request that did not run and will not.
     pub(crate) fn refused(reason: impl Into<String>, retry: Duration) -> Self {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        Self { status, field: "", reason: reason.into(), retry: Some(retry) }
+        Self {
+            status,
+            field: "",
+            reason: reason.into(),
+            retry: Some(retry),
+            answered: Answered::Served,
+        }
+    }
+
+    /// Builds the refusal of a request that this host has no processor time for.
+    pub(crate) fn overloaded(retry: Duration) -> Self {
+        Self { answered: Answered::Refused, ..Self::refused("this host is overloaded", retry) }
     }
 
     /// Builds the end of a request that may have run.
     pub(crate) fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
-        Self { status, field: "", reason: reason.into(), retry: None }
+        Self { status, field: "", reason: reason.into(), retry: None, answered: Answered::Served }
     }
 
     /// Builds the answer.
--- a/crates/portfield-host/src/front.rs
+++ b/crates/portfield-host/src/front.rs
@@ -8,6 +8,7 @@
 use futures_lite::future;
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use portfield::balance::Answered;
 use portfield_net::{
     clock, contain,
     rpc::HyperTimer,
@@ -104,18 +105,18 @@
     host.intake.requested();
     let id = request.headers().get(portfield_platform::request::ATTEMPT_ID);
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
-    let mut res = match read(&host, caller, request).await {
-        Ok(call) => serve::run(host.clone(), call).await,
+    let (mut res, answered) = match read(&host, caller, request).await {
+        Ok(call) => (serve::run(host.clone(), call).await, Answered::Served),
         Err(it) => {
             log::info!(
                 request = id, status = it.status.as_u16(), field = it.field, reason = it.reason,
                 config = host.config_version(); "rejected"
             );
             host.metrics.count(&format!("rejected{{status=\"{}\"}}", it.status.as_u16()));
-            it.answer(&id)
+            (it.answer(&id), it.answered)
         }
     };
-    if host.sheds() {
+    if host.closes(answered) {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     res
--- a/crates/portfield-host/src/pages.rs
+++ b/crates/portfield-host/src/pages.rs
@@ -22,7 +22,9 @@
     if request.url().path() != portfield_platform::READY_PATH {
         return http1::json(404, &"no such page");
     }
-    if host.is_ready() { http1::json(200, &"ready") } else { http1::json(503, &"not ready") }
+    let is_ready = host.is_ready();
+    host.governor().asked(is_ready);
+    if is_ready { http1::json(200, &"ready") } else { http1::json(503, &"not ready") }
 }
 
 /// Answers operators.
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -14,7 +14,8 @@
 use bytes::Bytes;
 use portfield::{
     balance::{
-        Audience, Balancer, Follower, Governor, Others, Place, Readers, RetryBudget, host_hash,
+        Answered, Audience, Balancer, Follower, Governor, Others, Place, Readers, RetryBudget,
+        host_hash,
     },
     catalog::Catalog,
     quarantine::{Breaks, Quarantine, Request},
@@ -257,9 +258,9 @@
         }
     }
 
-    /// Returns whether a caller's connection is to be closed after its answer.
-    pub(crate) fn sheds(&self) -> bool {
-        self.is_stopping() || self.governor().is_busy() || !self.accepts()
+    /// Returns whether a caller's connection is to be closed after an answer.
+    pub(crate) fn closes(&self, answered: Answered) -> bool {
+        self.is_stopping() || self.governor().closes(answered) || !self.accepts()
     }
 
     /// Looks anew at whom to tell what this host did.
--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -20,6 +20,8 @@
 const REFUSING: (f64, f64) = (5.0, 30.0);
 /// Largest part of the requests that is refused.
 const MOST: f64 = 0.95;
+/// When a caller that is refused is told to come back.
+const RETRY: Duration = Duration::from_millis(50);
 
 /// The host's own load.
 ///
@@ -61,6 +63,15 @@
     pub late: f64,
 }
 
+/// How a request was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answered {
+    /// In whatever way, but for the host's own load.
+    Served,
+    /// This host has no processor time for it.
+    Refused,
+}
+
 impl Governor {
     /// Notes by how much a timer fired late.
     pub fn observe(&mut self, now: Duration, late: Duration) {
@@ -81,6 +92,20 @@
         self.is_busy
     }
 
+    /// Notes that the platform asked whether callers may be sent here, and what it was told.
+    pub fn asked(&mut self, _is_ready: bool) {}
+
+    /// Returns whether the connection is closed after an answer.
+    pub fn closes(&self, _answered: Answered) -> bool {
+        self.is_busy
+    }
+
+    /// Returns when a caller that is refused for want of processor time is to come back; `draw` is uniform from zero
+    /// to one.
+    pub fn retry(&self, _draw: f64) -> Duration {
+        RETRY
+    }
+
     /// Returns the average lateness, in milliseconds.
     pub fn late(&self) -> f64 {
         self.late
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -44,7 +44,7 @@
 pub(crate) use balancer::WHOLE_EVERY;
 pub use balancer::{Balancer, RunId};
 pub use budget::RetryBudget;
-pub use governor::{Governor, Overload};
+pub use governor::{Answered, Governor, Overload};
 pub use job::{Candidate, Ending, Job, Placed, Placement, Refusal, Stage};
 pub(crate) use load::REPEATS;
 pub use others::{Others, Way, host_hash};
--- /dev/null
+++ b/crates/portfield/tests/flood.rs
@@ -0,0 +1,34 @@
+//! A flood at hosts that are short of processor time: what is served of it.
+
+mod rationed;
+
+use rationed::{Flood, Got, play};
+
+/// What a host of the fleet passes on when nothing is refused, in requests a second.
+const BEARABLE: f64 = 120.0;
+
+/// Returns what is served a second, once the platform has had time to look at the hosts.
+fn served(rate: f64, seed: u64) -> f64 {
+    let Got { served, .. } = play(Flood { rate, n_hosts: 60, seconds: 10 }, seed);
+    let steady = &served[3..9];
+    steady.iter().sum::<u32>() as f64 / steady.len() as f64
+}
+
+/// What users saw: a workspace asked for 44 million tokens in six seconds, was refused in every one of them, and got 16;
+/// another one got 54. Nearly all hosts were idle.
+///
+/// Order of events: all of the workspace's callers come to one host with an eighth of a core, which passes on some
+/// 150 requests a second. They ask for ten times as many.
+#[test]
+fn a_flood_is_served_no_less_than_what_one_host_bears() {
+    for seed in 1..=3 {
+        let bearable = served(BEARABLE, seed);
+        for times in [2.0, 5.0, 13.0] {
+            let got = served(BEARABLE * times, seed);
+            let text = format!(
+                "seed {seed}: {got:.0} a second of {times} times the rate, {bearable:.0} of it"
+            );
+            assert!(0.9 * bearable <= got, "{text}");
+        }
+    }
+}
