fix(balance): a host that its connections just fill takes nobody new

Cause: 1.5 calm seconds were enough to be ready. A host that is out of rotation is calm on the connections that it kept.

Change: it is ready again once it bears less than half of the most that it bore while it was behind, or after ten seconds.

--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -13,6 +13,10 @@
 const CALM: f64 = 5.0;
 /// Time for which it has to be that calm: callers that left need some seconds to come back.
 const CALM_TIME: Duration = Duration::from_millis(1500);
+/// Part of the most that it bore while it was behind, below which a calm host has room for callers again.
+const ROOM: f64 = 0.5;
+/// Time after which a calm host takes callers again whatever it bears: its usual load may be more than that part.
+const LONGEST_BUSY: Duration = Duration::from_secs(10);
 /// Lateness above which requests are refused, and the one at which nearly all are: a request that
 /// is refused at once is served elsewhere, one that is late here earns a tenth. With 12 and 60
 /// callers of 58 hosts got 0.04 less of what they are owed (together with
@@ -50,7 +54,12 @@
 pub struct Governor {
     /// Average lateness, in milliseconds.
     late: f64,
-    is_busy: bool,
+    /// Since when callers are better served elsewhere, if they are.
+    busy_since: Option<Duration>,
+    /// Work that was admitted of late, in messages.
+    admitted: Flow,
+    /// The most of it while this host is busy.
+    most_admitted: f64,
     /// Questions in a row of the platform that were answered with no.
     n_refusing: u32,
     /// When it was last late.
@@ -88,15 +97,26 @@
             self.last_late = now;
         }
         if BUSY < self.late {
-            self.is_busy = true;
-        } else if self.last_late + CALM_TIME < now {
-            self.is_busy = false;
+            self.busy_since.get_or_insert(now);
+        } else if self.last_late + CALM_TIME < now && self.has_room(now) {
+            self.busy_since = None;
+            self.most_admitted = 0.0;
         }
+        self.most_admitted = self.most_admitted.max(self.admitted.sum(now));
+    }
+
+    /// Returns whether little is left of the load under which this host fell behind.
+    ///
+    /// A calm host may be one that its open connections just fill: with callers sent there again, it falls behind again
+    /// at once, and what the platform learns within two questions the flood has learned before.
+    fn has_room(&self, now: Duration) -> bool {
+        let is_over = self.busy_since.is_none_or(|it| it + LONGEST_BUSY < now);
+        is_over || self.admitted.sum(now) < self.most_admitted * ROOM
     }
 
     /// Returns whether callers are better served elsewhere.
     pub fn is_busy(&self) -> bool {
-        self.is_busy
+        self.busy_since.is_some()
     }
 
     /// Notes that the platform asked whether callers may be sent here, and what it was told.
@@ -119,7 +139,7 @@
     /// It comes on a new connection. Where many are refused, that is when the platform opens them elsewhere.
     pub fn retry(&self, draw: f64) -> Duration {
         let spread = RETRY.0 + (RETRY.1 - RETRY.0).mul_f64(draw);
-        if !self.is_busy || self.is_out() {
+        if !self.is_busy() || self.is_out() {
             return spread;
         }
         QUESTION_PERIOD * (N_QUESTIONS - self.n_refusing) + spread
@@ -150,6 +170,15 @@
         let own = self.offered.entry(workspace).or_default();
         own.add(now, work);
         let own = own.sum(now);
+        let refused = self.share_out(now, own, draw);
+        if refused.is_none() {
+            self.admitted.add(now, work);
+        }
+        refused
+    }
+
+    /// Returns why a request is refused whose workspace offered `own` of late.
+    fn share_out(&self, now: Duration, own: f64, draw: f64) -> Option<Overload> {
         let part = (self.late - REFUSING.0) / (REFUSING.1 - REFUSING.0);
         if part <= 0.0 {
             return None;
--- a/crates/portfield/tests/flood.rs
+++ b/crates/portfield/tests/flood.rs
@@ -38,3 +38,19 @@
         }
     }
 }
+
+/// Order of events: a flood of four times what a host bears. Three hosts after each other are taken out of rotation and
+/// serve on the connections that they have kept; each is calm, since nobody new comes.
+///
+/// Cause: a host that was calm for 1.5 s was ready again. The platform sent it the whole flood once more, and the hosts
+/// beside it lost the part that they had served.
+#[test]
+fn hosts_that_a_flood_just_fills_take_nobody_new() {
+    for seed in 1..=3 {
+        let rate = 600.0;
+        let Got { served, .. } = play(Flood { rate, n_hosts: 60, seconds: 10 }, seed);
+        // Users call less than a half unfair.
+        let least = served[6..].iter().min().expect("four seconds");
+        assert!(rate / 2.0 <= f64::from(*least), "seed {seed}: {served:?}");
+    }
+}
