--- a/crates/portfield-host/tests/cost.rs
+++ b/crates/portfield-host/tests/cost.rs
@@ -12,7 +12,8 @@
     time::{Duration, Instant},
 };
 
-use fleet::{Fleet, Host, read_answer, request};
+use fleet::{Fleet, Host, connect, read_answer, request, until};
+use portfield_platform_standins::UpstreamFault;
 
 /// Callers, each with a connection of its own that it keeps.
 const N_CALLERS: usize = 48;
@@ -67,6 +68,9 @@
     writeln!(io::stdout(), "{n_whole} requests of {n_each} events: {each:?} a request").unwrap();
 }
 
+/// Bytes of the body of a request that is refused for load: that of a large prompt.
+const LARGE_BODY: usize = 900;
+
 /// Requests that are turned away, each on a connection of its own, as callers of a flood send them.
 const N_REFUSED: u32 = 4_000;
 
@@ -84,3 +88,37 @@
     let each = (used(&host) - before) / N_REFUSED;
     writeln!(io::stdout(), "{N_REFUSED} refusals: {each:?} each").unwrap();
 }
+
+#[test]
+#[ignore = "a measurement, not a check"]
+fn processor_time_of_a_refusal_for_load() {
+    let mut fleet = Fleet::new(0, 1);
+    let host = fleet.start("active_limit = 1");
+    until("the host is ready", || host.is_ready());
+    fleet.engines[0].set_fault(UpstreamFault::Hang);
+    // Two requests that hang are one more than may run at once: the rest is refused.
+    let hanging: Vec<_> = (0..2)
+        .map(|it| {
+            let mut caller = connect(host.listen).unwrap();
+            caller.write_all(request("draft", &format!("hang{it}")).as_bytes()).unwrap();
+            caller
+        })
+        .collect();
+    until("both hang", || fleet.engines[0].n_run() == 2);
+    let before = used(&host);
+    let body = "x".repeat(LARGE_BODY);
+    let mut caller = connect(host.listen).unwrap();
+    for n in 0..N_REFUSED {
+        let text = request("draft", &format!("{n:08x}"));
+        let text = text.replace(
+            "content-length: 4\r\n\r\nbody",
+            &format!("content-length: {LARGE_BODY}\r\n\r\n{body}"),
+        );
+        caller.write_all(text.as_bytes()).unwrap();
+        assert_eq!(read_answer(&mut caller).unwrap().status, 503);
+    }
+    let each = (used(&host) - before) / N_REFUSED;
+    writeln!(io::stdout(), "{N_REFUSED} refusals for load, on one connection: {each:?} each")
+        .unwrap();
+    drop(hanging);
+}
