fix(balance): a refused connection is closed only once no new ones come

Cause: the platform acts on its second question with no up to a second after it was answered. In that second a host that took itself for out of rotation closed what it refused, and got it back on a new connection: 805 to 1,071 accepted and 489 to 981 ended a second at hosts 23 and 54, and the connections that they served went with them (placed 58, 30 and 7 a second).

Change: out of rotation is who was told twice and has had no new connection for 100 ms. So it holds too where the platform sends callers to all, because too few hosts are ready.

The test's platform now acts with its next question, and a connection that waits is drawn among all; a refusal costs 50 us and a connection 10 more, as at the full hosts (some 2,000 a second of 120 ms).

--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -28,6 +28,9 @@
 const QUESTION_PERIOD: Duration = Duration::from_secs(1);
 /// Questions in a row that are answered with no, after which it opens new connections elsewhere.
 const N_QUESTIONS: u32 = 2;
+/// Time without a new connection after which the platform opens them elsewhere: a host that is flooded gets hundreds a
+/// second.
+const QUIET: Duration = Duration::from_millis(100);
 /// Shortest and longest time after which a caller comes back that is refused, where another host, or this one soon, has
 /// time for it. They are spread, for those of one flood are refused together.
 const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
@@ -62,6 +65,8 @@
     most_admitted: f64,
     /// Questions in a row of the platform that were answered with no.
     n_refusing: u32,
+    /// When a connection was last accepted.
+    accepted: Duration,
     /// When it was last late.
     last_late: Duration,
     /// Work that each workspace offered to this host of late.
@@ -119,6 +124,11 @@
         self.busy_since.is_some()
     }
 
+    /// Notes a new connection.
+    pub fn accepted(&mut self, now: Duration) {
+        self.accepted = now;
+    }
+
     /// Notes that the platform asked whether callers may be sent here, and what it was told.
     pub fn asked(&mut self, is_ready: bool) {
         self.n_refusing = if is_ready { 0 } else { self.n_refusing + 1 };
@@ -129,25 +139,28 @@
     /// Only where its caller then comes to another host: while this one is in rotation the caller would be back at once,
     /// and a new connection costs more than a refusal. A request that was served says that this host can bear
     /// its connection: with those closed too, a host that is out of rotation is idle while the flood is at the next.
-    pub fn closes(&self, answered: Answered) -> bool {
-        answered == Answered::Refused && self.is_out()
+    pub fn closes(&self, now: Duration, answered: Answered) -> bool {
+        answered == Answered::Refused && self.is_out(now)
     }
 
     /// Returns when a caller that is refused for want of processor time is to come back; `draw` is uniform from zero
     /// to one.
     ///
     /// It comes on a new connection. Where many are refused, that is when the platform opens them elsewhere.
-    pub fn retry(&self, draw: f64) -> Duration {
+    pub fn retry(&self, now: Duration, draw: f64) -> Duration {
         let spread = RETRY.0 + (RETRY.1 - RETRY.0).mul_f64(draw);
-        if !self.is_busy() || self.is_out() {
+        if !self.is_busy() || self.is_out(now) {
             return spread;
         }
-        QUESTION_PERIOD * (N_QUESTIONS - self.n_refusing) + spread
+        QUESTION_PERIOD * N_QUESTIONS.saturating_sub(self.n_refusing) + spread
     }
 
-    /// Returns whether the platform opens new connections elsewhere.
-    fn is_out(&self) -> bool {
-        N_QUESTIONS <= self.n_refusing
+    /// Returns whether the platform opens new connections elsewhere: it was told to, and none comes any more.
+    ///
+    /// It acts up to a second after it was told, and not at all where too few other hosts are ready. Connections closed
+    /// until then come back as new ones.
+    fn is_out(&self, now: Duration) -> bool {
+        N_QUESTIONS <= self.n_refusing && self.accepted + QUIET < now
     }
 
     /// Returns the average lateness, in milliseconds.
--- a/crates/portfield/tests/rationed/mod.rs
+++ b/crates/portfield/tests/rationed/mod.rs
@@ -15,9 +15,9 @@
 /// Part of a core that a host has.
 const CORE: f64 = 0.12;
 /// Processor time of a new connection, from accepting to closing it.
-const CONNECTION: Duration = Duration::from_micros(35);
+const CONNECTION: Duration = Duration::from_micros(10);
 /// Processor time of reading and refusing a request.
-const REFUSAL: Duration = Duration::from_micros(25);
+const REFUSAL: Duration = Duration::from_micros(50);
 /// Processor time of placing a request and sending it on.
 const PLACING: Duration = Duration::from_micros(300);
 /// Processor time of passing on one event.
@@ -115,6 +115,8 @@
     /// Connections of the caller that wait for its next request.
     n_idle: u32,
     misses: u32,
+    /// The platform sends it nobody new, as of its last question.
+    is_out: bool,
     /// The question that the platform waits for.
     question: Option<u64>,
 }
@@ -180,7 +182,7 @@
                 Event::Question => self.question(now),
                 Event::Patience { host, number } => self.miss_unanswered(host, number),
                 Event::Look => {
-                    let n_out = self.hosts.iter().filter(|it| MISSES <= it.misses).count();
+                    let n_out = self.hosts.iter().filter(|it| it.is_out).count();
                     self.count(now, |it| &mut it.n_out, n_out as u32);
                 }
             }
@@ -191,17 +193,27 @@
     /// the platform sends callers to. What comes back takes a new one.
     fn ask(&mut self, now: Duration, ask: Ask) {
         let ask = Ask { sent: now, ..ask };
-        let idle = self.hosts.iter().position(|it| 0 < it.n_idle).filter(|_| !ask.has_come_back);
-        if let Some(host) = idle {
+        if let Some(host) = self.draw_idle().filter(|_| !ask.has_come_back) {
             self.hosts[host].n_idle -= 1;
             self.enqueue(now, host, Work::Read { ask, is_new: false });
             return;
         }
         self.count(now, |it| &mut it.opened, 1);
-        let host = self.hosts.iter().position(|it| it.misses < MISSES).unwrap_or(0);
+        let host = self.hosts.iter().position(|it| !it.is_out).unwrap_or(0);
         self.enqueue(now, host, Work::Read { ask, is_new: true });
     }
 
+    /// Draws one of the connections that wait, and returns its host.
+    fn draw_idle(&mut self) -> Option<usize> {
+        let n_idle = self.hosts.iter().map(|it| it.n_idle).sum::<u32>();
+        let mut number = (0 < n_idle).then(|| self.draws.u32(0..n_idle))?;
+        self.hosts.iter().position(|it| {
+            let is_here = number < it.n_idle;
+            number = number.saturating_sub(it.n_idle);
+            is_here
+        })
+    }
+
     fn enqueue(&mut self, now: Duration, host: usize, work: Work) {
         let it = &mut self.hosts[host];
         it.queue.push_back(work);
@@ -217,11 +229,14 @@
         };
         let cost = match work {
             Work::Read { ask, is_new } => {
+                if is_new {
+                    self.hosts[host].governor.accepted(now);
+                }
                 let opening = if is_new { CONNECTION } else { Duration::ZERO };
                 opening + self.read(now, host, ask)
             }
             Work::Event { n_left: 0 } => {
-                let closes = self.hosts[host].governor.closes(Answered::Served);
+                let closes = self.hosts[host].governor.closes(now, Answered::Served);
                 self.hosts[host].n_idle += u32::from(!closes);
                 EVENT
             }
@@ -256,7 +271,7 @@
             return PLACING;
         }
         let answered = if refused { Answered::Refused } else { Answered::Served };
-        let (closes, retry) = (governor.closes(answered), governor.retry(back));
+        let (closes, retry) = (governor.closes(now, answered), governor.retry(now, back));
         self.hosts[host].n_idle += u32::from(!closes);
         self.count(now, |it| &mut it.refused, 1);
         let left = (ask.asked + DEADLINE).saturating_sub(now);
@@ -270,6 +285,7 @@
         self.n_questions += 1;
         let number = self.n_questions;
         for host in 0..self.hosts.len() {
+            self.hosts[host].is_out = MISSES <= self.hosts[host].misses;
             self.hosts[host].question = Some(number);
             self.enqueue(now, host, Work::Ready { number });
             self.push(now + READY_PATIENCE, Event::Patience { host, number });
