fix(balance): a refused connection is closed, wherever its caller then comes to

Cause: callers use the connection first that was answered last, and nothing is answered sooner than a refusal. So the connections on which the host in rotation refused carried the flood, and those that earlier hosts had served, and could have borne, were used by nobody: hosts 23, 54 and 26 had 79, 23 and 50 requests left when out of rotation, and placed 0 to 3 a second.

Ruled out: that the platform's delay explains it.

Change: a refusal for load closes its connection, always; a served one stays, as before. The look for new connections goes.

The test's caller now takes the connection used last. The test of hosts that a flood just fills failed (caller as above) and passes.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -94,7 +94,7 @@
             host.balancer().refused(arrived, owner, tokens);
             let refused = Overloaded { owner, tokens, overload };
             log_overload(host, &head, &route, workspace.as_deref(), refused);
-            return Err(Failure::overloaded(host.governor().retry(arrived, fastrand::f64())));
+            return Err(Failure::overloaded(host.governor().retry(fastrand::f64())));
         }
         let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
         let reading = read_body(body, catalog.limits().body_bytes);
--- a/crates/portfield-host/src/front.rs
+++ b/crates/portfield-host/src/front.rs
@@ -46,7 +46,6 @@
             Some(Ok((stream, _))) => {
                 let (task, stop, open) = (host.clone(), stop.clone(), open.clone());
                 host.intake.accepted();
-                host.governor().accepted(clock::now());
                 host.rt.spawn(async move {
                     // Else a request that ends this host would go to the next one.
                     let served = connection(task.clone(), stream, stop);
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -260,7 +260,7 @@
 
     /// Returns whether a caller's connection is to be closed after an answer.
     pub(crate) fn closes(&self, answered: Answered) -> bool {
-        self.is_stopping() || self.governor().closes(clock::now(), answered) || !self.accepts()
+        self.is_stopping() || self.governor().closes(answered) || !self.accepts()
     }
 
     /// Looks anew at whom to tell what this host did.
--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -6,8 +6,8 @@
 
 /// Weight of one more observation; with one each 25 ms it remembers about a tenth of a second.
 const SMOOTH: f64 = 0.25;
-/// Lateness above which callers are sent elsewhere: a sound host is late by less than one
-/// millisecond, and events that are late by more than some tens are worth a tenth.
+/// Lateness above which callers are sent elsewhere: far above that of a sound host, below what callers of a stream
+/// notice.
 const BUSY: f64 = 15.0;
 /// Lateness below which it takes callers again.
 const CALM: f64 = 5.0;
@@ -17,10 +17,8 @@
 const ROOM: f64 = 0.5;
 /// Time after which a calm host takes callers again whatever it bears: its usual load may be more than that part.
 const LONGEST_BUSY: Duration = Duration::from_secs(10);
-/// Lateness above which requests are refused, and the one at which nearly all are: a request that
-/// is refused at once is served elsewhere, one that is late here earns a tenth. With 12 and 60
-/// callers of 58 hosts got 0.04 less of what they are owed (together with
-/// [`Bias`](super::bias::Bias)).
+/// Lateness above which requests are refused, and the one at which nearly all are: a request that is refused at once
+/// is served elsewhere.
 const REFUSING: (f64, f64) = (5.0, 30.0);
 /// Largest part of the requests that is refused.
 const MOST: f64 = 0.95;
@@ -28,9 +26,6 @@
 const QUESTION_PERIOD: Duration = Duration::from_secs(1);
 /// Questions in a row that are answered with no, after which it opens new connections elsewhere.
 const N_QUESTIONS: u32 = 2;
-/// Time without a new connection after which the platform opens them elsewhere: a host that is flooded gets hundreds a
-/// second.
-const QUIET: Duration = Duration::from_millis(100);
 /// Shortest and longest time after which a caller comes back that is refused, where another host, or this one soon, has
 /// time for it. They are spread, for those of one flood are refused together.
 const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
@@ -65,8 +60,6 @@
     most_admitted: f64,
     /// Questions in a row of the platform that were answered with no.
     n_refusing: u32,
-    /// When a connection was last accepted.
-    accepted: Duration,
     /// When it was last late.
     last_late: Duration,
     /// Work that each workspace offered to this host of late.
@@ -124,45 +117,32 @@
         self.busy_since.is_some()
     }
 
-    /// Notes a new connection.
-    pub fn accepted(&mut self, now: Duration) {
-        self.accepted = now;
-    }
-
     /// Notes that the platform asked whether callers may be sent here, and what it was told.
     pub fn asked(&mut self, is_ready: bool) {
         self.n_refusing = if is_ready { 0 } else { self.n_refusing + 1 };
     }
 
-    /// Returns whether the connection is closed after an answer.
+    /// Returns whether the connection is closed after an answer, for this host's load.
     ///
-    /// Only where its caller then comes to another host: while this one is in rotation the caller would be back at once,
-    /// and a new connection costs more than a refusal. A request that was served says that this host can bear
-    /// its connection: with those closed too, a host that is out of rotation is idle while the flood is at the next.
-    pub fn closes(&self, now: Duration, answered: Answered) -> bool {
-        answered == Answered::Refused && self.is_out(now)
+    /// Callers use the connection first that was answered last. So the connections that are left are those that were
+    /// served, at this host and, once it is out of rotation, at the next: each bears what it can. With all of them
+    /// closed a host out of rotation is idle; with those kept on which it refuses, callers use no others.
+    pub fn closes(&self, answered: Answered) -> bool {
+        answered == Answered::Refused
     }
 
     /// Returns when a caller that is refused for want of processor time is to come back; `draw` is uniform from zero
     /// to one.
     ///
     /// It comes on a new connection. Where many are refused, that is when the platform opens them elsewhere.
-    pub fn retry(&self, now: Duration, draw: f64) -> Duration {
+    pub fn retry(&self, draw: f64) -> Duration {
         let spread = RETRY.0 + (RETRY.1 - RETRY.0).mul_f64(draw);
-        if !self.is_busy() || self.is_out(now) {
+        if !self.is_busy() {
             return spread;
         }
         QUESTION_PERIOD * N_QUESTIONS.saturating_sub(self.n_refusing) + spread
     }
 
-    /// Returns whether the platform opens new connections elsewhere: it was told to, and none comes any more.
-    ///
-    /// It acts up to a second after it was told, and not at all where too few other hosts are ready. Connections closed
-    /// until then come back as new ones.
-    fn is_out(&self, now: Duration) -> bool {
-        N_QUESTIONS <= self.n_refusing && self.accepted + QUIET < now
-    }
-
     /// Returns the average lateness, in milliseconds.
     pub fn late(&self) -> f64 {
         self.late
--- a/crates/portfield/tests/rationed/mod.rs
+++ b/crates/portfield/tests/rationed/mod.rs
@@ -112,8 +112,6 @@
     governor: Governor,
     queue: VecDeque<Work>,
     is_running: bool,
-    /// Connections of the caller that wait for its next request.
-    n_idle: u32,
     misses: u32,
     /// The platform sends it nobody new, as of its last question.
     is_out: bool,
@@ -129,6 +127,8 @@
     n_events: u64,
     n_questions: u64,
     draws: fastrand::Rng,
+    /// Hosts to which the caller has a connection that waits for its next request; it takes the one used last.
+    idle: Vec<usize>,
     got: Got,
 }
 
@@ -145,6 +145,7 @@
             n_events: 0,
             n_questions: 0,
             draws: fastrand::Rng::with_seed(seed),
+            idle: Vec::new(),
             got,
         };
         let mut at = START;
@@ -193,8 +194,8 @@
     /// the platform sends callers to. What comes back takes a new one.
     fn ask(&mut self, now: Duration, ask: Ask) {
         let ask = Ask { sent: now, ..ask };
-        if let Some(host) = self.draw_idle().filter(|_| !ask.has_come_back) {
-            self.hosts[host].n_idle -= 1;
+        let idle = if ask.has_come_back { None } else { self.idle.pop() };
+        if let Some(host) = idle {
             self.enqueue(now, host, Work::Read { ask, is_new: false });
             return;
         }
@@ -203,15 +204,11 @@
         self.enqueue(now, host, Work::Read { ask, is_new: true });
     }
 
-    /// Draws one of the connections that wait, and returns its host.
-    fn draw_idle(&mut self) -> Option<usize> {
-        let n_idle = self.hosts.iter().map(|it| it.n_idle).sum::<u32>();
-        let mut number = (0 < n_idle).then(|| self.draws.u32(0..n_idle))?;
-        self.hosts.iter().position(|it| {
-            let is_here = number < it.n_idle;
-            number = number.saturating_sub(it.n_idle);
-            is_here
-        })
+    /// Keeps a connection for the caller's next request, unless it is closed.
+    fn keep(&mut self, host: usize, closes: bool) {
+        if !closes {
+            self.idle.push(host);
+        }
     }
 
     fn enqueue(&mut self, now: Duration, host: usize, work: Work) {
@@ -229,15 +226,12 @@
         };
         let cost = match work {
             Work::Read { ask, is_new } => {
-                if is_new {
-                    self.hosts[host].governor.accepted(now);
-                }
                 let opening = if is_new { CONNECTION } else { Duration::ZERO };
                 opening + self.read(now, host, ask)
             }
             Work::Event { n_left: 0 } => {
-                let closes = self.hosts[host].governor.closes(now, Answered::Served);
-                self.hosts[host].n_idle += u32::from(!closes);
+                let closes = self.hosts[host].governor.closes(Answered::Served);
+                self.keep(host, closes);
                 EVENT
             }
             Work::Event { n_left } => {
@@ -271,8 +265,8 @@
             return PLACING;
         }
         let answered = if refused { Answered::Refused } else { Answered::Served };
-        let (closes, retry) = (governor.closes(now, answered), governor.retry(now, back));
-        self.hosts[host].n_idle += u32::from(!closes);
+        let (closes, retry) = (governor.closes(answered), governor.retry(back));
+        self.keep(host, closes);
         self.count(now, |it| &mut it.refused, 1);
         let left = (ask.asked + DEADLINE).saturating_sub(now);
         if !ask.has_come_back && retry <= left / 3 {
