fix(balance): who was late for a moment takes callers again at its usual load

Cause: read in the diff.

Change: that rule holds only where more was refused than admitted, as in a flood.

--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -56,7 +56,9 @@
     busy_since: Option<Duration>,
     /// Work that was admitted of late, in messages.
     admitted: Flow,
-    /// The most of it while this host is busy.
+    /// Work that was refused of late, in messages.
+    refused: Flow,
+    /// The most that was admitted while this host is busy with a flood, in messages; zero where there is none.
     most_admitted: f64,
     /// Questions in a row of the platform that were answered with no.
     n_refusing: u32,
@@ -100,16 +102,20 @@
             self.busy_since = None;
             self.most_admitted = 0.0;
         }
-        self.most_admitted = self.most_admitted.max(self.admitted.sum(now));
+        let admitted = self.admitted.sum(now);
+        // Who was late for a moment refuses less than it admits, and has room at its usual load.
+        if self.is_busy() && (0.0 < self.most_admitted || admitted < self.refused.sum(now)) {
+            self.most_admitted = self.most_admitted.max(admitted);
+        }
     }
 
-    /// Returns whether little is left of the load under which this host fell behind.
+    /// Returns whether little is left of the flood under which this host fell behind.
     ///
-    /// A calm host may be one that its open connections just fill: with callers sent there again, it falls behind again
-    /// at once, and what the platform learns within two questions the flood has learned before.
+    /// A calm host may be one that its open connections just fill: with callers sent there again it falls behind at
+    /// once, and the platform needs two questions to send them elsewhere again.
     fn has_room(&self, now: Duration) -> bool {
-        let is_over = self.busy_since.is_none_or(|it| it + LONGEST_BUSY < now);
-        is_over || self.admitted.sum(now) < self.most_admitted * ROOM
+        let is_long = self.busy_since.is_none_or(|it| it + LONGEST_BUSY < now);
+        is_long || self.admitted.sum(now) <= self.most_admitted * ROOM || self.most_admitted == 0.0
     }
 
     /// Returns whether callers are better served elsewhere.
@@ -164,9 +170,8 @@
         own.add(now, work);
         let own = own.sum(now);
         let refused = self.share_out(now, own, draw);
-        if refused.is_none() {
-            self.admitted.add(now, work);
-        }
+        let flow = if refused.is_some() { &mut self.refused } else { &mut self.admitted };
+        flow.add(now, work);
         refused
     }
 
