--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -130,9 +130,9 @@
 
     /// Returns whether the connection is closed after an answer, for this host's load.
     ///
-    /// Callers use the connection first that was answered last. So the connections that are left are those that were
-    /// served, at this host and, once it is out of rotation, at the next: each bears what it can. With all of them
-    /// closed a host out of rotation is idle; with those kept on which it refuses, callers use no others.
+    /// What was served says that this host can bear its connection; with those closed too, it loses its callers while it
+    /// is out of rotation. A connection on which it refuses only brings the flood back: nothing is answered sooner than
+    /// a refusal, and callers use the connection first that was answered last.
     pub fn closes(&self, answered: Answered) -> bool {
         answered == Answered::Refused
     }
