--- a/crates/portfield/src/balance/governor.rs
+++ b/crates/portfield/src/balance/governor.rs
@@ -61,7 +61,7 @@
     /// The most that was admitted while this host is busy with a flood, in messages; zero where there is none.
     most_admitted: f64,
     /// Questions in a row of the platform that were answered with no.
-    n_refusing: u32,
+    n_not_ready: u32,
     /// When it was last late.
     last_late: Duration,
     /// Work that each workspace offered to this host of late.
@@ -125,7 +125,7 @@
 
     /// Notes that the platform asked whether callers may be sent here, and what it was told.
     pub fn asked(&mut self, is_ready: bool) {
-        self.n_refusing = if is_ready { 0 } else { self.n_refusing + 1 };
+        self.n_not_ready = if is_ready { 0 } else { self.n_not_ready + 1 };
     }
 
     /// Returns whether the connection is closed after an answer, for this host's load.
@@ -146,7 +146,7 @@
         if !self.is_busy() {
             return spread;
         }
-        QUESTION_PERIOD * N_QUESTIONS.saturating_sub(self.n_refusing) + spread
+        QUESTION_PERIOD * N_QUESTIONS.saturating_sub(self.n_not_ready) + spread
     }
 
     /// Returns the average lateness, in milliseconds.
