refactor(test): one agenda of events for both emulators

Cause: tests/rationed wrote again what tests/emulator had: a heap of moments beside a map of events, a counter, and the loop that takes from both. Change: `Agenda`, an ordered map by moment and number; events of one moment keep their order.

--- a/crates/portfield/tests/admission.rs
+++ b/crates/portfield/tests/admission.rs
@@ -1,5 +1,6 @@
 //! Loads that ask for more than there is, and what callers get.
 
+mod agenda;
 mod emulator;
 
 use std::time::Duration;
--- a/crates/portfield/tests/emulator/mod.rs
+++ b/crates/portfield/tests/emulator/mod.rs
@@ -6,8 +6,7 @@
 //! down with the requests that run, and memory does not run out.
 
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     time::Duration,
 };
 
@@ -17,6 +16,8 @@
     wire::Digest,
 };
 
+use crate::agenda::Agenda;
+
 /// Time over which shares are kept.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time between two digests of a host.
@@ -139,9 +140,7 @@
     hosts: Vec<Balancer>,
     engines: Vec<Engine>,
     candidates: Vec<Candidate>,
-    events: HashMap<u64, Event>,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    n_events: u64,
+    agenda: Agenda<Event>,
     n_digests: u64,
     draws: fastrand::Rng,
     got: HashMap<u32, Got>,
@@ -161,16 +160,14 @@
             hosts: (0..fleet.n_hosts).map(new_host).collect(),
             engines: (0..fleet.n_engines).map(|_| Engine::default()).collect(),
             candidates: (0..fleet.n_engines).map(candidate).collect(),
-            events: HashMap::new(),
-            queue: BinaryHeap::new(),
-            n_events: 0,
+            agenda: Agenda::default(),
             n_digests: 0,
             draws: fastrand::Rng::with_seed(seed),
             got: HashMap::new(),
             tokens: HashMap::new(),
         };
         demands.iter().for_each(|it| res.schedule(it));
-        res.push(START, Event::Digest);
+        res.agenda.push(START, Event::Digest);
         res
     }
 
@@ -185,7 +182,7 @@
             }
             let ask = Ask { job: self.job(demand), asked: at, has_come_back: false };
             self.got.entry(demand.workspace).or_default().asked += 1;
-            self.push(at, Event::Ask(ask));
+            self.agenda.push(at, Event::Ask(ask));
         }
     }
 
@@ -211,15 +208,9 @@
         }
     }
 
-    fn push(&mut self, at: Duration, event: Event) {
-        self.n_events += 1;
-        self.events.insert(self.n_events, event);
-        self.queue.push(Reverse((at, self.n_events)));
-    }
-
     fn run(&mut self) {
-        while let Some(Reverse((now, id))) = self.queue.pop() {
-            match self.events.remove(&id).expect("every entry has its event") {
+        while let Some((now, event)) = self.agenda.pop() {
+            match event {
                 Event::Ask(ask) => self.ask(now, ask),
                 Event::First { host, run, ask } => self.first(now, host, run, &ask),
                 Event::End { host, run } => self.hosts[host].end(now, run, Ending::Done),
@@ -241,11 +232,11 @@
                 let prompt = ask.job.prompt.as_ref().expect("engines' requests have prompts");
                 let first = read + FIRST;
                 let end = first + EVENT * (prompt.output / EVENT_TOKENS);
-                self.push(first, Event::First { host, run, ask });
-                self.push(end, Event::End { host, run });
+                self.agenda.push(first, Event::First { host, run, ask });
+                self.agenda.push(end, Event::End { host, run });
             }
             Placement::Refuse { retry, .. } if !ask.has_come_back => {
-                self.push(now + retry, Event::Ask(Ask { has_come_back: true, ..ask }));
+                self.agenda.push(now + retry, Event::Ask(Ask { has_come_back: true, ..ask }));
             }
             Placement::Refuse { .. } => self.got(&ask).refused += 1,
         }
@@ -288,7 +279,7 @@
             others.for_each(|it| host.merge(now, it));
         }
         if now < START + self.fleet.length {
-            self.push(now + PERIOD, Event::Digest);
+            self.agenda.push(now + PERIOD, Event::Digest);
         }
     }
 }
--- a/crates/portfield/tests/flood.rs
+++ b/crates/portfield/tests/flood.rs
@@ -1,5 +1,6 @@
 //! A flood at hosts that are short of processor time: what is served of it.
 
+mod agenda;
 mod rationed;
 
 use rationed::{Flood, Got, play};
--- a/crates/portfield/tests/rationed/mod.rs
+++ b/crates/portfield/tests/rationed/mod.rs
@@ -4,14 +4,12 @@
 //! A host does one thing after the other, each at its cost, in order of arrival. What it leaves out: engines, which
 //! have room for all, and hosts' own work beside requests.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::VecDeque, time::Duration};
 
 use portfield::balance::{Answered, Governor};
 
+use crate::agenda::Agenda;
+
 /// Part of a core that a host has.
 const CORE: f64 = 0.12;
 /// Processor time of a new connection, from accepting to closing it.
@@ -122,9 +120,7 @@
 struct World {
     flood: Flood,
     hosts: Vec<Host>,
-    events: HashMap<u64, Event>,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    n_events: u64,
+    agenda: Agenda<Event>,
     n_questions: u64,
     draws: fastrand::Rng,
     /// Hosts to which the caller has a connection that waits for its next request; it takes the one used last.
@@ -140,9 +136,7 @@
         let mut res = Self {
             flood,
             hosts: (0..flood.n_hosts).map(|_| Host::default()).collect(),
-            events: HashMap::new(),
-            queue: BinaryHeap::new(),
-            n_events: 0,
+            agenda: Agenda::default(),
             n_questions: 0,
             draws: fastrand::Rng::with_seed(seed),
             idle: Vec::new(),
@@ -151,32 +145,27 @@
         let mut at = START;
         let end = START + Duration::from_secs(flood.seconds);
         while at < end {
-            res.push(at, Event::Ask(Ask { asked: at, sent: at, has_come_back: false }));
+            res.agenda.push(at, Event::Ask(Ask { asked: at, sent: at, has_come_back: false }));
             at += Duration::from_secs_f64(-(1.0 - res.draws.f64()).ln() / flood.rate);
         }
         let phase = res.draws.f64();
-        res.push(START + READY_PERIOD.mul_f64(phase), Event::Question);
+        res.agenda.push(START + READY_PERIOD.mul_f64(phase), Event::Question);
         (0..flood.n_hosts).for_each(|host| {
             let work = Work::Timer { due: START };
-            res.push(START, Event::Work { host, work });
+            res.agenda.push(START, Event::Work { host, work });
         });
-        (0..flood.seconds).for_each(|it| res.push(START + Duration::from_secs(it), Event::Look));
+        (0..flood.seconds)
+            .for_each(|it| res.agenda.push(START + Duration::from_secs(it), Event::Look));
         res
     }
 
-    fn push(&mut self, at: Duration, event: Event) {
-        self.n_events += 1;
-        self.events.insert(self.n_events, event);
-        self.queue.push(Reverse((at, self.n_events)));
-    }
-
     fn run(&mut self) {
         let end = START + Duration::from_secs(self.flood.seconds);
-        while let Some(Reverse((now, id))) = self.queue.pop() {
+        while let Some((now, event)) = self.agenda.pop() {
             if end <= now {
                 return;
             }
-            match self.events.remove(&id).expect("every entry has its event") {
+            match event {
                 Event::Ask(ask) => self.ask(now, ask),
                 Event::Work { host, work } => self.enqueue(now, host, work),
                 Event::Turn { host } => self.turn(now, host),
@@ -236,13 +225,13 @@
             }
             Work::Event { n_left } => {
                 let work = Work::Event { n_left: n_left - 1 };
-                self.push(now + PACE, Event::Work { host, work });
+                self.agenda.push(now + PACE, Event::Work { host, work });
                 EVENT
             }
             Work::Timer { due } => {
                 self.hosts[host].governor.observe(now, now.saturating_sub(due));
                 let due = now + LOAD_PERIOD;
-                self.push(due, Event::Work { host, work: Work::Timer { due } });
+                self.agenda.push(due, Event::Work { host, work: Work::Timer { due } });
                 Duration::ZERO
             }
             Work::Ready { number } => {
@@ -250,7 +239,7 @@
                 REFUSAL
             }
         };
-        self.push(now + cost.div_f64(CORE), Event::Turn { host });
+        self.agenda.push(now + cost.div_f64(CORE), Event::Turn { host });
     }
 
     /// Reads a request and returns what that costs.
@@ -261,7 +250,8 @@
         let is_late = ask.sent + OBJECTIVE < now;
         if !refused && !is_late {
             self.count(now, |it| &mut it.served, 1);
-            self.push(now + PACE, Event::Work { host, work: Work::Event { n_left: N_EVENTS } });
+            self.agenda
+                .push(now + PACE, Event::Work { host, work: Work::Event { n_left: N_EVENTS } });
             return PLACING;
         }
         let answered = if refused { Answered::Refused } else { Answered::Served };
@@ -270,7 +260,7 @@
         self.count(now, |it| &mut it.refused, 1);
         let left = (ask.asked + DEADLINE).saturating_sub(now);
         if !ask.has_come_back && retry <= left / 3 {
-            self.push(now + retry, Event::Ask(Ask { has_come_back: true, ..ask }));
+            self.agenda.push(now + retry, Event::Ask(Ask { has_come_back: true, ..ask }));
         }
         if refused { REFUSAL } else { PLACING }
     }
@@ -282,9 +272,9 @@
             self.hosts[host].is_out = MISSES <= self.hosts[host].misses;
             self.hosts[host].question = Some(number);
             self.enqueue(now, host, Work::Ready { number });
-            self.push(now + READY_PATIENCE, Event::Patience { host, number });
+            self.agenda.push(now + READY_PATIENCE, Event::Patience { host, number });
         }
-        self.push(now + READY_PERIOD, Event::Question);
+        self.agenda.push(now + READY_PERIOD, Event::Question);
     }
 
     fn answer_ready(&mut self, host: usize, number: u64) {
