refactor(host): a failure is written out once

Cause: the change gave each of three constructors the same two fields. Change: a refusal and an end of unknown outcome are built from `Failure::bad`, which they differ from in a status and when to come back.

--- a/crates/portfield-host/src/answer.rs
+++ b/crates/portfield-host/src/answer.rs
@@ -28,7 +28,7 @@
     pub reason: String,
     /// When to come back.
     pub retry: Option<Duration>,
-    /// Whether it is for want of processor time.
+    /// Whether it is for want of processor time, which decides what becomes of the connection.
     pub answered: Answered,
 }
 
@@ -49,14 +49,7 @@
 
     /// Builds the refusal of a request that did not run and will not.
     pub(crate) fn refused(reason: impl Into<String>, retry: Duration) -> Self {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        Self {
-            status,
-            field: "",
-            reason: reason.into(),
-            retry: Some(retry),
-            answered: Answered::Served,
-        }
+        Self { retry: Some(retry), ..Self::bad(StatusCode::SERVICE_UNAVAILABLE, "", reason) }
     }
 
     /// Builds the refusal of a request that this host has no processor time for.
@@ -66,7 +59,7 @@
 
     /// Builds the end of a request that may have run.
     pub(crate) fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
-        Self { status, field: "", reason: reason.into(), retry: None, answered: Answered::Served }
+        Self::bad(status, "", reason)
     }
 
     /// Builds the answer.
