--- a/crates/portfield-host/src/intake.rs
+++ b/crates/portfield-host/src/intake.rs
@@ -4,10 +4,12 @@
 //! second tells whether connections stay or come anew, and whose requests they carry.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
+use crate::metrics::count;
+
 /// Counts since the last look.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub(crate) struct Counts {
@@ -17,13 +19,16 @@
     pub n_ended: u64,
     /// Requests read.
     pub n_requests: u64,
-    /// Requests refused for want of processor time.
-    pub n_refused: u64,
-    /// The same, by workspace.
-    refused: HashMap<String, u64>,
+    /// Requests refused for want of processor time, by workspace.
+    refused: BTreeMap<String, u64>,
 }
 
 impl Counts {
+    /// Returns how many requests were refused for want of processor time.
+    pub(crate) fn n_refused(&self) -> u64 {
+        self.refused.values().sum()
+    }
+
     /// Returns the workspace of which most was refused, and how much.
     pub(crate) fn most_refused(&self) -> (&str, u64) {
         let most = self.refused.iter().max_by_key(|it| *it.1);
@@ -55,14 +60,7 @@
 
     /// Notes a request of a workspace that is refused for want of processor time.
     pub(crate) fn refused(&self, workspace: &str) {
-        let mut counts = self.counts();
-        counts.n_refused += 1;
-        match counts.refused.get_mut(workspace) {
-            Some(it) => *it += 1,
-            None => {
-                counts.refused.insert(workspace.to_owned(), 1);
-            }
-        }
+        count(&mut self.counts().refused, workspace);
     }
 
     /// Returns what came since the last call.
--- a/crates/portfield-host/src/life.rs
+++ b/crates/portfield-host/src/life.rs
@@ -115,12 +115,13 @@
 /// Logs what callers sent of late, where some of it was refused for want of processor time.
 fn log_intake(host: &Host, late: f64, is_busy: bool) {
     let counts = host.intake.take();
-    if counts.n_refused == 0 {
+    let n_refused = counts.n_refused();
+    if n_refused == 0 {
         return;
     }
     let (workspace, n_of_it) = counts.most_refused();
     log::info!(
-        requests = counts.n_requests, refused = counts.n_refused, workspace, refused_of_it = n_of_it,
+        requests = counts.n_requests, refused = n_refused, workspace, refused_of_it = n_of_it,
         accepted = counts.n_accepted, ended = counts.n_ended, active = host.n_active(),
         late_ms = late, is_busy; "short of processor time"
     );
--- a/crates/portfield-host/src/metrics.rs
+++ b/crates/portfield-host/src/metrics.rs
@@ -25,12 +25,7 @@
     /// Counts one.
     pub(crate) fn count(&self, name: &str) {
         let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
-        match counters.get_mut(name) {
-            Some(it) => *it += 1,
-            None => {
-                counters.insert(name.to_owned(), 1);
-            }
-        }
+        count(&mut counters, name);
     }
 
     /// Records a time.
@@ -69,3 +64,13 @@
         res
     }
 }
+
+/// Counts one more under a name, which is copied the first time only.
+pub(crate) fn count(counts: &mut BTreeMap<String, u64>, name: &str) {
+    match counts.get_mut(name) {
+        Some(it) => *it += 1,
+        None => {
+            counts.insert(name.to_owned(), 1);
+        }
+    }
+}
