refactor(net): tables of addresses and of texts are read by one function

Cause: `text_table` wrote `address_table` again with another type and two other texts. Change: `Reader::named` reads both; the mistakes keep their words.

--- a/crates/portfield-net/src/settings.rs
+++ b/crates/portfield-net/src/settings.rs
@@ -115,42 +115,34 @@
 
     /// Takes a table of addresses by name, empty if missing.
     pub fn address_table(&mut self, key: &str) -> HashMap<String, SocketAddr> {
-        let Some(value) = self.table.remove(key) else { return HashMap::new() };
-        let mut res = HashMap::new();
-        let Value::Table(table) = value else {
-            self.mistake(key, "must be a table of addresses".to_owned());
-            return res;
-        };
-        for (name, it) in table {
-            match it.as_str().and_then(|it| it.parse().ok()) {
-                Some(address) => {
-                    res.insert(name, address);
-                }
-                None => self.mistake(&format!("{key}.{name}"), "must be an address".to_owned()),
-            }
-        }
-        res
+        self.named(key, ["addresses", "an address"], |it| it.parse().ok())
     }
 
     /// Takes a table of texts by name, empty if missing.
     pub fn text_table(&mut self, key: &str) -> HashMap<String, String> {
+        let text = |it: &str| (!it.is_empty()).then(|| it.to_owned());
+        self.named(key, ["texts", "a text that is not empty"], text)
+    }
+
+    /// Takes a table of values by name; `[all, each]` name what it must hold, for mistakes.
+    fn named<T>(
+        &mut self,
+        key: &str,
+        [all, each]: [&str; 2],
+        read: impl Fn(&str) -> Option<T>,
+    ) -> HashMap<String, T> {
         let Some(value) = self.table.remove(key) else { return HashMap::new() };
-        let mut res = HashMap::new();
         let Value::Table(table) = value else {
-            self.mistake(key, "must be a table of texts".to_owned());
-            return res;
+            self.mistake(key, format!("must be a table of {all}"));
+            return HashMap::new();
         };
+        let mut res = HashMap::new();
         for (name, it) in table {
-            match it.as_str().filter(|it| !it.is_empty()) {
-                Some(text) => {
-                    res.insert(name, text.to_owned());
-                }
-                None => {
-                    self.mistake(
-                        &format!("{key}.{name}"),
-                        "must be a text that is not empty".to_owned(),
-                    );
+            match it.as_str().and_then(&read) {
+                Some(it) => {
+                    res.insert(name, it);
                 }
+                None => self.mistake(&format!("{key}.{name}"), format!("must be {each}")),
             }
         }
         res
