--- a/crates/portfield/src/catalog/evacuation.rs
+++ b/crates/portfield/src/catalog/evacuation.rs
@@ -45,6 +45,12 @@
     until: Option<Duration>,
 }
 
+impl Standing {
+    fn is_late(&self, now: Duration) -> bool {
+        self.until.is_some_and(|until| until <= now)
+    }
+}
+
 /// The orders in force, as of a version of the store.
 ///
 /// # Examples
@@ -179,13 +185,12 @@
 
     /// Returns whether an order did not come back in time.
     pub fn has_late(&self, now: Duration) -> bool {
-        self.orders.values().any(|it| it.until.is_some_and(|until| until <= now))
+        self.orders.values().any(|it| it.is_late(now))
     }
 
     /// Ends the orders that did not come back in time.
     pub fn expire(&mut self, now: Duration) -> Vec<OrderChange> {
-        let is_late = |it: &Standing| it.until.is_some_and(|until| until <= now);
-        let late = self.orders.iter().filter(|it| is_late(it.1));
+        let late = self.orders.iter().filter(|it| it.1.is_late(now));
         let late: Vec<String> = late.map(|it| it.0.clone()).collect();
         late.into_iter().filter_map(|it| self.lift(it)).collect()
     }
