--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -28,7 +28,8 @@
 /// Part of the engines that are idle, above which a request that would be refused is sent to one of them,
 /// though its shared parts are read there once more.
 ///
-/// Where most are idle, what refuses is the queue at the one that keeps a part that many ask for. Where most are busy, parts read again take from all, and the rule is not applied.
+/// Where most are idle, what refuses is the queue at the one that keeps a part that many ask for. Where most are busy,
+/// parts read again take from all, and the rule is not applied.
 const SPARE_PART: f64 = 0.5;
 /// How many digests tell only the usage that is new, for each that tells all of it: a host that has just
 /// begun to listen knows all within a second.
