--- a/crates/portfield-host/src/host_discovery.rs
+++ b/crates/portfield-host/src/host_discovery.rs
@@ -1,74 +1,139 @@
 //! Registers this host in the store's table of hosts, and discovers the other hosts there.
+//!
+//! A host reads only a few rows of its data centre: those with the lowest hashes, which become
+//! leaders and relay the digests of all others. What a start costs the store thus does not depend
+//! on the number of hosts.
 
 use std::{sync::Arc, time::Duration};
 
-use portfield_net::clock;
+use portfield_net::{clock, http1::Error};
 use portfield_platform::store::{self, Row, Store};
 
 use crate::{
     quarantine_store,
-    state::{Host, hash_name},
+    state::Host,
     store_watch::{MAX_PAUSE, truncate_error},
 };
 
+/// Rows of a data centre read at the start, enough that some of their hosts are alive after a
+/// failure of most hosts.
+const N_FIRST_ROWS: usize = 16;
+/// Hosts per data centre that also read the rows of the other data centres: the leader, its
+/// standby and those after them.
+const N_LEADING: usize = 4;
 /// Interval at which watchers of the store read the table of hosts; new hosts are mostly known from
 /// digests earlier.
 const HOSTS_PERIOD: Duration = Duration::from_secs(15);
+/// Time after the first read at which all rows are read if the hosts of the first ones may be dead.
+const SECOND_READ_DELAY: Duration = Duration::from_secs(2);
 /// Interval for checking whether the store was restored and lost this host's rows.
 const REREGISTER_PERIOD: Duration = Duration::from_millis(500);
 /// Time over which hosts spread the rewriting of their rows after a restore: the store takes 300
 /// transactions per second, and the rows of upstreams and operator come first.
 const REREGISTER_SPREAD: Duration = Duration::from_secs(4);
 
+/// How many rows of each data centre to read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Extent {
+    /// The first rows only.
+    First,
+    /// Every row of this data centre, the first ones of the others.
+    All,
+}
+
 /// Registers this host and reads the other hosts' rows, forever.
 pub(crate) async fn run(host: Arc<Host>, store: Store) {
-    register(&host, &store).await;
-    host.rt.spawn(reregister(host.clone(), store.clone()));
-    let mut is_first = true;
-    loop {
-        if !is_first && !host.is_store_watcher() {
-            clock::sleep(HOSTS_PERIOD).await;
-            continue;
-        }
-        match store.read(store::HOSTS_TABLE).await {
-            Ok(it) => {
-                let own_address = host.settings().peers.to_string();
-                it.rows
-                    .iter()
-                    .filter(|it| it.key != own_address)
-                    .for_each(|it| add_host(&host, it));
-                host.mark_hosts_loaded();
-                if std::mem::replace(&mut is_first, false) {
-                    host.rt.spawn(quarantine_store::load(host.clone(), store.clone()));
-                }
-            }
+    // Of two hosts that start at once, the later one to register finds the other's row.
+    let is_registered = register_once(&host, &store).await;
+    host.rt.spawn(keep_registered(host.clone(), store.clone(), is_registered));
+    let has_more = loop {
+        match read_hosts(&host, &store, Extent::First).await {
+            Ok(it) => break it,
             Err(err) => {
                 // Callers do not wait for a store that is down.
                 host.mark_quarantine_loaded();
                 log::warn!(err:% = truncate_error(&err); "table of hosts not read");
                 clock::sleep(MAX_PAUSE).await;
-                continue;
             }
         }
+    };
+    host.mark_hosts_read();
+    host.rt.spawn(quarantine_store::load(host.clone(), store.clone()));
+    clock::sleep(SECOND_READ_DELAY).await;
+    if !has_more && 1 < host.balancer().n_hosts(clock::now()) {
+        clock::sleep(HOSTS_PERIOD).await;
+    }
+    loop {
+        if host.is_store_watcher()
+            && let Err(err) = read_hosts(&host, &store, Extent::All).await
+        {
+            log::warn!(err:% = truncate_error(&err); "table of hosts not read");
+            clock::sleep(MAX_PAUSE).await;
+            continue;
+        }
         clock::sleep(HOSTS_PERIOD).await;
     }
 }
 
-/// Writes this host's row, retrying until the store has it.
+/// Reads rows of this data centre's hosts, and of the others if this host may have to lead; returns
+/// whether this data centre has hosts whose rows were not read.
+async fn read_hosts(host: &Host, store: &Store, extent: Extent) -> Result<bool, Error> {
+    let own = host.own_data_centre();
+    let has_more = match extent {
+        Extent::First => read_first_hosts(host, store, own).await?,
+        Extent::All => {
+            let rows = store.read(store::HOSTS_TABLE, &part_name(own)).await?.rows;
+            rows.iter().for_each(|it| add_host(host, it, own));
+            false
+        }
+    };
+    if !has_more {
+        host.mark_hosts_loaded();
+    }
+    if host.peers().is_among_first(N_LEADING) {
+        let parts = store.parts(store::HOSTS_TABLE).await?;
+        let data_centres = parts.iter().filter_map(|it| u32::from_str_radix(it, 16).ok());
+        for it in data_centres.filter(|it| *it != own) {
+            read_first_hosts(host, store, it).await?;
+        }
+    }
+    Ok(has_more)
+}
+
+/// Reads the first rows of a data centre; returns whether it has more.
+async fn read_first_hosts(host: &Host, store: &Store, data_centre: u32) -> Result<bool, Error> {
+    let part = part_name(data_centre);
+    let res = store.read_first(store::HOSTS_TABLE, &part, N_FIRST_ROWS).await?;
+    res.rows.iter().for_each(|it| add_host(host, it, data_centre));
+    Ok(res.has_more)
+}
+
+/// Writes this host's row; returns whether the store has it.
+async fn register_once(host: &Host, store: &Store) -> bool {
+    let address = host.settings().peers.to_string();
+    let (part, key) = (part_name(host.own_data_centre()), format!("{:016x}", host.own_hash()));
+    let res = store.write(store::HOSTS_TABLE, &part, &key, address.as_bytes()).await;
+    if let Err(err) = &res {
+        log::warn!(err:% = truncate_error(err); "registration in the store failed");
+    }
+    res.is_ok()
+}
+
+/// Retries until the store has this host's row, with random pauses: hosts that start together must
+/// not be refused together again.
 async fn register(host: &Host, store: &Store) {
-    let own_address = host.settings().peers.to_string();
-    let data_centre = host.settings().data_centre.clone();
-    while let Err(err) = store.write(store::HOSTS_TABLE, &own_address, data_centre.as_bytes()).await
-    {
-        host.mark_quarantine_loaded();
-        log::warn!(err:% = truncate_error(&err); "registration in the store failed");
-        clock::sleep(MAX_PAUSE).await;
+    while !register_once(host, store).await {
+        clock::sleep(MAX_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
     }
 }
 
-/// Writes this host's rows again after each restore of the store from a backup.
-async fn reregister(host: Arc<Host>, store: Store) {
+/// Keeps this host's rows in the store: writes them again after each restore from a backup.
+async fn keep_registered(host: Arc<Host>, store: Store, is_registered: bool) {
     let mut written = host.store_era();
+    if !is_registered {
+        clock::sleep(MAX_PAUSE.mul_f64(fastrand::f64())).await;
+        register(&host, &store).await;
+    }
     loop {
         clock::sleep(REREGISTER_PERIOD).await;
         let era = host.store_era();
@@ -84,12 +149,17 @@
     }
 }
 
-/// Adds a host from its row: the key is its address, the value the name of its data centre.
-fn add_host(host: &Host, row: &Row) {
-    let Ok(address) = row.key.parse() else {
+/// Returns the name of the part with a data centre's hosts, by the hash of its name.
+fn part_name(data_centre: u32) -> String {
+    format!("{data_centre:08x}")
+}
+
+/// Adds a host from its row.
+fn add_host(host: &Host, row: &Row, data_centre: u32) {
+    let text = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
+    let Some(address) = text.and_then(|it| it.parse().ok()) else {
         log::warn!(key = row.key; "invalid address in the table of hosts");
         return;
     };
-    let name = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
-    host.peers().add_host(address, name.map(hash_name));
+    host.peers().add_host(address, Some(data_centre));
 }
--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -11,7 +11,10 @@
 
 use async_net::TcpStream;
 use bytes::Bytes;
-use portfield::catalog::{EvacuationRow, EvacuationSnapshot, MissingRows, StoreVersion};
+use portfield::{
+    balance::WHOLE_LIST_INTERVAL,
+    catalog::{EvacuationRow, EvacuationSnapshot, MissingRows, StoreVersion},
+};
 use portfield_net::{clock, rpc};
 use portfield_wire::{
     EvacuationOrder, KnowledgeReply, KnowledgeRequest, ListedUpstream, peers_server::Peers,
@@ -19,6 +22,7 @@
 use tonic::{Request, Response, Status};
 
 use crate::{
+    atomic_instant::AtomicInstant,
     evacuations,
     state::Host,
     table_read::{ListRow, ReadScope, TableRead, apply_list},
@@ -55,11 +59,17 @@
     }
     let (task, is_fetching) = (host.clone(), is_fetching.clone());
     host.rt.spawn(async move {
+        let is_whole_list =
+            matches!(wanted, Wanted::List) && task.with_list(|it| it.directory.is_empty());
         let time = match wanted {
             Wanted::Config | Wanted::Orders => CONFIG_TIMEOUT,
-            Wanted::List if task.with_list(|it| it.directory.is_empty()) => LIST_TIMEOUT,
+            Wanted::List if is_whole_list => LIST_TIMEOUT,
             Wanted::List => CHANGES_TIMEOUT,
         };
+        if is_whole_list {
+            // The digest that named the host reached all others of the data centre as well.
+            clock::sleep(task.topology().period().mul_f64(fastrand::f64())).await;
+        }
         let timed_out = || Err(eyre::eyre!("no response in time"));
         let res = clock::timeout(time, fetch(&task, address, wanted)).await;
         is_fetching.store(false, Ordering::Relaxed);
@@ -160,12 +170,14 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PeersService {
     host: Arc<Host>,
+    /// When the whole list was last sent.
+    list_sent: Arc<AtomicInstant>,
 }
 
 impl PeersService {
     /// Creates the service.
     pub(crate) fn new(host: Arc<Host>) -> Self {
-        Self { host }
+        Self { host, list_sent: Arc::default() }
     }
 }
 
@@ -185,6 +197,12 @@
         }
         let list = StoreVersion::new(request.list_era, request.list_version);
         let orders = StoreVersion::new(request.orders_era, request.orders_version);
+        if self.host.with_list(|it| needs_whole_list(it, list)) {
+            if self.list_sent.elapsed().is_some_and(|it| it < WHOLE_LIST_INTERVAL) {
+                return Err(Status::resource_exhausted("the list was just sent to another host"));
+            }
+            self.list_sent.set_now();
+        }
         self.host.with_list(|it| {
             fill_list(it, list, &mut reply);
             fill_orders(it, orders, &mut reply);
@@ -221,6 +239,11 @@
     reply.lifted = lifted.into_iter().map(|it| encode(it, None)).collect();
 }
 
+/// Returns whether only the whole list brings a host up to date that knows a version.
+fn needs_whole_list(list: &UpstreamList, known: StoreVersion) -> bool {
+    known < list.directory.version() && !list.directory.has_changes_since(known)
+}
+
 /// Adds the upstream list to a reply, if the other host knows an older version. Sends only the
 /// changes where they are known: one entry takes some 200 bytes, the whole list 65 KB for 325
 /// upstreams.
--- a/crates/portfield-host/src/peers/receive.rs
+++ b/crates/portfield-host/src/peers/receive.rs
@@ -7,7 +7,7 @@
 };
 
 use portfield::{
-    balance::{Delivery, GossipTopology, WatcherStatus},
+    balance::{Delivery, FetchSize, GossipTopology, WatcherStatus, asks_now},
     catalog::StoreVersion,
     suspend::CachedState,
 };
@@ -76,7 +76,7 @@
 ) {
     let topology = host.topology();
     if digest.seeks_hosts && topology.is_hierarchical() {
-        send::introduce(host, socket, from);
+        send::introduce(host, socket, from, &digest);
     }
     if !digest.hosts.is_empty() {
         // An introduction carries no state of its sender.
@@ -91,7 +91,9 @@
     let relayed = std::mem::take(&mut digest.relayed).into_iter().map(|it| (it, Delivery::Relayed));
     for (digest, delivery) in std::iter::once((digest, Delivery::Direct)).chain(relayed) {
         handle_digest(host, &topology, from, &digest);
-        if digest.host != host.own_hash() {
+        if digest.host == host.own_hash() {
+            newer.n_digests += 1;
+        } else {
             newer.record(host, known, digest.address.parse().unwrap_or(from), &digest);
         }
         let forwarded = host.peers().forward(digest, delivery);
@@ -150,6 +152,8 @@
 /// Tracks what other hosts know in newer versions than this one.
 #[derive(Debug, Default)]
 struct NewerVersions {
+    /// Digests in the current datagram, this host's own included.
+    n_digests: u32,
     config: NewerPeer,
     list: NewerPeer,
     orders: NewerPeer,
@@ -167,24 +171,29 @@
 #[derive(Debug, Default)]
 struct NewerPeer {
     from: Option<SocketAddr>,
-    n: u32,
+    /// Hosts in the current datagram that know a newer version.
+    n_holders: u32,
 }
 
 impl NewerPeer {
     fn offer(&mut self, address: SocketAddr) {
-        self.n += 1;
-        if fastrand::u32(..self.n) == 0 {
+        self.n_holders += 1;
+        if fastrand::u32(..self.n_holders) == 0 {
             self.from = Some(address);
         }
     }
 
-    fn take(&mut self) -> Option<SocketAddr> {
-        std::mem::take(self).from
+    /// Takes the host to ask now, if any; the datagram had `n_digests` digests.
+    fn take(&mut self, n_digests: u32, size: FetchSize) -> Option<SocketAddr> {
+        let Self { from, n_holders } = std::mem::take(self);
+        let n_lacking = n_digests.saturating_sub(n_holders) as usize;
+        from.filter(|_| asks_now(n_holders as usize, n_lacking, size, fastrand::f64()))
     }
 }
 
 impl NewerVersions {
     fn record(&mut self, host: &Host, known: KnownVersions, address: SocketAddr, digest: &Digest) {
+        self.n_digests += 1;
         let has_store_contact = Duration::from_millis(u64::from(digest.store_age))
             < host.settings().store_timeouts.stale_after;
         let orders = StoreVersion::new(digest.orders_era, digest.orders_version);
@@ -193,12 +202,14 @@
         }
         if known.config < digest.config_version {
             self.config.offer(address);
+            host.newer_config.record();
         } else if has_store_contact && orders <= known.orders {
             host.suspend_detector().confirm_from_peer(CachedState::Config);
         }
         host.update_store_era(digest.list_era, "host");
         if known.list < StoreVersion::new(digest.list_era, digest.list_version) {
             self.list.offer(address);
+            host.newer_list.record();
         } else if has_store_contact {
             host.suspend_detector().confirm_from_peer(CachedState::Upstreams);
         }
@@ -206,13 +217,16 @@
 
     /// Fetches the newer versions.
     fn fetch(&mut self, host: &Arc<Host>) {
-        if let Some(from) = self.config.take() {
+        let n_digests = std::mem::take(&mut self.n_digests);
+        if let Some(from) = self.config.take(n_digests, FetchSize::Small) {
             fetch::start(host, from, Wanted::Config, &self.is_fetching_config);
         }
-        if let Some(from) = self.orders.take() {
+        if let Some(from) = self.orders.take(n_digests, FetchSize::Small) {
             fetch::start(host, from, Wanted::Orders, &self.is_fetching_orders);
         }
-        let Some(from) = self.list.take() else { return };
+        let has_list = host.with_list(|it| !it.directory.is_empty());
+        let size = if has_list { FetchSize::Small } else { FetchSize::WholeList };
+        let Some(from) = self.list.take(n_digests, size) else { return };
         let now = clock::now();
         let version = host.with_list(|it| it.directory.version());
         let is_due = host.needs_peer_list() || LIST_FETCH_DELAY <= self.lag.update(now, version);
--- a/crates/portfield-host/src/peers/send.rs
+++ b/crates/portfield-host/src/peers/send.rs
@@ -3,17 +3,13 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_io::Async;
-use portfield::balance::GossipTopology;
+use portfield::balance::{GossipTopology, Introduction};
 use portfield_net::clock;
 use portfield_wire::Digest;
 use prost::Message;
 
 use super::PeerSocket;
-use crate::{
-    quarantine,
-    state::{Host, hash_name},
-    upstream_signals,
-};
+use crate::{quarantine, state::Host, upstream_signals};
 
 /// Maximum bytes of relayed digests in a datagram: half of the largest datagram, which leaves room
 /// for this host's own digest.
@@ -70,10 +66,25 @@
     }
 }
 
-/// Sends the hosts that this one knows to a host that knows none in its data centre.
-pub(super) fn introduce(host: &Host, socket: &Async<std::net::UdpSocket>, to: SocketAddr) {
-    let digest = Digest { hosts: host.peers().known_hosts(), ..header(host, 0) };
-    send(host, socket, &digest, [to]);
+/// Introduces the sender of a digest, who knows no host of its data centre, to some.
+pub(super) fn introduce(
+    host: &Host,
+    socket: &Async<std::net::UdpSocket>,
+    from: SocketAddr,
+    digest: &Digest,
+) {
+    let introduction = host.peers().introduction(digest);
+    match introduction {
+        Introduction::Hosts(hosts) => {
+            let to = digest.address.parse().unwrap_or(from);
+            send(host, socket, &Digest { hosts, ..header(host, 0) }, [to]);
+        }
+        Introduction::AskLeader(leader) => {
+            let digest = Digest { passed_on: true, relayed: Vec::new(), ..digest.clone() };
+            send(host, socket, &digest, [leader]);
+        }
+        Introduction::Unknown => {}
+    }
 }
 
 /// Adds this host's state to its digest header.
@@ -99,7 +110,7 @@
         list_era: list.era,
         orders_version: orders.number,
         orders_era: orders.era,
-        data_centre: hash_name(&settings.data_centre),
+        data_centre: host.own_data_centre(),
         store_age: host.store_age().as_millis().min(u128::from(u32::MAX)) as u32,
         address: settings.peers.to_string(),
         ..Digest::default()
--- a/crates/portfield-host/src/quarantine_store.rs
+++ b/crates/portfield-host/src/quarantine_store.rs
@@ -65,7 +65,7 @@
 
 /// Reads the stored entries once; returns whether that succeeded.
 async fn load_once(host: &Host, store: &Store) -> bool {
-    let rows = match store.read(store::QUARANTINE_TABLE).await {
+    let rows = match store.read(store::QUARANTINE_TABLE, "").await {
         Ok(it) => it.rows,
         Err(err) => {
             // Callers do not wait for a store that is down; other hosts may report the entries.
@@ -113,7 +113,7 @@
         let Some(suspect) = known else { return };
         let row = StoredSuspect { suspect: Some(suspect), written: clock::unix_millis() };
         let res =
-            store.write(store::QUARANTINE_TABLE, &row_key(request), &row.encode_to_vec()).await;
+            store.write(store::QUARANTINE_TABLE, "", &row_key(request), &row.encode_to_vec()).await;
         let Err(err) = res else { return };
         log::warn!(fingerprint = request.fingerprint_hex(), err:%; "quarantine not written");
         clock::sleep(pause).await;
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -14,8 +14,8 @@
 use bytes::Bytes;
 use portfield::{
     balance::{
-        AnswerKind, Balancer, GossipConfig, GossipTopology, LoadShedder, PeerTable, RetryBudget,
-        StoreAvailability, StoreWatchers, WatcherStatus, host_hash,
+        AnswerKind, Balancer, GossipConfig, GossipTopology, LoadShedder, PeerCopy, PeerTable,
+        RetryBudget, StoreAvailability, StoreWatchers, WatcherStatus, host_hash,
     },
     catalog::Catalog,
     quarantine::{BrokenAttempts, Quarantine, RequestKey},
@@ -42,6 +42,28 @@
 /// them too.
 const MAX_PENDING_WRITES: usize = 256;
 
+/// Time for which a host that was heard to know a newer version counts as a source of it.
+const COPY_VALIDITY: Duration = Duration::from_secs(3);
+
+/// Tracks whether some other host was heard to know a newer version than this one.
+#[derive(Debug, Default)]
+pub(crate) struct NewerCopy {
+    heard: AtomicInstant,
+}
+
+impl NewerCopy {
+    /// Records that one was heard.
+    pub(crate) fn record(&self) {
+        self.heard.set_now();
+    }
+
+    /// Returns whether one was heard recently.
+    pub(crate) fn peer_copy(&self) -> PeerCopy {
+        let is_recent = self.heard.elapsed().is_some_and(|it| it < COPY_VALIDITY);
+        if is_recent { PeerCopy::Heard } else { PeerCopy::None }
+    }
+}
+
 /// A configuration with the bytes that it was decoded from.
 #[derive(Debug, Clone)]
 pub(crate) struct ActiveConfig {
@@ -61,8 +83,14 @@
     pub incarnation: u64,
     host_hash: u64,
     active_config: RwLock<Option<ActiveConfig>>,
+    /// When another host was last heard that knows a newer configuration.
+    pub newer_config: NewerCopy,
+    /// When another host was last heard that knows a newer list of upstreams.
+    pub newer_list: NewerCopy,
     pub upstream_list: RwLock<UpstreamList>,
     balancer: Mutex<Balancer>,
+    /// When the state of upstreams that are no longer listed was last removed.
+    pub unlisted_forgotten: AtomicInstant,
     budgets: Mutex<HashMap<u32, RetryBudget>>,
     peers: Mutex<PeerTable>,
     store_watchers: Mutex<StoreWatchers>,
@@ -75,7 +103,9 @@
     pending_writes: Sender<RequestKey>,
     /// Set once the quarantine was read from the store, could not be read or need not be.
     quarantine_loaded: AtomicInstant,
-    /// When the table of hosts was last read.
+    /// When this host first knew some of the other hosts.
+    hosts_read: AtomicInstant,
+    /// When this host last read all rows of its data centre's hosts.
     hosts_loaded: AtomicInstant,
     /// Number of restores of the store from a backup, as far as this host knows.
     store_era: AtomicU64,
@@ -113,8 +143,11 @@
             ingress: IngressStats::default(),
             incarnation,
             active_config: RwLock::new(None),
+            newer_config: NewerCopy::default(),
+            newer_list: NewerCopy::default(),
             upstream_list: RwLock::default(),
             balancer: Mutex::new(balancer),
+            unlisted_forgotten: AtomicInstant::default(),
             budgets: Mutex::default(),
             peers: Mutex::new(PeerTable::new(gossip_config, seeds)),
             host_hash: gossip_config.host,
@@ -126,6 +159,7 @@
             suspend_detector: Mutex::default(),
             pending_writes,
             quarantine_loaded: AtomicInstant::default(),
+            hosts_read: AtomicInstant::default(),
             hosts_loaded: AtomicInstant::default(),
             store_era: AtomicU64::new(0),
             stopping: AtomicInstant::default(),
@@ -232,12 +266,22 @@
         self.quarantine_loaded.set_now();
     }
 
-    /// Records that the table of hosts was read.
+    /// Records that rows of the table of hosts were read.
+    pub(crate) fn mark_hosts_read(&self) {
+        self.hosts_read.set_now();
+    }
+
+    /// Returns when rows of the table of hosts were first read, if ever.
+    pub(crate) fn hosts_read_at(&self) -> Option<Duration> {
+        self.hosts_read.elapsed().map(|it| clock::now().saturating_sub(it))
+    }
+
+    /// Records that all rows of this data centre's hosts were read.
     pub(crate) fn mark_hosts_loaded(&self) {
         self.hosts_loaded.set_now();
     }
 
-    /// Returns whether the table of hosts was ever read.
+    /// Returns whether all hosts of this data centre were ever read from the table of hosts.
     pub(crate) fn has_loaded_hosts(&self) -> bool {
         self.hosts_loaded.elapsed().is_some()
     }
@@ -272,7 +316,10 @@
 
     /// Recomputes which hosts this host's digests go to, and returns them.
     pub(crate) fn refresh_topology(&self) -> GossipTopology {
-        self.peers().refresh_topology(clock::now())
+        let topology = self.peers().refresh_topology(clock::now());
+        self.balancer().set_digest_period(topology.period());
+        self.store_watchers().set_digest_period(topology.period());
+        topology
     }
 
     /// Returns which hosts this host's digests go to, as of the last refresh.
@@ -280,14 +327,23 @@
         self.peers().topology()
     }
 
+    /// Returns the hash of the name of this host's data centre.
+    pub(crate) fn own_data_centre(&self) -> u32 {
+        hash_name(&self.settings().data_centre)
+    }
+
     /// Returns the hash that identifies this host among the others.
     pub(crate) fn own_hash(&self) -> u64 {
         self.host_hash
     }
 
+    fn store_watchers(&self) -> MutexGuard<'_, StoreWatchers> {
+        self.store_watchers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records how current another host's view of the store is.
     pub(crate) fn record_watcher(&self, it: WatcherStatus) {
-        self.store_watchers.lock().unwrap_or_else(PoisonError::into_inner).record(it);
+        self.store_watchers().record(it);
     }
 
     /// Records that another host was in contact with the store at a time.
@@ -303,11 +359,10 @@
 
     /// Returns whether this host is one of those that watch the store themselves.
     pub(crate) fn is_store_watcher(&self) -> bool {
-        let data_centre = hash_name(&self.settings().data_centre);
+        let data_centre = self.own_data_centre();
         let now = clock::now();
         let n_others = self.balancer().n_hosts(now) - 1;
-        let watchers = self.store_watchers.lock().unwrap_or_else(PoisonError::into_inner);
-        watchers.is_watcher(now, self.host_hash, data_centre, n_others)
+        self.store_watchers().is_watcher(now, self.host_hash, data_centre, n_others)
     }
 
     /// Records a response of the store.
--- a/crates/portfield-host/src/store_watch.rs
+++ b/crates/portfield-host/src/store_watch.rs
@@ -5,7 +5,7 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use portfield::{
-    balance::STORE_CALL_TIMEOUT,
+    balance::{PeerCopy, STORE_CALL_TIMEOUT},
     catalog::{MissingRows, REGISTRATION_GRACE, StoreVersion},
     quarantine::RequestKey,
     suspend::CachedState,
@@ -31,7 +31,7 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between the first read of a table and the first call for its changes. By then the host
 /// knows how many others there are, and whether it is one that watches the store.
-const FIRST_READ_DELAY: Duration = Duration::from_millis(1000);
+const FIRST_READ_DELAY: Duration = Duration::from_millis(750);
 /// Time without a response of the store after which entries of upstreams may have expired: shorter
 /// than the three heartbeats of 1.2 s after which the platform removes one, and longer than the
 /// store holds a call.
@@ -50,12 +50,16 @@
         table: store::OPERATOR_TABLE,
         cached_state: CachedState::Config,
         interval: OPERATOR_INTERVAL,
+        known_version: known_operator_version,
+        peer_copy: |it| it.newer_config.peer_copy(),
         apply: apply_operator_rows,
     };
     let upstreams = WatchedTable {
         table: store::UPSTREAMS_TABLE,
         cached_state: CachedState::Upstreams,
         interval: LIST_INTERVAL,
+        known_version: known_list_version,
+        peer_copy: |it| it.newer_list.peer_copy(),
         apply: apply_upstream_rows,
     };
     host.rt.spawn(TableWatcher::new(host.clone(), store.clone(), operator).run());
@@ -72,9 +76,24 @@
     cached_state: CachedState,
     /// Minimum time between the starts of two calls.
     interval: Duration,
+    /// Returns the version of the table as known from other hosts.
+    known_version: fn(&Host) -> KnownVersion,
+    /// Returns whether another host was heard that knows a newer version than this one.
+    peer_copy: fn(&Host) -> PeerCopy,
     apply: fn(&Arc<Host>, TableUpdate),
 }
 
+/// What other hosts told this one of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KnownVersion {
+    /// Nothing.
+    Unknown,
+    /// Its rows, but not the version of the table that contains them.
+    Unversioned,
+    /// All its rows, as of this version.
+    Complete(StoreVersion),
+}
+
 /// Rows read from the store.
 #[derive(Debug)]
 struct TableUpdate {
@@ -97,6 +116,13 @@
     recovered: Option<Duration>,
     is_unreachable: bool,
     next_interval: Duration,
+    /// Start of the wait for another host's copy of the table; `None` while no whole table is to be
+    /// read, or before this host knows other hosts.
+    wait_start: Option<Duration>,
+    /// Latest version that other hosts, or this one, brought the table to.
+    last_known: StoreVersion,
+    /// Random part of the wait, from 0 to 1.
+    draw: f64,
 }
 
 impl TableWatcher {
@@ -112,14 +138,17 @@
             recovered: None,
             is_unreachable: false,
             next_interval: FIRST_READ_DELAY,
+            wait_start: None,
+            last_known: StoreVersion::default(),
+            draw: fastrand::f64(),
         }
     }
 
     /// Follows the table forever.
     async fn run(mut self) {
         loop {
-            if self.version.is_some() && !self.host.is_store_watcher() {
-                // Missed changes are read from this version on, or with the whole table.
+            self.adopt_known_version();
+            if !self.is_call_due() {
                 clock::sleep(IDLE_PERIOD).await;
                 self.last_response = clock::now();
                 continue;
@@ -143,10 +172,39 @@
         }
     }
 
+    /// Continues from what other hosts told this one: changes are read from there on.
+    ///
+    /// After a restore from a backup, the whole table is read all the same.
+    fn adopt_known_version(&mut self) {
+        let KnownVersion::Complete(known) = (self.watched.known_version)(&self.host) else {
+            return;
+        };
+        let is_same_era = self.era.is_none_or(|it| it == known.era);
+        if !is_same_era || known <= self.last_known {
+            return;
+        }
+        self.last_known = known;
+        self.version = self.version.max(Some(known));
+        self.era = Some(known.era);
+    }
+
+    /// Returns whether this host is to call the store for the table now.
+    fn is_call_due(&mut self) -> bool {
+        let is_known = (self.watched.known_version)(&self.host) != KnownVersion::Unknown;
+        if self.version.is_some() || (is_known && self.era.is_none()) {
+            return self.host.is_store_watcher();
+        }
+        // Others may read the whole table as well, and pass it on.
+        let Some(start) = self.wait_start.or(self.host.hosts_read_at()) else { return false };
+        let now = clock::now();
+        let rank = self.host.peers().reader_rank(now);
+        rank.read_due(start, (self.watched.peer_copy)(&self.host), self.draw) <= now
+    }
+
     async fn read_next(&self) -> Result<Rows, Error> {
         let table = self.watched.table;
         match self.version {
-            None => self.store.read(table).await,
+            None => self.store.read(table, "").await,
             // After a suspension, the current changes are needed at once: do not wait for the next
             // one.
             Some(it) if !self.host.has_fresh_state() => {
@@ -204,6 +262,7 @@
             let after = self.version.unwrap_or_default();
             log::info!(table, after:% = after; "change history expired, reading the whole table");
             self.version = None;
+            self.wait_start = Some(clock::now());
             return;
         }
         self.host.metrics.count(&format!("store_failed{{table=\"{table}\"}}"));
@@ -225,6 +284,20 @@
     err.to_string().chars().take(MAX_ERROR_CHARS).collect()
 }
 
+/// The versions of the configuration and of the orders are not those of the table.
+fn known_operator_version(host: &Host) -> KnownVersion {
+    host.active_config().map_or(KnownVersion::Unknown, |_| KnownVersion::Unversioned)
+}
+
+fn known_list_version(host: &Host) -> KnownVersion {
+    host.with_list(|it| {
+        if it.directory.is_empty() {
+            return KnownVersion::Unknown;
+        }
+        KnownVersion::Complete(it.directory.version())
+    })
+}
+
 fn apply_operator_rows(host: &Arc<Host>, update: TableUpdate) {
     evacuations::apply_rows(host, &update.rows, &update.table_read);
     let row = update.rows.into_iter().rev().find(|it| it.key == store::CONFIG_KEY);
--- a/crates/portfield-host/tests/evacuation.rs
+++ b/crates/portfield-host/tests/evacuation.rs
@@ -73,7 +73,7 @@
 fn host_started_while_the_store_is_down_learns_evacuations_from_peers() {
     let mut fleet = two_data_centres();
     let first = fleet.start_host();
-    let seeds = fleet.store.keys("portfield_hosts");
+    let seeds = fleet.store.values("portfield_hosts");
     // The second host starts when the store is unavailable, so it gets the order from the first one.
     fleet.store.put("op", "evacuate/north", &json!({}));
     wait_until("the first host has the order", || first.metric("portfield_evacuated") == 1.0);
--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -308,7 +308,7 @@
     fn restart(&mut self, idx: usize, signal: &str) -> String {
         self.hosts[idx].signal(signal);
         // A host that starts while the store is down gets its state from these peers.
-        let seeds = self.fleet.store.keys("portfield_hosts");
+        let seeds = self.fleet.store.values("portfield_hosts");
         let new = self.start_host(idx, &format!("seeds = {seeds:?}"));
         self.addresses.lock().unwrap()[idx] = new.listen;
         let mut old = std::mem::replace(&mut self.hosts[idx], new);
--- a/crates/portfield-host/tests/state_sync.rs
+++ b/crates/portfield-host/tests/state_sync.rs
@@ -108,12 +108,10 @@
 fn host_started_while_the_store_is_down_gets_state_from_peers() {
     let mut fleet = Fleet::new(1, 0);
     let first = fleet.start_host();
-    let keys = fleet.store.keys("portfield_hosts");
     wait_until("the first host has written its address", || {
         !fleet.store.keys("portfield_hosts").is_empty()
     });
-    drop(keys);
-    let seed = fleet.store.keys("portfield_hosts")[0].clone();
+    let seed = fleet.store.values("portfield_hosts")[0].clone();
     fleet.store.set_fault(StoreFault::Unavailable);
     let second = fleet.spawn_host(&format!("seeds = ['{seed}']"));
     wait_until("the second host is ready", || second.is_ready());
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -100,6 +100,12 @@
     }
 
     /// Removes upstreams that are no longer known.
+    /// Sets the time between two digests of a host of this data centre, by which silent hosts are
+    /// told from dead ones.
+    pub fn set_digest_period(&mut self, period: Duration) {
+        self.upstreams.set_digest_period(period);
+    }
+
     pub fn retain_upstreams(&mut self, is_known: impl Fn(u32) -> bool) {
         self.upstreams.retain(&is_known);
         self.engine_memory.retain(|id, _| is_known(*id));
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -22,6 +22,8 @@
 //! - `peer_state`: totals reported by one peer
 //! - [`StoreWatchers`]: which hosts watch the store
 //! - [`StoreAvailability`]: whether others reached the store while this host could not
+//! - [`ReaderRank`]: which hosts read the fleet's state from the store at their start
+//! - [`asks_now`]: which hosts fetch news from others at a time
 //! - `decaying_sum`, `fast_map`: data structures
 
 mod admission;
@@ -30,7 +32,9 @@
 mod bias;
 mod decaying_sum;
 mod fast_map;
+mod fan_out;
 mod health;
+mod first_read;
 mod latency_model;
 mod load_shedder;
 mod peer_state;
@@ -50,7 +54,9 @@
 
 pub use balancer::{Balancer, RunId};
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
-pub use peer_table::{Delivery, PeerTable, host_hash};
+pub use peer_table::{Delivery, Introduction, PeerTable, host_hash};
+pub use fan_out::{FetchSize, WHOLE_LIST_INTERVAL, asks_now};
+pub use first_read::{PeerCopy, ReaderRank};
 pub use placement::{
     Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
 };
--- a/crates/portfield/src/balance/peer_state.rs
+++ b/crates/portfield/src/balance/peer_state.rs
@@ -11,18 +11,26 @@
 
 use std::time::Duration;
 
-use super::fast_map::FastMap;
+use super::{fast_map::FastMap, topology::digest_period};
 use crate::wire;
 
-/// Time without a digest after which a peer's load no longer counts.
+/// Shortest time without a digest after which a peer's load no longer counts.
 ///
 /// Either its requests ended with it or its digests are lost; ten in a row are not lost by chance.
-pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+const MIN_PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The same time in periods between two digests, which are long in a large data centre.
+const PEER_TIMEOUT_PERIODS: u32 = 6;
 /// Number of digests from a host's start within which its totals count as growth: a second or two
 /// of the four over which shares are computed. Without it, what a host did before its first digest
 /// arrived would be lost after each of its starts.
 const NEW_PEER_DIGESTS: u64 = 20;
 
+/// Returns the time without a digest after which a peer's load no longer counts, if it sends one in
+/// each period.
+pub(crate) fn peer_timeout(period: Duration) -> Duration {
+    MIN_PEER_TIMEOUT.max(period * PEER_TIMEOUT_PERIODS)
+}
+
 /// A peer's last digest and its totals.
 #[derive(Debug, Default)]
 pub(crate) struct PeerState {
@@ -42,7 +50,7 @@
     /// A total that is reported for the first time has grown from zero since the peer was first
     /// heard.
     starts_at_zero: bool,
-    /// It was silent for longer than [`PEER_TIMEOUT`] before its last digest.
+    /// It was silent for longer than its timeout before its last digest.
     was_silent: bool,
 }
 
@@ -55,14 +63,27 @@
 }
 
 impl PeerState {
+    /// Returns whether its load still counts; `period` is the time between two digests of a host of
+    /// this data centre.
+    pub(crate) fn is_alive(&self, now: Duration, period: Duration) -> bool {
+        now < self.last_heard + self.timeout(period)
+    }
+
+    fn timeout(&self, period: Duration) -> Duration {
+        // The leader of another data centre sends a summary as often as its hosts send digests.
+        let is_summary = 0 < self.n_summed;
+        peer_timeout(if is_summary { digest_period(self.n_summed as usize) } else { period })
+    }
+
     /// Returns whether a digest is newer than the last one recorded.
     pub(crate) fn is_newer(&self, digest: &wire::Digest) -> bool {
         self.incarnation != digest.incarnation || self.sequence < digest.sequence
     }
 
     /// Starts recording a newer digest.
-    pub(crate) fn begin_digest(&mut self, now: Duration, digest: &wire::Digest) {
-        let was_silent = self.last_heard + PEER_TIMEOUT < now;
+    /// `period` is the time between two digests of a host of this data centre.
+    pub(crate) fn begin_digest(&mut self, now: Duration, digest: &wire::Digest, period: Duration) {
+        let was_silent = self.last_heard + self.timeout(period) < now;
         if self.incarnation != digest.incarnation {
             // After a restart the requests of the earlier process are gone, and its totals start
             // anew.
--- a/crates/portfield/src/balance/peer_table.rs
+++ b/crates/portfield/src/balance/peer_table.rs
@@ -6,7 +6,8 @@
 
 use super::{
     fast_map::FastMap,
-    topology::{GossipConfig, GossipTopology, Peer},
+    first_read::ReaderRank,
+    topology::{GossipConfig, GossipTopology, Peer, digest_period},
 };
 use crate::wire::{Digest, KnownHost};
 
@@ -14,20 +15,28 @@
 /// leader has changed or cannot be reached.
 const RANDOM_HOST_EVERY: u64 = 10;
 /// Time without a summary from another data centre's leader after which this host's summaries go to
-/// a random host there: about four periods at 60 hosts per data centre.
-const LEADER_SILENT_AFTER: Duration = Duration::from_millis(500);
+/// a random host there, at least, and in periods of that data centre.
+const LEADER_SILENT_AFTER: (Duration, u32) = (Duration::from_millis(500), 3);
 /// Time without a summary after which the hosts that it covered no longer count; the same as for a
 /// single host.
 const LEADER_DEAD_AFTER: Duration = Duration::from_secs(10);
 
-/// Time without a digest from any host of a data centre after which it counts as unreachable: too
-/// long for random loss, and short enough for both sides to learn of each other's changes within
-/// three seconds.
-const CENTRE_SILENT_AFTER: Duration = Duration::from_millis(800);
+/// Time without a digest from any host of a data centre after which it counts as unreachable, at
+/// least, and in periods of that data centre: too long for random loss, and short enough for both
+/// sides to learn of each other's changes within three seconds.
+const CENTRE_SILENT_AFTER: (Duration, u32) = (Duration::from_millis(800), 4);
 /// Time without a digest after which a data centre counts as shut down: no host is left there to
 /// inform.
 const CENTRE_DEAD_AFTER: Duration = Duration::from_secs(60);
 
+/// Time from this host's start after which a host that was never heard counts as dead.
+const UNHEARD_DEAD_AFTER: Duration = Duration::from_secs(10);
+/// Hosts that an introduction names at most, of some 30 bytes each.
+const MAX_INTRODUCED: usize = 256;
+
+/// Hosts of each other data centre that it names.
+const MAX_REMOTE_INTRODUCED: usize = 8;
+
 /// How a digest arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Delivery {
@@ -46,6 +55,26 @@
     last_heard: Duration,
 }
 
+impl Leader {
+    /// Returns whether it has been silent for longer than a limit, which is a time or a number of
+    /// its periods, whichever is longer.
+    fn is_silent(&self, now: Duration, limit: (Duration, u32)) -> bool {
+        self.last_heard + limit.0.max(digest_period(self.n_hosts) * limit.1) < now
+    }
+}
+
+/// Answer to a host that knows none of its data centre.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Introduction {
+    /// Tell it of these hosts.
+    Hosts(Vec<KnownHost>),
+    /// Pass its digest on to the leader of this host's data centre, which knows hosts of the
+    /// others.
+    AskLeader(SocketAddr),
+    /// None of them is known.
+    Unknown,
+}
+
 /// The table of other hosts and the topology that follows from it.
 ///
 /// # Examples
@@ -111,9 +140,26 @@
         self.topology
     }
 
-    /// Returns the number of known hosts, alive or not.
+    /// Returns the number of other hosts known, alive or not, one by one or in the summary of a data
+    /// centre.
     pub fn n_known(&self) -> usize {
-        self.hosts.len()
+        let n_in =
+            |centre: u32| self.hosts.values().filter(|it| it.data_centre == Some(centre)).count();
+        let n_unnamed = |(centre, it): (&u32, &Leader)| it.n_hosts.saturating_sub(n_in(*centre));
+        self.hosts.len() + self.leaders.iter().map(n_unnamed).sum::<usize>()
+    }
+
+    /// Returns this host's place among those that may read the fleet's state from the store.
+    pub fn reader_rank(&self, now: Duration) -> ReaderRank {
+        let is_starting = now < UNHEARD_DEAD_AFTER;
+        let may_be_alive =
+            |it: &&Peer| it.is_alive(now) || (is_starting && it.last_heard.is_zero());
+        let is_before = |it: &&Peer| {
+            it.data_centre == Some(self.config.data_centre) && it.host < self.config.host
+        };
+        let n_before = self.hosts.values().filter(is_before).filter(may_be_alive).count();
+        let since = if is_starting { Duration::ZERO } else { UNHEARD_DEAD_AFTER };
+        ReaderRank { n_before, n_known: self.n_known(), since }
     }
 
     /// Returns whether another host of this data centre is known.
@@ -124,15 +170,18 @@
     /// Returns whether some data centre that was heard within the last minute is silent: it is
     /// unreachable or shut down.
     pub fn has_unreachable_centre(&self, now: Duration) -> bool {
-        let mut heard: FastMap<u32, Duration> = FastMap::default();
-        let hosts = self.hosts.values().filter_map(|it| Some((it.data_centre?, it.last_heard)));
-        let leaders = self.leaders.iter().map(|(centre, it)| (*centre, it.last_heard));
-        for (centre, at) in hosts.chain(leaders).filter(|it| it.0 != self.config.data_centre) {
-            let last = heard.entry(centre).or_default();
-            *last = (*last).max(at);
+        let mut heard: FastMap<u32, Leader> = self.leaders.clone();
+        for (address, it) in &self.hosts {
+            let Some(centre) = it.data_centre else { continue };
+            let new = Leader { address: *address, n_hosts: 1, last_heard: it.last_heard };
+            let last = heard.entry(centre).or_insert(new);
+            last.last_heard = last.last_heard.max(it.last_heard);
         }
-        let is_unreachable = |at: &Duration| {
-            !at.is_zero() && *at + CENTRE_SILENT_AFTER < now && now < *at + CENTRE_DEAD_AFTER
+        heard.remove(&self.config.data_centre);
+        let is_unreachable = |it: &Leader| {
+            !it.last_heard.is_zero()
+                && it.is_silent(now, CENTRE_SILENT_AFTER)
+                && now < it.last_heard + CENTRE_DEAD_AFTER
         };
         heard.values().any(is_unreachable)
     }
@@ -250,7 +299,7 @@
         let mut res: Vec<SocketAddr> = live_leaders.map(|it| it.address).collect();
         for (data_centre, mut addresses) in by_centre {
             let leader = self.leaders.get(&data_centre);
-            if is_random || leader.is_none_or(|it| it.last_heard + LEADER_SILENT_AFTER < now) {
+            if is_random || leader.is_none_or(|it| it.is_silent(now, LEADER_SILENT_AFTER)) {
                 addresses.sort_unstable();
                 let idx = xxh3_64(&sequence.to_le_bytes()) as usize % addresses.len();
                 res.push(addresses[idx]);
@@ -261,13 +310,30 @@
         res
     }
 
-    /// Returns the hosts whose data centre is known, for a host that knows none of its own.
-    pub fn known_hosts(&self) -> Vec<KnownHost> {
-        let known = |(address, it): (&SocketAddr, &Peer)| {
-            let data_centre = it.data_centre?;
-            Some(KnownHost { address: address.to_string(), data_centre })
-        };
-        self.hosts.iter().filter_map(known).collect()
+    /// Returns the answer to a digest whose sender knows no host of its data centre.
+    pub fn introduction(&self, digest: &Digest) -> Introduction {
+        let mut hosts = self.known_hosts(digest, digest.data_centre, MAX_INTRODUCED);
+        if hosts.is_empty() {
+            let leader = self.leader_address().filter(|_| !digest.passed_on);
+            return leader.map_or(Introduction::Unknown, Introduction::AskLeader);
+        }
+        let known = self.hosts.values().filter_map(|it| it.data_centre);
+        let mut others: Vec<u32> = known.chain(self.leaders.keys().copied()).collect();
+        others.sort_unstable();
+        others.dedup();
+        others.retain(|it| *it != digest.data_centre);
+        let remote = |it| self.known_hosts(digest, it, MAX_REMOTE_INTRODUCED);
+        hosts.extend(others.into_iter().flat_map(remote));
+        Introduction::Hosts(hosts)
+    }
+
+    /// Returns up to `n` hosts of a data centre, its leader first, without the sender of a digest.
+    fn known_hosts(&self, digest: &Digest, data_centre: u32, n: usize) -> Vec<KnownHost> {
+        let hosts = self.hosts.iter().filter(|it| it.1.data_centre == Some(data_centre));
+        let leader = self.leaders.get(&data_centre).map(|it| it.address);
+        let addresses = leader.into_iter().chain(hosts.map(|it| *it.0));
+        let others = addresses.filter(|it| host_hash(*it) != digest.host).take(n);
+        others.map(|it| KnownHost { address: it.to_string(), data_centre }).collect()
     }
 }
 
--- a/crates/portfield/src/balance/store_watchers.rs
+++ b/crates/portfield/src/balance/store_watchers.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use super::{fast_map::FastMap, peer_state::PEER_TIMEOUT};
+use super::{fast_map::FastMap, peer_state::peer_timeout};
 
 /// Up to this many hosts, every host watches the store: the calls that fewer watchers would save
 /// cost less than a hundredth of the fleet's revenue, and each host learns of changes by itself.
-const ALL_WATCH_LIMIT: usize = 12;
+pub(super) const ALL_WATCH_LIMIT: usize = 12;
 /// Hosts per data centre that watch the store in a larger fleet.
-const WATCHERS_PER_CENTRE: usize = 2;
+pub(super) const WATCHERS_PER_CENTRE: usize = 2;
 /// Time within which the store answers a call, in addition to the time for which it holds it.
 pub const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time that a host needs to process a change and to tell the other hosts.
@@ -104,12 +104,19 @@
 pub struct StoreWatchers {
     hosts: FastMap<u64, WatcherStatus>,
     timeouts: StoreTimeouts,
+    /// Time between two digests of a host of this data centre.
+    digest_period: Duration,
 }
 
 impl StoreWatchers {
     /// Builds the state of a host that has no reports yet.
     pub fn new(timeouts: StoreTimeouts) -> Self {
-        Self { hosts: FastMap::default(), timeouts }
+        Self { timeouts, ..Self::default() }
+    }
+
+    /// Sets the time between two digests of a host, by which silent hosts are told from dead ones.
+    pub fn set_digest_period(&mut self, period: Duration) {
+        self.digest_period = period;
     }
 
     /// Records the report of another host.
@@ -124,7 +131,8 @@
         if n_peers < ALL_WATCH_LIMIT {
             return true;
         }
-        let is_local = |it: &&WatcherStatus| it.data_centre == data_centre && is_alive(it, now);
+        let is_alive = |it: &WatcherStatus| now < it.last_heard + peer_timeout(self.digest_period);
+        let is_local = |it: &&WatcherStatus| it.data_centre == data_centre && is_alive(it);
         let age = |it: &WatcherStatus| it.store_age + now.saturating_sub(it.last_heard);
         let before = || self.hosts.values().filter(is_local).filter(|it| it.host < host);
         let n_fresh = before().filter(|it| age(it) < self.timeouts.stale_after).count();
@@ -135,10 +143,6 @@
     }
 }
 
-fn is_alive(it: &WatcherStatus, now: Duration) -> bool {
-    now < it.last_heard + PEER_TIMEOUT
-}
-
 /// Returns how many more hosts try the store when its last answer has that age.
 fn n_extra_tries(age: Duration, stale_after: Duration) -> usize {
     let doublings = (age.as_secs_f64() / stale_after.as_secs_f64()).log2();
--- a/crates/portfield/src/balance/topology.rs
+++ b/crates/portfield/src/balance/topology.rs
@@ -43,6 +43,11 @@
 /// A host that searches for its data centre sends a discovery digest once in this many.
 const DISCOVERY_EVERY: u64 = 4;
 
+/// Returns the time between two digests of a host, by the number of hosts in its data centre.
+pub(super) fn digest_period(n_hosts: usize) -> Duration {
+    PERIOD.max(PERIOD_PER_HOST * n_hosts as u32)
+}
+
 /// This host's place in the gossip.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GossipConfig {
@@ -123,7 +128,7 @@
         // A host that has just started has heard nobody yet, so it counts the hosts it knows of.
         let is_starting = now < STARTUP_TIME && config.direct_limit < peers.len();
         let is_hierarchical = config.direct_limit < n_alive.max(n_local + n_remote) || is_starting;
-        let period = PERIOD.max(PERIOD_PER_HOST * n_local as u32);
+        let period = digest_period(n_local);
         let last_local =
             peers.iter().filter(is_local).map(|it| it.last_heard).max().unwrap_or_default();
         // If digests stop altogether, the hosts heard last stay candidates until others are found.
--- a/crates/portfield/src/balance/upstream_table.rs
+++ b/crates/portfield/src/balance/upstream_table.rs
@@ -7,7 +7,7 @@
     backoff::Backoff,
     fast_map::FastMap,
     health::Health,
-    peer_state::{PEER_TIMEOUT, PeerState},
+    peer_state::{PeerState, peer_timeout},
     prefix_cache::PrefixCache,
     warmup::Warmup,
 };
@@ -102,6 +102,8 @@
     received: VecDeque<Announcement>,
     /// When this host last wrote a summary.
     last_summary: Option<Duration>,
+    /// Time between two digests of a host of this data centre.
+    digest_period: Duration,
 }
 
 /// Summary of a data centre's hosts.
@@ -114,6 +116,11 @@
 }
 
 impl UpstreamTable {
+    /// Sets the time between two digests of a host of this data centre.
+    pub(crate) fn set_digest_period(&mut self, period: Duration) {
+        self.digest_period = period;
+    }
+
     /// Returns the state of an upstream, inserting it if needed.
     pub(crate) fn entry(&mut self, upstream: u32) -> &mut UpstreamState {
         self.upstreams.entry(upstream).or_default()
@@ -192,7 +199,8 @@
             sum.asked += it.asked;
             sum.taken += it.taken;
         }
-        let n_hosts = 1 + members().filter(|it| now < it.last_heard + PEER_TIMEOUT).count() as u32;
+        let n_hosts =
+            1 + members().filter(|it| it.is_alive(now, self.digest_period)).count() as u32;
         let loads = loads.into_values().filter(|it| 0 < it.read || 0 < it.running).collect();
         // This host's own prefixes are sent in its digests too; the summary carries them as well.
         let mut prefixes = take_announcements(&mut self.received);
@@ -203,7 +211,8 @@
 
     /// Keeps the announcements of another host, each once, while this host writes summaries.
     fn collect_announcements(&mut self, now: Duration, digest: &wire::Digest) {
-        if digest.n_summed != 0 || self.last_summary.is_none_or(|it| it + PEER_TIMEOUT < now) {
+        let timeout = peer_timeout(self.digest_period);
+        if digest.n_summed != 0 || self.last_summary.is_none_or(|it| it + timeout < now) {
             return;
         }
         for it in &digest.prefixes {
@@ -228,7 +237,7 @@
             return Vec::new();
         }
         remove_load(peer, &mut self.upstreams);
-        peer.begin_digest(now, digest);
+        peer.begin_digest(now, digest, self.digest_period);
         for it in &digest.loads {
             apply_load(&mut self.upstreams, it, 1.0);
             let grown = peer.record_load(it);
@@ -243,11 +252,11 @@
         usage
     }
 
-    /// Drops the load of peers silent for [`PEER_TIMEOUT`], and backoffs that ended long ago.
+    /// Drops the load of peers that have been silent too long, and backoffs that ended long ago.
     pub(crate) fn expire(&mut self, now: Duration) {
         self.upstreams.values_mut().for_each(|it| it.backoff.expire(now));
         for peer in self.peers.values_mut() {
-            if peer.last_heard + PEER_TIMEOUT <= now {
+            if !peer.is_alive(now, self.digest_period) {
                 remove_load(peer, &mut self.upstreams);
             }
         }
@@ -255,7 +264,7 @@
 
     /// Returns the number of other hosts heard recently, directly or in a summary.
     pub(crate) fn n_peers(&self, now: Duration) -> usize {
-        let alive = self.peers.values().filter(|it| now < it.last_heard + PEER_TIMEOUT);
+        let alive = self.peers.values().filter(|it| it.is_alive(now, self.digest_period));
         alive.map(|it| it.n_summed.max(1) as usize).sum()
     }
 }
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -145,7 +145,7 @@
     /// Returns the changes since an older version, `None` if they are not all known.
     pub fn changes_since(&self, version: impl Into<StoreVersion>) -> Option<Delta> {
         let version = version.into();
-        if version < self.history_start? {
+        if !self.has_changes_since(version) {
             return None;
         }
         let set = self.entries.iter().filter(|it| version < it.1.changed_in);
@@ -164,6 +164,11 @@
             it.row_version = row_version;
         }
     }
+    /// Returns whether all changes since an older version are known.
+    pub fn has_changes_since(&self, version: impl Into<StoreVersion>) -> bool {
+        self.history_start.is_some_and(|it| it <= version.into())
+    }
+
 
     /// Returns the version of the row that an entry was last read from, zero if unknown.
     pub fn row_version(&self, id: &str) -> u64 {
--- a/crates/portfield/tests/gossip_simulation/mod.rs
+++ b/crates/portfield/tests/gossip_simulation/mod.rs
@@ -1,13 +1,23 @@
 //! Simulation in virtual time of hosts that only exchange digests; datagrams are delayed, and some
 //! are lost.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+#![allow(dead_code)]
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use portfield::{
-    balance::{Balancer, Delivery, GossipConfig, PeerTable, host_hash},
+    balance::{
+        Balancer, Delivery, FetchSize, GossipConfig, Introduction, PeerCopy, PeerTable,
+        WHOLE_LIST_INTERVAL, asks_now, host_hash,
+    },
     catalog::DrainMarks,
     quarantine::Quarantine,
-    wire::Digest,
+    wire::{Digest, KnownHost},
 };
 
 /// Step of the virtual time.
@@ -42,16 +52,62 @@
     pub orders_version: u64,
     /// Version that it is fetching, and when the fetch completes.
     pub fetching: Option<(u64, Duration)>,
+    /// Version of the list of upstreams that it knows, zero if it has none.
+    pub list_version: u64,
+    pub list_fetch: Option<ListFetch>,
+    /// Host that it is to ask for the list, and when.
+    pub list_ask: Option<(usize, Duration)>,
+    /// Whether it heard another host that has the list.
+    pub peer_copy: PeerCopy,
+    /// Draws the host's part of random waits.
+    pub draw: f64,
+    /// Other hosts to which it is sending its list.
+    pub n_serving: u32,
+    /// When it last began to send its list to a host.
+    pub last_served: Duration,
     pub n_sent: u64,
     pub n_received: u64,
 }
 
+/// Transfer of the list of upstreams to a host.
+#[derive(Clone, Copy)]
+pub struct ListFetch {
+    /// Index of the host that sends it; `None` for the store.
+    pub from: Option<usize>,
+    pub version: u64,
+    pub ends: Duration,
+}
+
+/// The list of upstreams in the store, which hosts read or fetch from each other.
+#[derive(Default)]
+pub struct SimulatedList {
+    /// Version in the store, zero if there is no list.
+    pub version: u64,
+    /// Time to read it from the store or to fetch it from another host.
+    pub transfer_time: Duration,
+    /// Reads of the store.
+    pub n_reads: u32,
+    /// Largest number of other hosts that a host sent its list to at a time.
+    pub max_serving: u32,
+}
+
+/// A datagram on its way.
+struct Datagram {
+    arrives: Duration,
+    from: SocketAddr,
+    to: SocketAddr,
+    digest: Rc<Digest>,
+}
+
 /// Simulated hosts and the datagrams between them.
 pub struct Simulation {
     pub now: Duration,
     pub hosts: Vec<Host>,
-    /// Datagrams on their way: arrival time, sender, receiver, digest.
-    pub in_flight: Vec<(Duration, SocketAddr, SocketAddr, Digest)>,
+    /// Indices of the hosts by address.
+    by_address: HashMap<SocketAddr, usize>,
+    /// Datagrams on their way, in the order of their arrival.
+    in_flight: VecDeque<Datagram>,
+    pub list: SimulatedList,
     /// Percentage of datagrams that are lost.
     pub loss: u32,
     pub rng: fastrand::Rng,
@@ -64,7 +120,9 @@
         let mut res = Self {
             now: Duration::from_millis(1),
             hosts: Vec::new(),
-            in_flight: Vec::new(),
+            by_address: HashMap::new(),
+            in_flight: VecDeque::new(),
+            list: SimulatedList::default(),
             loss: 0,
             rng: fastrand::Rng::with_seed(SEED),
         };
@@ -79,6 +137,8 @@
         let config =
             GossipConfig { host: host_hash(address), data_centre, direct_limit: DIRECT_LIMIT };
         let jitter = Duration::from_millis(self.rng.u64(0..300));
+        let draw = self.rng.f64();
+        self.by_address.insert(address, self.hosts.len());
         self.hosts.push(Host {
             address,
             data_centre,
@@ -95,6 +155,13 @@
             summaries: HashMap::new(),
             orders_version: 0,
             fetching: None,
+            list_version: 0,
+            list_fetch: None,
+            list_ask: None,
+            draw,
+            peer_copy: PeerCopy::None,
+            n_serving: 0,
+            last_served: Duration::ZERO,
             n_sent: 0,
             n_received: 0,
         });
@@ -111,6 +178,26 @@
         }
     }
 
+    /// Adds to each host's table what it reads in the store at its start: the `n_first` hosts of its
+    /// data centre with the lowest hashes and, if it is one of the first `n_leading`, those of the
+    /// other data centres.
+    pub fn add_first_rows(&mut self, n_first: usize, n_leading: usize) {
+        let mut rows: HashMap<u32, Vec<SocketAddr>> = HashMap::new();
+        self.hosts.iter().for_each(|it| rows.entry(it.data_centre).or_default().push(it.address));
+        for row in rows.values_mut() {
+            row.sort_by_key(|it| host_hash(*it));
+            row.truncate(n_first);
+        }
+        for host in &mut self.hosts {
+            let own = host.data_centre;
+            rows[&own].iter().for_each(|it| host.peers.add_host(*it, Some(own)));
+            if host.peers.is_among_first(n_leading) {
+                let all = rows.iter().flat_map(|it| it.1.iter().map(|address| (*it.0, *address)));
+                all.for_each(|(centre, it)| host.peers.add_host(it, Some(centre)));
+            }
+        }
+    }
+
     /// Restarts a dead host at the same address.
     pub fn restart(&mut self, i: usize) {
         let known: Vec<_> = self.hosts.iter().map(|it| (it.address, it.data_centre)).collect();
@@ -126,6 +213,7 @@
         host.balancer = Balancer::new(Duration::from_secs(4));
         host.quarantine = Quarantine::default();
         host.drains = DrainMarks::default();
+        (host.list_version, host.list_fetch, host.peer_copy) = (0, None, PeerCopy::None);
         (host.started, host.next_digest, host.sequence) = (now, now, 0);
         host.incarnation += 1;
         host.is_alive = true;
@@ -143,12 +231,56 @@
                     host.orders_version = orders_version;
                 }
                 if self.hosts[i].is_alive && self.hosts[i].next_digest <= self.now {
+                    self.read_list_if_due(i);
                     self.send_digests(i);
                 }
+                if let Some((from, _)) = self.hosts[i].list_ask.take_if(|it| it.1 <= self.now) {
+                    self.fetch_list(i, from);
+                }
+                self.end_list_fetch(i);
             }
         }
     }
 
+    /// Starts to read the list from the store if a host lacks it and its turn has come.
+    fn read_list_if_due(&mut self, i: usize) {
+        let (now, version) = (self.now, self.list.version);
+        let host = &mut self.hosts[i];
+        if version == 0 || host.list_version != 0 || host.list_fetch.is_some() {
+            return;
+        }
+        let uptime = now - host.started;
+        let rank = host.peers.reader_rank(uptime);
+        if rank.read_due(Duration::ZERO, host.peer_copy, host.draw) <= uptime {
+            let ends = now + self.list.transfer_time;
+            host.list_fetch = Some(ListFetch { from: None, version, ends });
+            self.list.n_reads += 1;
+        }
+    }
+
+    /// Starts to fetch the list from another host.
+    fn fetch_list(&mut self, i: usize, from: usize) {
+        let holder = &self.hosts[from];
+        let is_busy = self.now < holder.last_served + WHOLE_LIST_INTERVAL;
+        if self.hosts[i].list_fetch.is_some() || !holder.is_alive || is_busy {
+            return;
+        }
+        self.hosts[from].last_served = self.now;
+        let (version, ends) = (self.hosts[from].list_version, self.now + self.list.transfer_time);
+        self.hosts[i].list_fetch = Some(ListFetch { from: Some(from), version, ends });
+        self.hosts[from].n_serving += 1;
+        self.list.max_serving = self.list.max_serving.max(self.hosts[from].n_serving);
+    }
+
+    fn end_list_fetch(&mut self, i: usize) {
+        let now = self.now;
+        let Some(fetch) = self.hosts[i].list_fetch.take_if(|it| it.ends <= now) else { return };
+        self.hosts[i].list_version = self.hosts[i].list_version.max(fetch.version);
+        if let Some(from) = fetch.from {
+            self.hosts[from].n_serving -= 1;
+        }
+    }
+
     /// Sends a host's digest, and its data centre's summary if it is the leader.
     pub fn send_digests(&mut self, i: usize) {
         let now = self.now;
@@ -164,12 +296,14 @@
             address: host.address.to_string(),
             seeks_hosts: !host.peers.knows_local_host(),
             orders_version: host.orders_version,
+            list_version: host.list_version,
             ..Digest::default()
         };
         host.balancer.fill_digest(uptime, &mut digest);
         digest.suspects = host.quarantine.suspects_for_digest(uptime, &topology, host.sequence);
         digest.draining =
             host.drains.take_for_digest(topology.digest_scope(host.sequence), |_| true);
+        host.balancer.set_digest_period(topology.period());
         let mut outgoing = Vec::new();
         if topology.is_leader() {
             let mut summary = Digest {
@@ -182,9 +316,11 @@
             summary.suspects = host.quarantine.suspects_for_summary(uptime);
             summary.draining = host.drains.for_summary(|_| true);
             let recipients = host.peers.summary_recipients(uptime, host.sequence);
+            let summary = Rc::new(summary);
             outgoing.extend(recipients.into_iter().map(|it| (it, summary.clone())));
         }
         digest.relayed = host.peers.take_forwards();
+        let digest = Rc::new(digest);
         outgoing.extend(
             host.peers.recipients(host.sequence).into_iter().map(|it| (it, digest.clone())),
         );
@@ -193,54 +329,71 @@
     }
 
     /// Sends digests from a host; some are lost.
-    pub fn send(&mut self, i: usize, outgoing: Vec<(SocketAddr, Digest)>) {
+    pub fn send(&mut self, i: usize, outgoing: Vec<(SocketAddr, Rc<Digest>)>) {
         let from = self.hosts[i].address;
         self.hosts[i].n_sent += outgoing.len() as u64;
         for (to, digest) in outgoing {
             if self.loss <= self.rng.u32(0..100) {
-                self.in_flight.push((self.now + ONE_WAY_DELAY, from, to, digest));
+                let arrives = self.now + ONE_WAY_DELAY;
+                self.in_flight.push_back(Datagram { arrives, from, to, digest });
             }
         }
     }
 
     /// Delivers the datagrams that are due.
     pub fn deliver(&mut self) {
-        let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.in_flight).into_iter().partition(|it| it.0 <= now);
-        self.in_flight = later;
-        for (_, from, to, digest) in due {
-            let to = self.hosts.iter().position(|it| it.address == to && it.is_alive);
-            if let Some(i) = to.filter(|i| self.hosts[*i].started <= now) {
-                self.receive(i, from, digest);
+        while let Some(it) = self.in_flight.pop_front_if(|it| it.arrives <= self.now) {
+            let to = self.by_address.get(&it.to).copied();
+            if let Some(i) = to.filter(|i| self.is_running(*i)) {
+                self.receive(i, it.from, &it.digest);
             }
         }
     }
 
+    fn is_running(&self, i: usize) -> bool {
+        self.hosts[i].is_alive && self.hosts[i].started <= self.now
+    }
+
     /// Processes a datagram as a host does.
-    pub fn receive(&mut self, i: usize, from: SocketAddr, mut digest: Digest) {
+    pub fn receive(&mut self, i: usize, from: SocketAddr, digest: &Digest) {
         let host = &mut self.hosts[i];
         host.n_received += 1;
         let now = self.now - host.started;
         let topology = host.peers.topology();
         let mut outgoing = Vec::new();
         if digest.seeks_hosts && topology.is_hierarchical() {
-            outgoing.push((from, Digest { hosts: host.peers.known_hosts(), ..Digest::default() }));
+            let to = digest.address.parse().unwrap();
+            match host.peers.introduction(digest) {
+                Introduction::Hosts(hosts) => {
+                    outgoing.push((to, Rc::new(Digest { hosts, ..Digest::default() })));
+                }
+                Introduction::AskLeader(leader) => {
+                    let digest = Digest { passed_on: true, ..digest.clone() };
+                    outgoing.push((leader, Rc::new(digest)));
+                }
+                Introduction::Unknown => {}
+            }
         }
         if !digest.hosts.is_empty() {
-            let hosts = digest.hosts.iter();
-            hosts.for_each(|it| {
+            let add = |it: &KnownHost| {
                 host.peers.add_host(it.address.parse().unwrap(), Some(it.data_centre));
-            });
+            };
+            digest.hosts.iter().for_each(add);
             return;
         }
-        let relayed =
-            std::mem::take(&mut digest.relayed).into_iter().map(|it| (it, Delivery::Relayed));
+        let (mut holders, mut n_lacking) = (Vec::new(), 0);
+        let relayed = digest.relayed.iter().map(|it| (it, Delivery::Relayed));
         for (it, delivery) in std::iter::once((digest, Delivery::Direct)).chain(relayed) {
+            if host.list_version < it.list_version {
+                holders.push(it.address.clone());
+                host.peer_copy = PeerCopy::Heard;
+            } else {
+                n_lacking += 1;
+            }
             if it.host == host_hash(host.address) {
                 continue;
             }
-            host.peers.record_digest(now, from, &it);
+            host.peers.record_digest(now, from, it);
             host.quarantine.merge(now, &it.suspects);
             it.draining.iter().for_each(|it| {
                 host.drains.insert(*it);
@@ -253,12 +406,20 @@
             } else {
                 host.summaries.insert(it.data_centre, (self.now, it.n_summed));
             }
-            if topology.accepts(&it) {
-                host.balancer.merge_digest(now, &it);
+            if topology.accepts(it) {
+                host.balancer.merge_digest(now, it);
             }
-            outgoing.extend(host.peers.forward(it, delivery));
+            let own = Digest { relayed: Vec::new(), ..it.clone() };
+            outgoing.extend(host.peers.forward(own, delivery).map(|it| (it.0, Rc::new(it.1))));
         }
         self.send(i, outgoing);
+        let n_holders = holders.len();
+        let asks = asks_now(n_holders, n_lacking, FetchSize::WholeList, self.rng.f64());
+        if asks && let Some(address) = self.rng.choice(holders) {
+            let from = self.by_address[&address.parse().unwrap()];
+            let at = self.now + topology.period().mul_f64(self.rng.f64());
+            self.hosts[i].list_ask.get_or_insert((from, at));
+        }
     }
 
     /// Returns the live hosts that lead a data centre.
