perf(host): update what is derived from the list per changed upstream

Cause: each change of one upstream rebuilt everything that is derived from the list, and each new entry was searched for among all to log conflicts with drain marks: quadratic in the upstreams at a start.

Change: the directory notes the upstreams that were touched; lists by service, cold times and encoded entries are patched for these. Conflicts are looked up by id. State of upstreams that are no longer listed is dropped at most every five seconds.

Conclusion: linear in what changed, but for a copy of the lists.

--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -8,7 +8,7 @@
 
 use portfield::{
     balance::{Assignment, Candidate, Placement, Refusal},
-    catalog::{Regions, Upstream},
+    catalog::{Regions, Restart, Upstream},
 };
 use portfield_net::clock;
 
@@ -16,7 +16,7 @@
     call::Call,
     quarantine::{self, EndEvidence},
     state::Host,
-    upstream_list::{ReadyUpstreams, UpstreamList},
+    upstream_list::{ListChanges, ReadyUpstreams, UpstreamList},
 };
 
 /// Which of the candidate upstreams a request may be placed on.
@@ -40,28 +40,49 @@
     pub share_ratio: f64,
 }
 
+/// Minimum time between two checks which upstreams are no longer listed: each goes through all.
+const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+
 impl Host {
     /// Updates the upstream list or the evacuations with `f`, and everything that is derived from
     /// them.
     pub(crate) fn update_list<T>(&self, f: impl FnOnce(&mut UpstreamList) -> T) -> T {
         let own_data_centre = self.settings().data_centre.clone();
         let mut list = self.upstream_list.write().unwrap_or_else(PoisonError::into_inner);
-        let before: Vec<Arc<Upstream>> = list.directory.ready().cloned().collect();
         let res = f(&mut list);
-        list.rebuild_ready(&own_data_centre);
-        let cold = list.take_cold_changes();
-        let ids: HashSet<u32> = list.directory.all().map(|it| it.wire_id()).collect();
-        let is_restarted = |it: &&Arc<Upstream>| list.directory.is_restarted(it);
-        let restarted: Vec<Arc<Upstream>> = before.iter().filter(is_restarted).cloned().collect();
+        let ListChanges { cold, restarts, n_touched } = list.apply_changes(&own_data_centre);
         drop(list);
-        self.balancer().retain_upstreams(|id| ids.contains(&id));
+        restarts.iter().for_each(|it| self.inherit_backoff(it));
+        if 0 < n_touched {
+            self.forget_unlisted();
+        }
         self.update_cold(&cold);
-        restarted
-            .iter()
-            .for_each(|it| quarantine::record_upstream_end(self, it, EndEvidence::Reborn));
+        for it in &restarts {
+            quarantine::record_upstream_end(self, &it.earlier, EndEvidence::Reborn);
+        }
         res
     }
 
+    /// Forgets what is known of upstreams that are no longer listed, if that was not done recently.
+    fn forget_unlisted(&self) {
+        if self.unlisted_forgotten.elapsed().is_some_and(|it| it < FORGET_INTERVAL) {
+            return;
+        }
+        self.unlisted_forgotten.set_now();
+        let ids: HashSet<u32> =
+            self.with_list(|list| list.directory.all().map(|it| it.wire_id()).collect());
+        self.balancer().retain_upstreams(|id| ids.contains(&id));
+    }
+
+    /// Applies a backoff that was recorded for the earlier incarnation before this host knew of the
+    /// restart.
+    fn inherit_backoff(&self, Restart { earlier, current }: &Restart) {
+        let Some(started_ms) = current.entry.started_ms else { return };
+        let age = Duration::from_millis(clock::unix_millis().saturating_sub(started_ms));
+        let started = clock::now().saturating_sub(age);
+        self.balancer().inherit_backoff(earlier.wire_id(), current.wire_id(), started);
+    }
+
     /// Reads the upstream list with `f`.
     pub(crate) fn with_list<T>(&self, f: impl FnOnce(&UpstreamList) -> T) -> T {
         f(&self.upstream_list.read().unwrap_or_else(PoisonError::into_inner))
@@ -128,7 +149,7 @@
                 return Err(PlacementRefusal { reason, retry_after, estimate, share_ratio });
             }
         };
-        let chosen = ready.upstreams.iter().find(|it| it.wire_id() == assignment.upstream);
+        let chosen = ready.get(assignment.upstream);
         chosen.map(|it| (assignment, it.clone())).ok_or(PlacementRefusal {
             reason: Refusal::NoUpstream,
             retry_after: assignment.estimate,
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -45,9 +45,7 @@
 pub(crate) fn record_broken_attempt(host: &Host, call: &Call, upstream: &Upstream) -> bool {
     // A draining upstream may end with requests still running, and a host that was suspended may
     // not know that it drains.
-    if !host.has_fresh_state()
-        || !host.with_list(|it| it.directory.ready().any(|it| it.hash == upstream.hash))
-    {
+    if !host.has_fresh_state() || !host.with_list(|it| it.directory.get_ready(upstream).is_some()) {
         return false;
     }
     let has_ended = host.broken_attempts().record_break(
--- a/crates/portfield-host/src/table_read.rs
+++ b/crates/portfield-host/src/table_read.rs
@@ -95,11 +95,17 @@
     rows.iter().for_each(|it| directory.set_row_version(&it.id, it.version));
     // Raw bytes are passed on only for rows that were applied unmodified.
     let is_applied = |it: &ListRow| unmodified_ids.as_ref().is_none_or(|ids| ids.contains(&it.id));
-    let applied = rows.into_iter().filter(is_applied);
-    let bytes = applied.filter_map(|it| Some((it.id, Bytes::from(it.entry?))));
-    list.entries.extend(bytes);
-    let known: HashSet<&str> = list.directory.all().map(|it| it.entry.id.as_str()).collect();
-    list.entries.retain(|id, _| known.contains(id.as_str()));
+    for it in rows.into_iter().filter(is_applied) {
+        match it.entry {
+            Some(bytes) if directory.get(&it.id).is_some() => {
+                list.entries.insert(it.id, Bytes::from(bytes));
+            }
+            _ => {}
+        }
+    }
+    for it in changed.iter().filter(|it| it.state.is_none()) {
+        list.entries.remove(&it.id);
+    }
     log_changed(&changed, version);
     log_draining_conflicts(&list.directory, &changed, version);
     true
@@ -115,7 +121,8 @@
 /// Logs list entries that say `ready` for upstreams that announced draining in a response; they
 /// stay draining.
 fn log_draining_conflicts(directory: &Directory, changed: &[ChangedUpstream], list: StoreVersion) {
-    let is_draining = |id: &str| directory.draining_unlisted().any(|it| it.entry.id == id);
+    let is_draining =
+        |id: &str| directory.get(id).is_some_and(|it| directory.is_marked_draining(it.wire_id()));
     for it in changed.iter().filter(|it| it.state == Some(State::Ready)) {
         if is_draining(&it.id) {
             log::warn!(upstream = it.id, list:%; "entry says ready, but the upstream announced draining");
--- a/crates/portfield-host/src/upstream_list.rs
+++ b/crates/portfield-host/src/upstream_list.rs
@@ -9,9 +9,13 @@
 use bytes::Bytes;
 use portfield::{
     balance::Candidate,
-    catalog::{Directory, Evacuations, Upstream},
+    catalog::{Directory, Evacuations, Restart, TouchedUpstreams, Upstream},
 };
 
+/// Number of changed upstreams above which all lists are rebuilt: a change of one moves the
+/// upstreams after it.
+const MAX_PATCHED: usize = 64;
+
 /// Upstreams and the encoded entries they were decoded from, by id.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamList {
@@ -19,22 +23,42 @@
     pub entries: HashMap<String, Bytes>,
     /// Evacuated data centres.
     pub evacuations: Evacuations,
-    /// Upstreams that take requests, by service; rebuilt on each change because every request reads
-    /// it.
+    /// Upstreams that take requests, by service; kept up to date because every request reads it.
     pub ready: HashMap<String, Arc<ReadyUpstreams>>,
     /// Hashes of all upstreams in `ready`.
     accepting: HashSet<u64>,
     /// Cold times reported by upstreams, by hash; only non-zero ones.
     reported_cold: HashMap<u64, Duration>,
+    /// The reported cold times are to be applied again.
+    is_cold_reset: bool,
+    /// What `ready` was last built from, besides the directory.
+    built_from: BuildInputs,
 }
 
-/// The upstreams of a service that take new requests; both vectors have the same order.
-#[derive(Debug, Default)]
+/// What decides which upstreams take requests, besides their entries.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct BuildInputs {
+    own_data_centre: String,
+    evacuated: Vec<String>,
+}
+
+/// The upstreams of a service that take new requests; both vectors are sorted by wire id.
+#[derive(Debug, Default, Clone)]
 pub(crate) struct ReadyUpstreams {
     pub upstreams: Vec<Arc<Upstream>>,
     pub candidates: Vec<Candidate>,
 }
 
+/// What an update of the list changed.
+#[derive(Debug)]
+pub(crate) struct ListChanges {
+    /// Upstreams whose reported cold time has changed.
+    pub cold: Vec<Arc<Upstream>>,
+    pub restarts: Vec<Restart>,
+    /// Number of entries that were added, changed or removed.
+    pub n_touched: usize,
+}
+
 impl ReadyUpstreams {
     /// Returns the upstreams in the data centres that `is_allowed` accepts.
     pub(crate) fn in_data_centres(&self, is_allowed: impl Fn(&str) -> bool) -> Self {
@@ -43,6 +67,29 @@
         let (upstreams, candidates) = some.map(|(it, candidate)| (it.clone(), *candidate)).unzip();
         Self { upstreams, candidates }
     }
+
+    /// Returns the upstream with a wire id.
+    pub(crate) fn get(&self, wire_id: u32) -> Option<&Arc<Upstream>> {
+        self.upstreams.get(self.position(wire_id).ok()?)
+    }
+
+    fn position(&self, wire_id: u32) -> Result<usize, usize> {
+        self.candidates.binary_search_by_key(&wire_id, |it| it.upstream)
+    }
+
+    fn remove(&mut self, wire_id: u32) {
+        if let Ok(idx) = self.position(wire_id) {
+            self.upstreams.remove(idx);
+            self.candidates.remove(idx);
+        }
+    }
+
+    fn insert(&mut self, upstream: Arc<Upstream>, own_data_centre: &str) {
+        let candidate = candidate(&upstream, own_data_centre);
+        let (Ok(idx) | Err(idx)) = self.position(candidate.upstream);
+        self.upstreams.insert(idx, upstream);
+        self.candidates.insert(idx, candidate);
+    }
 }
 
 impl UpstreamList {
@@ -55,33 +102,97 @@
     /// configuration.
     pub(crate) fn reset_cold(&mut self) {
         self.reported_cold.clear();
+        self.is_cold_reset = true;
+    }
+
+    /// Brings what is derived from the directory and the evacuations up to date; upstreams in
+    /// `own_data_centre` are marked as near.
+    pub(crate) fn apply_changes(&mut self, own_data_centre: &str) -> ListChanges {
+        let TouchedUpstreams { touched, restarts } = self.directory.take_touched();
+        let inputs = BuildInputs {
+            own_data_centre: own_data_centre.to_owned(),
+            evacuated: self.evacuations.data_centres().map(str::to_owned).collect(),
+        };
+        if self.built_from != inputs || MAX_PATCHED < touched.len() {
+            self.built_from = inputs;
+            self.rebuild_ready();
+        } else {
+            touched.iter().for_each(|it| self.patch_ready(it));
+        }
+        let n_touched = touched.len();
+        ListChanges { cold: self.take_cold_changes(touched), restarts, n_touched }
     }
 
-    /// Returns the upstreams whose reported cold time has changed since the last call.
-    pub(crate) fn take_cold_changes(&mut self) -> Vec<Arc<Upstream>> {
-        let last_reported =
-            |it: &Arc<Upstream>| self.reported_cold.get(&it.hash).copied().unwrap_or_default();
-        let has_changed = |it: &&Arc<Upstream>| it.entry.cold_remaining != last_reported(it);
-        let res: Vec<_> = self.directory.all().filter(has_changed).cloned().collect();
-        let cold = self.directory.all().filter(|it| !it.entry.cold_remaining.is_zero());
-        self.reported_cold = cold.map(|it| (it.hash, it.entry.cold_remaining)).collect();
+    /// Returns the upstreams whose reported cold time has changed since the last call, among those
+    /// that were touched or, after a reset, among all.
+    fn take_cold_changes(&mut self, touched: Vec<Arc<Upstream>>) -> Vec<Arc<Upstream>> {
+        let is_listed = |it: &&Arc<Upstream>| {
+            self.directory.get(&it.entry.id).is_some_and(|current| Arc::ptr_eq(current, it))
+        };
+        let checked: Vec<Arc<Upstream>> = if std::mem::take(&mut self.is_cold_reset) {
+            self.directory.all().cloned().collect()
+        } else {
+            touched.iter().filter(is_listed).cloned().collect()
+        };
+        for it in touched.iter().filter(|it| self.directory.get(&it.entry.id).is_none()) {
+            self.reported_cold.remove(&it.hash);
+        }
+        let mut res = Vec::new();
+        for it in checked {
+            let cold = it.entry.cold_remaining;
+            let last_reported = if cold.is_zero() {
+                self.reported_cold.remove(&it.hash)
+            } else {
+                self.reported_cold.insert(it.hash, cold)
+            };
+            if last_reported.unwrap_or_default() != cold {
+                res.push(it);
+            }
+        }
         res
     }
 
-    /// Rebuilds the lists by service; upstreams in `own_data_centre` are marked as near.
-    pub(crate) fn rebuild_ready(&mut self, own_data_centre: &str) {
+    fn is_open(&self, upstream: &Upstream) -> bool {
+        !self.evacuations.contains(&upstream.entry.data_centre)
+    }
+
+    /// Brings one upstream in the lists by service up to date.
+    fn patch_ready(&mut self, touched: &Arc<Upstream>) {
+        self.accepting.remove(&touched.hash);
+        if let Some(it) = self.ready.get_mut(&touched.entry.service) {
+            Arc::make_mut(it).remove(touched.wire_id());
+        }
+        let current = self.directory.get_ready(touched).filter(|it| self.is_open(it));
+        let Some(current) = current.cloned() else { return };
+        self.accepting.insert(current.hash);
+        let group = Arc::make_mut(self.ready.entry(current.entry.service.clone()).or_default());
+        group.remove(current.wire_id());
+        group.insert(current, &self.built_from.own_data_centre);
+    }
+
+    /// Rebuilds the lists by service.
+    fn rebuild_ready(&mut self) {
         let mut ready: HashMap<String, ReadyUpstreams> = HashMap::new();
-        let is_open = |it: &&Arc<Upstream>| !self.evacuations.contains(&it.entry.data_centre);
-        self.accepting = self.directory.ready().filter(is_open).map(|it| it.hash).collect();
-        for it in self.directory.ready().filter(is_open) {
-            let group = ready.entry(it.entry.service.clone()).or_default();
-            group.upstreams.push(it.clone());
-            group.candidates.push(Candidate {
-                upstream: it.wire_id(),
-                slots: it.entry.slots,
-                is_local: it.entry.data_centre == own_data_centre,
-            });
+        let mut open: Vec<_> = self.directory.ready().filter(|it| self.is_open(it)).collect();
+        open.sort_by_key(|it| it.wire_id());
+        self.accepting = open.iter().map(|it| it.hash).collect();
+        for it in open {
+            if !ready.contains_key(&it.entry.service) {
+                ready.insert(it.entry.service.clone(), ReadyUpstreams::default());
+            }
+            if let Some(group) = ready.get_mut(&it.entry.service) {
+                group.upstreams.push(it.clone());
+                group.candidates.push(candidate(it, &self.built_from.own_data_centre));
+            }
         }
         self.ready = ready.into_iter().map(|(service, it)| (service, Arc::new(it))).collect();
     }
 }
+
+fn candidate(upstream: &Upstream, own_data_centre: &str) -> Candidate {
+    Candidate {
+        upstream: upstream.wire_id(),
+        slots: upstream.entry.slots,
+        is_local: upstream.entry.data_centre == own_data_centre,
+    }
+}
--- a/crates/portfield-host/tests/cost.rs
+++ b/crates/portfield-host/tests/cost.rs
@@ -127,3 +127,34 @@
         .unwrap();
     drop(hanging);
 }
+
+/// Number of upstreams of a large fleet.
+const N_LISTED: u32 = 10_000;
+
+#[test]
+#[ignore = "a measurement, not a check"]
+fn cpu_time_of_a_start_with_many_upstreams() {
+    let mut fleet = Fleet::new(1, 1);
+    for n in 0..N_LISTED {
+        let mut entry = fleet.engines[0].entry("model", "ready");
+        entry["born"] = serde_json::json!(1_764_720_000_000_u64 + u64::from(n));
+        fleet.store.put("servers", &format!("i-{n:010x}"), &entry);
+    }
+    let host = fleet.start_host();
+    let started = cpu_time(&host);
+    for n in 0..50 {
+        fleet.store.put("servers", &format!("i-{n:010x}"), &serde_json::json!({}));
+        thread::sleep(Duration::from_millis(350));
+    }
+    let changes = (cpu_time(&host) - started) / 50;
+    let before = cpu_time(&host);
+    for n in 0..1000 {
+        host.send(&request("draft", &format!("{n:08x}")));
+    }
+    let per_request = (cpu_time(&host) - before) / 1000;
+    writeln!(
+        io::stdout(),
+        "{started:?} for the start, {changes:?} per change, {per_request:?} per request"
+    )
+    .unwrap();
+}
--- a/crates/portfield/src/balance/backoff.rs
+++ b/crates/portfield/src/balance/backoff.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Backoff {
     /// End of the backoff; `None` if there is none, or a request was accepted after it.
     until: Option<Duration>,
+    /// When the upstream last asked for a backoff.
+    asked_at: Duration,
     /// The request sent as a probe after the end, until its outcome is known.
     probe: Option<RunId>,
     /// The end was reported.
@@ -29,14 +31,25 @@
 impl Backoff {
     /// Starts a backoff; an earlier one is not shortened.
     pub(crate) fn begin(&mut self, now: Duration, time: Duration) {
+        if time.is_zero() {
+            return;
+        }
+        self.asked_at = now;
         let end = now + time.min(MAX_BACKOFF);
-        if time.is_zero() || self.until.is_some_and(|it| end <= it) {
+        if self.until.is_some_and(|it| end <= it) {
             return;
         }
         self.until = Some(end);
         self.is_reported = false;
     }
 
+    /// Returns this backoff for an incarnation of the upstream that started at a time: `None` if it
+    /// was asked for before.
+    pub(crate) fn for_incarnation(&self, started: Duration) -> Option<Self> {
+        let is_its_own = self.until.is_some() && started <= self.asked_at;
+        is_its_own.then(|| Self { probe: None, ..self.clone() })
+    }
+
     /// Returns the end of the backoff in effect.
     pub(crate) fn until(&self, now: Duration) -> Option<Duration> {
         self.until.filter(|it| now < *it)
--- a/crates/portfield/src/balance/upstream_signals.rs
+++ b/crates/portfield/src/balance/upstream_signals.rs
@@ -43,6 +43,35 @@
         self.upstreams.entry(upstream).backoff.begin(now, time);
     }
 
+    /// Applies the backoff of an upstream's earlier incarnation to its current one, which started at
+    /// `started`, if it was asked for since then: the list may name an incarnation only after that
+    /// has answered under the id that both share.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::Balancer;
+    /// use std::time::Duration;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let mut balancer = Balancer::new(second * 4);
+    /// balancer.start_backoff(second * 5, 7, second * 3);
+    /// balancer.inherit_backoff(7, 8, second * 4);
+    /// balancer.inherit_backoff(7, 9, second * 6);
+    /// assert_eq!(balancer.backoff_until(second * 6, 8), Some(second * 8));
+    /// assert_eq!(balancer.backoff_until(second * 6, 9), None);
+    /// ```
+    pub fn inherit_backoff(&mut self, earlier: u32, current: u32, started: Duration) {
+        let known = self.upstreams.get(earlier);
+        let Some(backoff) = known.and_then(|it| it.backoff.for_incarnation(started)) else {
+            return;
+        };
+        let state = self.upstreams.entry(current);
+        if !state.backoff.is_recorded() {
+            state.backoff = backoff;
+        }
+    }
+
     /// Returns when an upstream's backoff ends; `None` if there is none at `now`.
     pub fn backoff_until(&self, now: Duration, upstream: u32) -> Option<Duration> {
         self.upstreams.get(upstream)?.backoff.until(now)
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -38,6 +38,24 @@
     pub state: Option<State>,
 }
 
+/// An upstream that was started again under its id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Restart {
+    /// The earlier incarnation.
+    pub earlier: Arc<Upstream>,
+    /// The current one.
+    pub current: Arc<Upstream>,
+}
+
+/// Upstreams to check again in what is derived from the list.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct TouchedUpstreams {
+    /// Upstreams that were added, changed or removed, as they were and as they are.
+    pub touched: Vec<Arc<Upstream>>,
+    /// Upstreams that accepted requests before they were started again.
+    pub restarts: Vec<Restart>,
+}
+
 /// Changes since an older version of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Delta {
@@ -70,6 +88,10 @@
     history_start: Option<StoreVersion>,
     /// Upstreams that reported that they are draining.
     drain_marks: DrainMarks,
+    /// Changes since the last call of [`Self::take_touched`].
+    touched: TouchedUpstreams,
+    /// No entry expires before this time; `None` if none expires.
+    first_expiry: Option<Duration>,
 }
 
 /// An entry that was removed.
@@ -142,6 +164,11 @@
         absent.into_iter().chain(list).filter_map(|it| self.apply_change(it, missing)).collect()
     }
 
+    /// Returns whether all changes since an older version are known.
+    pub fn has_changes_since(&self, version: impl Into<StoreVersion>) -> bool {
+        self.history_start.is_some_and(|it| it <= version.into())
+    }
+
     /// Returns the changes since an older version, `None` if they are not all known.
     pub fn changes_since(&self, version: impl Into<StoreVersion>) -> Option<Delta> {
         let version = version.into();
@@ -164,11 +191,6 @@
             it.row_version = row_version;
         }
     }
-    /// Returns whether all changes since an older version are known.
-    pub fn has_changes_since(&self, version: impl Into<StoreVersion>) -> bool {
-        self.history_start.is_some_and(|it| it <= version.into())
-    }
-
 
     /// Returns the version of the row that an entry was last read from, zero if unknown.
     pub fn row_version(&self, id: &str) -> u64 {
@@ -202,6 +224,7 @@
         if let Some(it) = self.entries.get_mut(id) {
             it.expires_at = Some(expires_at);
             it.changed_in = self.version;
+            self.first_expiry = Some(self.first_expiry.map_or(expires_at, |it| it.min(expires_at)));
         }
     }
 
@@ -214,9 +237,9 @@
         self.is_empty() || self.entries.contains_key(id)
     }
 
-    /// Returns whether any entry has expired.
+    /// Returns whether entries may have expired.
     pub fn has_expired(&self, now: Duration) -> bool {
-        self.entries.values().any(|it| it.is_expired(now))
+        self.first_expiry.is_some_and(|it| it <= now)
     }
 
     /// Removes expired entries; returns their ids.
@@ -226,6 +249,7 @@
         removed.iter().for_each(|it| {
             self.remove(it);
         });
+        self.first_expiry = self.entries.values().filter_map(|it| it.expires_at).min();
         removed
     }
 
@@ -255,7 +279,12 @@
     /// assert!(directory.is_marked_draining(7) && !directory.is_marked_draining(8));
     /// ```
     pub fn mark_draining(&mut self, upstream: u32) -> bool {
-        self.drain_marks.insert(upstream)
+        let is_new = self.drain_marks.insert(upstream);
+        if is_new {
+            let marked = self.entries.values().find(|it| it.upstream.wire_id() == upstream);
+            self.touched.touched.extend(marked.map(|it| it.upstream.clone()));
+        }
+        is_new
     }
 
     /// Returns whether an upstream reported that it is draining.
@@ -266,7 +295,11 @@
     /// Returns the upstreams that reported that they are draining while their entries say `ready`.
     pub fn draining_unlisted(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         let is_entry_ready = |it: &&Arc<Upstream>| it.entry.state == State::Ready;
-        self.all().filter(is_entry_ready).filter(|it| self.is_marked_draining(it.wire_id()))
+        let has_marks = !self.drain_marks.is_empty();
+        self.all()
+            .take_while(move |_| has_marks)
+            .filter(is_entry_ready)
+            .filter(|it| self.is_marked_draining(it.wire_id()))
     }
 
     /// Returns the wire ids of [`Self::draining_unlisted`] to send in a digest.
@@ -293,10 +326,21 @@
         upstream.entry.state
     }
 
-    /// Returns whether another incarnation now has the entry of an upstream.
-    pub fn is_restarted(&self, upstream: &Upstream) -> bool {
-        let current = self.entries.get(&upstream.entry.id);
-        current.is_some_and(|it| it.upstream.hash != upstream.hash)
+    /// Returns the entry with an id.
+    pub fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
+        self.entries.get(id).map(|it| &it.upstream)
+    }
+
+    /// Returns the current entry of an upstream if it accepts new requests and has not been started
+    /// again since.
+    pub fn get_ready(&self, upstream: &Upstream) -> Option<&Arc<Upstream>> {
+        let current = self.get(&upstream.entry.id).filter(|it| it.hash == upstream.hash);
+        current.filter(|it| self.effective_state(it) == State::Ready)
+    }
+
+    /// Takes the upstreams that changed since the last call.
+    pub fn take_touched(&mut self) -> TouchedUpstreams {
+        std::mem::take(&mut self.touched)
     }
 
     /// Returns whether no upstream is known.
@@ -315,9 +359,8 @@
                 self.remove(&id)
             }
             (EntryChange::Removed(id), MissingRows::MayReturn { restored_at }) => {
-                let it = self.entries.get_mut(&id)?;
-                it.expires_at.get_or_insert(restored_at + REGISTRATION_GRACE);
-                it.changed_in = self.version;
+                let expires_at = self.entries.get(&id)?.expires_at;
+                self.set_expiry(&id, expires_at.unwrap_or(restored_at + REGISTRATION_GRACE));
                 None
             }
         }
@@ -346,10 +389,23 @@
         let upstream = Arc::new(Upstream { hash: incarnation_hash(&entry), entry });
         let entry =
             KnownEntry { upstream, changed_in: self.version, row_version: 0, expires_at: None };
-        self.entries.insert(id.clone(), entry);
+        let current = entry.upstream.clone();
+        if let Some(it) = self.entries.insert(id.clone(), entry) {
+            self.touch_replaced(it.upstream, &current);
+        }
+        self.touched.touched.push(current);
         is_news.then_some(ChangedUpstream { id, state })
     }
 
+    /// Records that an upstream's entry was replaced.
+    fn touch_replaced(&mut self, earlier: Arc<Upstream>, current: &Arc<Upstream>) {
+        if earlier.hash != current.hash && self.effective_state(&earlier) == State::Ready {
+            let restart = Restart { earlier: earlier.clone(), current: current.clone() };
+            self.touched.restarts.push(restart);
+        }
+        self.touched.touched.push(earlier);
+    }
+
     /// Returns what a restored store's row says of an upstream, as far as it is not outdated.
     fn reconcile(&self, change: EntryChange, row_version: u64) -> Option<EntryChange> {
         let EntryChange::Set(mut entry) = change else { return Some(change) };
@@ -372,7 +428,8 @@
     }
 
     fn remove(&mut self, id: &str) -> Option<ChangedUpstream> {
-        let KnownEntry { row_version, .. } = self.entries.remove(id)?;
+        let KnownEntry { row_version, upstream, .. } = self.entries.remove(id)?;
+        self.touched.touched.push(upstream);
         self.removed.push_back(RemovedEntry {
             version: self.version,
             id: id.to_owned(),
--- a/crates/portfield/src/catalog/draining.rs
+++ b/crates/portfield/src/catalog/draining.rs
@@ -60,6 +60,11 @@
         true
     }
 
+    /// Returns whether no upstream is marked.
+    pub fn is_empty(&self) -> bool {
+        self.marks.is_empty()
+    }
+
     /// Returns whether an upstream is marked.
     pub fn contains(&self, upstream: u32) -> bool {
         self.marks.contains_key(&upstream)
--- a/crates/portfield/src/catalog/mod.rs
+++ b/crates/portfield/src/catalog/mod.rs
@@ -8,7 +8,8 @@
 mod version;
 
 pub use directory::{
-    ChangedUpstream, Delta, Directory, EntryChange, MissingRows, REGISTRATION_GRACE,
+    ChangedUpstream, Delta, Directory, EntryChange, MissingRows, REGISTRATION_GRACE, Restart,
+    TouchedUpstreams,
 };
 pub use draining::DrainMarks;
 pub use evacuation::{
--- a/crates/portfield/tests/backoff.rs
+++ b/crates/portfield/tests/backoff.rs
@@ -274,3 +274,17 @@
         assert!(11_000 < stats.n_served, "{stats:?}");
     }
 }
+
+/// An upstream that starts again answers under its id before its new entry is known.
+#[test]
+fn a_backoff_asked_for_since_the_restart_applies_to_the_current_incarnation() {
+    let mut it = Balancer::new(WINDOW);
+    it.start_backoff(at(0), 1, SECOND * 3);
+    it.inherit_backoff(1, 2, at(500));
+    assert_eq!(it.backoff_until(at(600), 2), None, "the earlier incarnation asked for it");
+    it.start_backoff(at(1_000), 1, SECOND * 3);
+    it.inherit_backoff(1, 2, at(500));
+    assert_eq!(it.backoff_until(at(1_100), 2), Some(at(4_000)));
+    it.inherit_backoff(1, 2, at(500));
+    assert!(assigned(it.place(at(4_001), &plain_request(), &[upstreams(2)[1]])).upstream == 2);
+}
