perf(balance): score a window of the upstreams instead of all

Cause: every placement scored every upstream of the service, up to three times: the time of a decision grows with the upstreams.

Change: in a service of more than 512 upstreams a request looks at 64 of them, on from the hash of its shared part in the order of their ids, and at 512 if none of these may take it. All hosts look at the same ones for a part.

Services of up to 512 upstreams are scored whole, as before.

--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -10,10 +10,11 @@
     fast_map::FastMap,
     latency_model::LatencyModel,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
-    prompt::Prompt,
+    prompt::{Prompt, PromptPrefix},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
     shares::{ShareSnapshot, ShareStatus, Shares, Usage},
     upstream_table::UpstreamTable,
+    window::windows,
 };
 use crate::wire;
 
@@ -99,19 +100,20 @@
         self.shares.set_capacity(tokens_rate);
     }
 
-    /// Removes upstreams that are no longer known.
     /// Sets the time between two digests of a host of this data centre, by which silent hosts are
     /// told from dead ones.
     pub fn set_digest_period(&mut self, period: Duration) {
         self.upstreams.set_digest_period(period);
     }
 
+    /// Removes upstreams that are no longer known.
     pub fn retain_upstreams(&mut self, is_known: impl Fn(u32) -> bool) {
         self.upstreams.retain(&is_known);
         self.engine_memory.retain(|id, _| is_known(*id));
     }
 
-    /// Chooses an upstream for a request, or refuses it.
+    /// Chooses an upstream for a request, or refuses it; more than 512 candidates must be sorted by
+    /// upstream.
     pub fn place(
         &mut self,
         now: Duration,
@@ -124,6 +126,29 @@
         };
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
         let tie_break = TieBreak::new(&prefixes, self.next_random());
+        let mut res = refuse_blocked(now, std::iter::empty());
+        for window in windows(candidates, tie_break) {
+            res = self.place_within(now, request, &prefixes, status, tie_break, &window);
+            if matches!(res, Placement::Send(_)) {
+                return res;
+            }
+        }
+        if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
+            self.record_refusal(now, request.workspace, request.token_cost());
+        }
+        res
+    }
+
+    /// Chooses one of the candidates for a request.
+    fn place_within(
+        &self,
+        now: Duration,
+        request: &PlacementRequest,
+        prefixes: &[PromptPrefix],
+        status: ShareStatus,
+        tie_break: TieBreak,
+        candidates: &[Candidate],
+    ) -> Placement {
         let default_model = LatencyModel::default();
         let is_open = |id: &u32| !self.upstreams.get(*id).is_some_and(|it| it.is_unavailable(now));
         let costs = CostModel {
@@ -139,14 +164,10 @@
             tie_break,
             shared_tokens: prefixes.iter().rev().skip(1).map(|it| it.tokens).sum(),
         };
-        let scored = || candidates.iter().map(|it| costs.score(request, &prefixes, it));
+        let scored = || candidates.iter().map(|it| costs.score(request, prefixes, it));
         let is_sendable = |it: &ScoredUpstream| !it.is_blocked;
         let Some(best) = min_by_key(scored().filter(is_sendable), |it| it.cost) else {
-            let refusal = refuse_blocked(now, scored());
-            if matches!(refusal, Placement::Refuse { reason: Refusal::Backoff, .. }) {
-                self.record_refusal(now, request.workspace, request.token_cost());
-            }
-            return refusal;
+            return refuse_blocked(now, scored());
         };
         let max_wait = max_wait_ms(request, status, &best);
         if best.times.wait <= max_wait {
@@ -173,7 +194,6 @@
         };
         let retry_after =
             from_millis(best.times.wait - max_wait).clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1);
-        self.record_refusal(now, request.workspace, request.token_cost());
         Placement::Refuse {
             reason,
             retry_after,
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`Balancer`]: the decision
 //! - `placement`: its input and output
+//! - `window`: which upstreams are scored
 //! - [`prompt`](Prompt): cost of a prompt
 //! - `scoring`: estimated cost of a request at each upstream
 //! - `admission`: how long a request may wait there
@@ -21,9 +22,9 @@
 //! - [`PeerTable`]: the other hosts, and digests to forward
 //! - `peer_state`: totals reported by one peer
 //! - [`StoreWatchers`]: which hosts watch the store
-//! - [`StoreAvailability`]: whether others reached the store while this host could not
 //! - [`ReaderRank`]: which hosts read the fleet's state from the store at their start
 //! - [`asks_now`]: which hosts fetch news from others at a time
+//! - [`StoreAvailability`]: whether others reached the store while this host could not
 //! - `decaying_sum`, `fast_map`: data structures
 
 mod admission;
@@ -31,10 +32,10 @@
 mod balancer;
 mod bias;
 mod decaying_sum;
-mod fast_map;
 mod fan_out;
-mod health;
+mod fast_map;
 mod first_read;
+mod health;
 mod latency_model;
 mod load_shedder;
 mod peer_state;
@@ -51,12 +52,13 @@
 mod upstream_signals;
 mod upstream_table;
 mod warmup;
+mod window;
 
 pub use balancer::{Balancer, RunId};
-pub use load_shedder::{AnswerKind, LoadShedder, Overload};
-pub use peer_table::{Delivery, Introduction, PeerTable, host_hash};
 pub use fan_out::{FetchSize, WHOLE_LIST_INTERVAL, asks_now};
 pub use first_read::{PeerCopy, ReaderRank};
+pub use load_shedder::{AnswerKind, LoadShedder, Overload};
+pub use peer_table::{Delivery, Introduction, PeerTable, host_hash};
 pub use placement::{
     Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
 };
--- a/crates/portfield/src/balance/scoring.rs
+++ b/crates/portfield/src/balance/scoring.rs
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Returns the upstream id from which on upstreams are scored where there are too many.
+    pub(super) fn window_start(self) -> u32 {
+        match self {
+            // Hashed once more: the parts' hashes may not be spread evenly.
+            Self::SharedPart(it) => xxh3_64_with_seed(&it.to_le_bytes(), 0) as u32,
+            Self::Random(it) => it as u32,
+        }
+    }
+
     /// Returns an upstream's rank; the highest is chosen.
     pub(super) fn rank(self, upstream: u32) -> u64 {
         let seed = match self {
