fix(balance): a data centre's summary stays within a datagram

Cause: the summary named every upstream ever used, 25 bytes each: at 10,000 upstreams 250 KB, which no datagram holds, so it was not sent at all.

A receiver takes the first total that a summary names as known: it may be from before the receiver heard the leader.

--- a/crates/portfield/src/balance/peer_state.rs
+++ b/crates/portfield/src/balance/peer_state.rs
@@ -57,8 +57,6 @@
 /// What a host did since it was first heard, across its restarts; it only grows.
 #[derive(Debug, Default)]
 struct ObservedTotals {
-    /// Tokens that its requests brought into each upstream's memory.
-    read: FastMap<u32, u64>,
     usage: FastMap<u32, wire::WorkspaceUsage>,
 }
 
@@ -104,12 +102,10 @@
     pub(crate) fn record_load(&mut self, it: &wire::UpstreamLoad) -> u64 {
         self.loads.push(*it);
         let before = self.read.insert(it.upstream, it.read);
-        // An idle upstream is left out of digests, so its total may be from long before.
-        let grown = it.read.saturating_sub(before.unwrap_or(self.baseline(it.read)));
-        if self.n_summed == 0 && 0 < grown {
-            *self.observed.read.entry(it.upstream).or_default() += grown;
-        }
-        grown
+        // An idle upstream is left out of digests, so its total may be from long before. A summary
+        // may have named it before this host heard the leader.
+        let baseline = if self.n_summed == 0 { self.baseline(it.read) } else { it.read };
+        it.read.saturating_sub(before.unwrap_or(baseline))
     }
 
     /// Records a workspace's totals; returns the growth since the last digest, zero if that was
@@ -133,18 +129,6 @@
         grown
     }
 
-    /// Returns the current requests and the tokens read since the host was first heard; an upstream
-    /// may occur twice.
-    pub(crate) fn observed_loads(&self) -> impl Iterator<Item = wire::UpstreamLoad> {
-        let read = |(&upstream, &read): (&u32, &u64)| wire::UpstreamLoad {
-            upstream,
-            read,
-            ..Default::default()
-        };
-        let now = self.loads.iter().map(|it| wire::UpstreamLoad { read: 0, ..*it });
-        self.observed.read.iter().map(read).chain(now)
-    }
-
     /// Returns what its workspaces asked for and were granted since it was first heard.
     pub(crate) fn observed_usage(&self) -> impl Iterator<Item = &wire::WorkspaceUsage> {
         self.observed.usage.values()
--- a/crates/portfield/src/balance/upstream_table.rs
+++ b/crates/portfield/src/balance/upstream_table.rs
@@ -1,7 +1,7 @@
 //! Load, cache and health of each upstream, from this host's requests and from other hosts'
 //! digests.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
 use super::{
     backoff::Backoff,
@@ -13,6 +13,20 @@
 };
 use crate::{digest_scope::DIGESTS_PER_UPDATE, wire};
 
+/// Upstreams that a summary names at most, of some 25 bytes each: a datagram holds 64 KB.
+const MAX_SUMMARY_LOADS: usize = 1_200;
+/// Uses of prefixes that it names at most, of some 20 bytes each.
+const MAX_SUMMARY_PREFIXES: usize = 600;
+
+/// Who reported a load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LoadSource {
+    /// A host, for its own requests.
+    Host,
+    /// The leader of another data centre, for all its hosts.
+    Summary,
+}
+
 /// Requests at one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(crate) struct Load {
@@ -29,6 +43,11 @@
     pub peers: Load,
     /// Tokens that this host's requests brought into its memory.
     tokens_read: f64,
+    /// Tokens that the requests of this data centre's other hosts brought there, as far as this host
+    /// heard of them.
+    peers_read: u64,
+    /// Number of summaries in which its totals are still to be reported.
+    n_summaries_left: u32,
     /// Number of digests in which the totals above are still to be reported.
     n_reports_left: u32,
     pub cache: PrefixCache,
@@ -45,6 +64,16 @@
         self.tokens_read += tokens;
         self.cache.record_read(tokens);
         self.n_reports_left = DIGESTS_PER_UPDATE;
+        self.n_summaries_left = DIGESTS_PER_UPDATE;
+    }
+
+    /// Records tokens that a request of another host brings into the upstream's memory.
+    fn record_peer_read(&mut self, tokens: u64, source: LoadSource) {
+        self.cache.record_read(tokens as f64);
+        if source == LoadSource::Host && 0 < tokens {
+            self.peers_read += tokens;
+            self.n_summaries_left = DIGESTS_PER_UPDATE;
+        }
     }
 
     /// Returns whether no request may be sent to it now.
@@ -171,7 +200,7 @@
         self.upstreams
             .values_mut()
             .for_each(|it| it.n_reports_left = it.n_reports_left.saturating_sub(1));
-        (loads, take_announcements(&mut self.announcements))
+        (loads, take_announcements(&mut self.announcements, usize::MAX))
     }
 
     /// Summarizes what this host and the other hosts of its data centre did; usage covers the other
@@ -183,14 +212,11 @@
     pub(crate) fn summary(&mut self, now: Duration, data_centre: u32) -> Summary {
         let members =
             || self.peers.values().filter(|it| it.data_centre == data_centre && it.n_summed == 0);
-        let mut loads: FastMap<u32, wire::UpstreamLoad> = FastMap::default();
-        let own = self.upstreams.iter().map(|(id, it)| it.report(*id));
-        for it in own.chain(members().flat_map(PeerState::observed_loads)) {
-            let new = wire::UpstreamLoad { upstream: it.upstream, ..Default::default() };
-            let sum = loads.entry(it.upstream).or_insert(new);
-            sum.running += it.running;
-            sum.pending += it.pending;
-            sum.read += it.read;
+        let mut running: FastMap<u32, Load> = FastMap::default();
+        for it in members().flat_map(|it| &it.loads) {
+            let sum = running.entry(it.upstream).or_default();
+            sum.running += f64::from(it.running);
+            sum.pending += f64::from(it.pending);
         }
         let mut usage: FastMap<u32, wire::WorkspaceUsage> = FastMap::default();
         for it in members().flat_map(PeerState::observed_usage) {
@@ -201,14 +227,44 @@
         }
         let n_hosts =
             1 + members().filter(|it| it.is_alive(now, self.digest_period)).count() as u32;
-        let loads = loads.into_values().filter(|it| 0 < it.read || 0 < it.running).collect();
+        let loads = self.summarize_loads(&running);
         // This host's own prefixes are sent in its digests too; the summary carries them as well.
-        let mut prefixes = take_announcements(&mut self.received);
+        let mut prefixes = take_announcements(&mut self.received, MAX_SUMMARY_PREFIXES);
         prefixes.extend(self.announcements.iter().map(|it| it.prefix.clone()));
+        prefixes.truncate(MAX_SUMMARY_PREFIXES);
         self.last_summary = Some(now);
         Summary { n_hosts, loads, prefixes, usage }
     }
 
+    /// Returns the loads of the upstreams that are in use or whose totals have changed, those with
+    /// the most requests first. `members` has the loads of this data centre's other hosts.
+    fn summarize_loads(&mut self, members: &FastMap<u32, Load>) -> Vec<wire::UpstreamLoad> {
+        let mut res: Vec<wire::UpstreamLoad> = self
+            .upstreams
+            .iter()
+            .map(|(id, it)| {
+                let others = members.get(id).copied().unwrap_or_default();
+                wire::UpstreamLoad {
+                    running: (it.own.running + others.running) as u32,
+                    pending: (it.own.pending + others.pending).max(0.0) as u32,
+                    read: it.tokens_read as u64 + it.peers_read,
+                    ..it.report(*id)
+                }
+            })
+            .filter(|it| {
+                0 < it.running
+                    || self.upstreams.get(&it.upstream).is_some_and(|it| 0 < it.n_summaries_left)
+            })
+            .collect();
+        res.sort_unstable_by_key(|it| Reverse((it.running, it.upstream)));
+        res.truncate(MAX_SUMMARY_LOADS);
+        for it in &res {
+            let state = self.entry(it.upstream);
+            state.n_summaries_left = state.n_summaries_left.saturating_sub(1);
+        }
+        res
+    }
+
     /// Keeps the announcements of another host, each once, while this host writes summaries.
     fn collect_announcements(&mut self, now: Duration, digest: &wire::Digest) {
         let timeout = peer_timeout(self.digest_period);
@@ -241,7 +297,8 @@
         for it in &digest.loads {
             apply_load(&mut self.upstreams, it, 1.0);
             let grown = peer.record_load(it);
-            self.upstreams.entry(it.upstream).or_default().cache.record_read(grown as f64);
+            let source = if digest.n_summed == 0 { LoadSource::Host } else { LoadSource::Summary };
+            self.upstreams.entry(it.upstream).or_default().record_peer_read(grown, source);
         }
         for it in &digest.prefixes {
             let state = self.upstreams.entry(it.upstream).or_default();
@@ -269,10 +326,13 @@
     }
 }
 
-/// Takes the announcements due now; each is sent [`DIGESTS_PER_UPDATE`] times.
-fn take_announcements(announcements: &mut VecDeque<Announcement>) -> Vec<wire::PrefixUse> {
-    let res = announcements.iter().map(|it| it.prefix.clone()).collect();
-    announcements.iter_mut().for_each(|it| it.n_left -= 1);
+/// Takes the announcements due now, up to `n`; each is sent [`DIGESTS_PER_UPDATE`] times.
+fn take_announcements(
+    announcements: &mut VecDeque<Announcement>,
+    n: usize,
+) -> Vec<wire::PrefixUse> {
+    let res = announcements.iter().take(n).map(|it| it.prefix.clone()).collect();
+    announcements.iter_mut().take(n).for_each(|it| it.n_left -= 1);
     announcements.retain(|it| 0 < it.n_left);
     res
 }
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -391,3 +391,46 @@
     some.merge_digest(NOW, &digest);
     assert_eq!((taken(&all), taken(&some)), (60.0 * 10_700.0, 60.0 * 10_700.0));
 }
+
+/// A data centre whose hosts have used 10,000 upstreams: its summary fits into a datagram, names all
+/// that are in use, and repeats none that is idle.
+#[test]
+fn a_summary_does_not_grow_with_the_upstreams_ever_used() {
+    let mut leader = Balancer::new(Duration::from_secs(4));
+    let member = |host: u64, sequence: u64, loads: Vec<wire::UpstreamLoad>| Digest {
+        host,
+        incarnation: host,
+        sequence,
+        data_centre: LOCAL_CENTRE,
+        loads,
+        ..Digest::default()
+    };
+    let load = |upstream, running, read| wire::UpstreamLoad {
+        upstream: upstream * 400_000,
+        running,
+        read,
+        pending: 0,
+    };
+    for sequence in 1..=10 {
+        for host in 10..60 {
+            let first = (host as u32 - 10) * 200;
+            let used = (first..first + 200).map(|it| load(it, 0, sequence * 20_000));
+            leader.merge_digest(NOW, &member(host, sequence, used.collect()));
+        }
+        let encoded = prost::Message::encode_to_vec(&summary(&mut leader, 1, sequence));
+        assert!(encoded.len() <= 60_000, "{} bytes", encoded.len());
+    }
+    for sequence in 11..60 {
+        for host in 10..60 {
+            let upstream = (host as u32 - 10) * 200 + 7;
+            let used = vec![load(upstream, 2, 300_000)];
+            leader.merge_digest(NOW, &member(host, sequence, used));
+        }
+        let last = summary(&mut leader, 1, sequence);
+        let n_running = last.loads.iter().filter(|it| it.running == 2).count();
+        assert_eq!(n_running, 50);
+        if sequence == 59 {
+            assert_eq!(last.loads.len(), 50, "idle upstreams are no longer named");
+        }
+    }
+}
