test(soak): callers send bodies of their own

Change: one request in eight shares a body, all others have their own, which the check of altered requests compares.

--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -275,6 +275,11 @@
 
 /// Returns a request of workspace `a` on a route, with `id` as its attempt ID.
 pub fn request(route: &str, id: &str) -> String {
+    request_with_body(route, id, "body")
+}
+
+/// Returns the same request with another body.
+pub fn request_with_body(route: &str, id: &str, body: &str) -> String {
     let tokens = match route {
         "draft" | "digest" => "token-count: 30,24\r\nprefix-hash: aa:20,bb:10\r\n",
         _ => "",
@@ -282,7 +287,8 @@
     format!(
         "POST /{route}/one?q=1 HTTP/1.1\r\nhost: x.example\r\nattempt-id: {id}\r\n\
          authorization: Token key-a\r\ntenant: forged\r\ndeadline-ms: 1200\r\n{tokens}\
-         content-length: 4\r\n\r\nbody"
+         content-length: {}\r\n\r\n{body}",
+        body.len()
     )
 }
 
--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -20,7 +20,7 @@
     time::{Duration, Instant},
 };
 
-use fleet::{Fleet, Host, Response, config, read_response, request, wait_until};
+use fleet::{Fleet, Host, Response, config, read_response, request_with_body, wait_until};
 use portfield_net::clock;
 use portfield_platform_standins::{
     FakeUpstream, FaultProxy, NetworkFault, StoreFault, StoreSnapshot, UpstreamFault,
@@ -41,6 +41,9 @@
 const FAULT_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum time from the last fault until all hosts serve requests again, as the platform requires.
 const MAX_RECOVERY: Duration = Duration::from_secs(12);
+/// One request in this many has the body that it shares with others, so that it may be
+/// quarantined for their crashes.
+const SHARED_BODY_EVERY: u64 = 8;
 /// Number of events in a stream: 24 tokens, three per event.
 const N_EVENTS: u32 = 8;
 
@@ -48,6 +51,7 @@
 struct Outcome {
     id: String,
     route: &'static str,
+    body: String,
     /// Address of the host that it was sent to.
     host: SocketAddr,
     response: Option<Response>,
@@ -342,7 +346,10 @@
     let mut res = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         let route = routes[rng.usize(..routes.len())];
-        let id = format!("c{caller}-{}", n_sent.fetch_add(1, Ordering::Relaxed));
+        let number = n_sent.fetch_add(1, Ordering::Relaxed);
+        let id = format!("c{caller}-{number}");
+        let is_shared = number.is_multiple_of(SHARED_BODY_EVERY);
+        let body = if is_shared { "body".to_owned() } else { id.clone() };
         let address = addresses.lock().unwrap()[rng.usize(..N_HOSTS)];
         let stream = connection.take().or_else(|| TcpStream::connect(address).ok());
         let Some((mut stream, address)) = stream.and_then(|it| {
@@ -353,12 +360,12 @@
             continue;
         };
         stream.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
-        let sent = stream.write_all(request(route, &id).as_bytes());
+        let sent = stream.write_all(request_with_body(route, &id, &body).as_bytes());
         let response = sent.ok().and_then(|()| read_response(&mut stream));
         if response.as_ref().is_some_and(|it| it.is_complete && it.header("connection").is_none()) {
             connection = Some(stream);
         }
-        res.push(Outcome { id, route, host: address, response });
+        res.push(Outcome { id, route, body, host: address, response });
         thread::sleep(Duration::from_millis(rng.u64(2..20)));
     }
     res
@@ -377,7 +384,7 @@
             continue;
         };
         if !received.request_line.contains(&format!("/{}/one?q=1", outcome.route))
-            || received.body != b"body"
+            || received.body != outcome.body.as_bytes()
         {
             violations.push(format!("{id} was altered in transit: {}", received.request_line));
         }
@@ -460,10 +467,11 @@
         for route in ["order", "draft"] {
             wait_until("every host serves requests again", || {
                 let id = format!("end-{n}-{}", n_sent.fetch_add(1, Ordering::Relaxed));
-                let response = fleet::send_request(address, request(route, &id).as_bytes());
+                let text = request_with_body(route, &id, &id);
+                let response = fleet::send_request(address, text.as_bytes());
                 let is_served =
                     response.as_ref().is_some_and(|it| it.status == 200 && it.is_complete);
-                outcomes.push(Outcome { id, route, host: address, response });
+                outcomes.push(Outcome { body: id.clone(), id, route, host: address, response });
                 is_served
             });
         }
