--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -16,6 +16,7 @@
 mod ingress;
 mod lifecycle;
 mod metrics;
+mod newer_copy;
 mod peers;
 mod placement;
 mod pool;
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -14,8 +14,8 @@
 use bytes::Bytes;
 use portfield::{
     balance::{
-        AnswerKind, Balancer, GossipConfig, GossipTopology, LoadShedder, PeerCopy, PeerTable,
-        RetryBudget, StoreAvailability, StoreWatchers, WatcherStatus, host_hash,
+        AnswerKind, Balancer, GossipConfig, GossipTopology, LoadShedder, PeerTable, RetryBudget,
+        StoreAvailability, StoreWatchers, WatcherStatus, host_hash,
     },
     catalog::Catalog,
     quarantine::{BrokenAttempts, Quarantine, RequestKey},
@@ -26,8 +26,8 @@
 
 use crate::{
     active_probes::ActiveProbes, atomic_instant::AtomicInstant, ingress::IngressStats,
-    metrics::Metrics, pool::Pool, settings::Settings, store_watch::OUTAGE_THRESHOLD,
-    upstream_list::UpstreamList,
+    metrics::Metrics, newer_copy::NewerCopy, pool::Pool, settings::Settings,
+    store_watch::OUTAGE_THRESHOLD, upstream_list::UpstreamList,
 };
 
 /// Time without readiness after a failed accept: the platform checks readiness once per second, and
@@ -42,28 +42,6 @@
 /// them too.
 const MAX_PENDING_WRITES: usize = 256;
 
-/// Time for which a host that was heard to know a newer version counts as a source of it.
-const COPY_VALIDITY: Duration = Duration::from_secs(3);
-
-/// Tracks whether some other host was heard to know a newer version than this one.
-#[derive(Debug, Default)]
-pub(crate) struct NewerCopy {
-    heard: AtomicInstant,
-}
-
-impl NewerCopy {
-    /// Records that one was heard.
-    pub(crate) fn record(&self) {
-        self.heard.set_now();
-    }
-
-    /// Returns whether one was heard recently.
-    pub(crate) fn peer_copy(&self) -> PeerCopy {
-        let is_recent = self.heard.elapsed().is_some_and(|it| it < COPY_VALIDITY);
-        if is_recent { PeerCopy::Heard } else { PeerCopy::None }
-    }
-}
-
 /// A configuration with the bytes that it was decoded from.
 #[derive(Debug, Clone)]
 pub(crate) struct ActiveConfig {
