fix(host): remove the rows of hosts that are gone for ten minutes

Cause: rows of the table of hosts never go, and a start reads the first 16 of a data centre: where machines are replaced, all of them may be of dead hosts after a while, and a start then waits ten seconds for them.

Change: the watchers of the store, who read all rows of their data centre every 15 s, forget and remove those not heard for ten minutes.

--- a/crates/portfield-host/src/host_discovery.rs
+++ b/crates/portfield-host/src/host_discovery.rs
@@ -26,6 +26,9 @@
 const HOSTS_PERIOD: Duration = Duration::from_secs(15);
 /// Time after the first read at which all rows are read if the hosts of the first ones may be dead.
 const SECOND_READ_DELAY: Duration = Duration::from_secs(2);
+/// Time without a digest after which a host's row is removed; it writes none anew if it returns, but
+/// is then known from its digests.
+const ROW_EXPIRY: Duration = Duration::from_secs(600);
 /// Interval for checking whether the store was restored and lost this host's rows.
 const REREGISTER_PERIOD: Duration = Duration::from_millis(500);
 /// Time over which hosts spread the rewriting of their rows after a restore: the store takes 300
@@ -84,6 +87,7 @@
         Extent::All => {
             let rows = store.read(store::HOSTS_TABLE, &part_name(own)).await?.rows;
             rows.iter().for_each(|it| add_host(host, it, own));
+            remove_dead(host, store).await?;
             false
         }
     };
@@ -100,6 +104,18 @@
     Ok(has_more)
 }
 
+/// Removes the rows of hosts that were not heard for long: a start would wait for those among the
+/// first.
+async fn remove_dead(host: &Host, store: &Store) -> Result<(), Error> {
+    let dead = host.peers().forget_dead(clock::now(), ROW_EXPIRY);
+    let keys: Vec<String> = dead.into_iter().take(store::MAX_REMOVED).map(row_key).collect();
+    if keys.is_empty() {
+        return Ok(());
+    }
+    log::info!(n = keys.len(); "rows of dead hosts removed");
+    store.remove(store::HOSTS_TABLE, &part_name(host.own_data_centre()), &keys).await
+}
+
 /// Reads the first rows of a data centre; returns whether it has more.
 async fn read_first_hosts(host: &Host, store: &Store, data_centre: u32) -> Result<bool, Error> {
     let part = part_name(data_centre);
@@ -111,7 +127,7 @@
 /// Writes this host's row; returns whether the store has it.
 async fn register_once(host: &Host, store: &Store) -> bool {
     let address = host.settings().peers.to_string();
-    let (part, key) = (part_name(host.own_data_centre()), format!("{:016x}", host.own_hash()));
+    let (part, key) = (part_name(host.own_data_centre()), row_key(host.own_hash()));
     let res = store.write(store::HOSTS_TABLE, &part, &key, address.as_bytes()).await;
     if let Err(err) = &res {
         log::warn!(err:% = truncate_error(err); "registration in the store failed");
@@ -154,6 +170,11 @@
     format!("{data_centre:08x}")
 }
 
+/// Returns the key of a host's row.
+fn row_key(host: u64) -> String {
+    format!("{host:016x}")
+}
+
 /// Adds a host from its row.
 fn add_host(host: &Host, row: &Row, data_centre: u32) {
     let text = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
--- a/crates/portfield-host/src/quarantine_store.rs
+++ b/crates/portfield-host/src/quarantine_store.rs
@@ -28,8 +28,6 @@
 const N_LOADERS: usize = 4;
 /// Number of rows per workspace; a later entry overwrites one in the same row.
 const ROWS_PER_WORKSPACE: u64 = 16;
-/// Maximum number of rows deleted in one call.
-const MAX_DELETED: usize = 100;
 
 /// Reads the stored entries at start, and repeatedly while a data centre is unreachable that may
 /// know more. Must be called when the other hosts are known.
@@ -82,9 +80,10 @@
     }
     merge_suspects(host, &suspects, QuarantineSource::Store);
     host.mark_quarantine_loaded();
-    let keys: Vec<String> = expired.into_iter().filter_map(Result::err).take(MAX_DELETED).collect();
+    let keys: Vec<String> =
+        expired.into_iter().filter_map(Result::err).take(store::MAX_REMOVED).collect();
     if !keys.is_empty()
-        && let Err(err) = store.remove(store::QUARANTINE_TABLE, &keys).await
+        && let Err(err) = store.remove(store::QUARANTINE_TABLE, "", &keys).await
     {
         log::warn!(err:%; "expired quarantine rows not deleted");
     }
--- a/crates/portfield-net/tests/socket.rs
+++ b/crates/portfield-net/tests/socket.rs
@@ -106,7 +106,7 @@
     let reader = thread::spawn(move || {
         let mut buf = vec![0; 1 << 20];
         for _ in 0..40 {
-            peer.read(&mut buf).unwrap();
+            assert!(0 < peer.read(&mut buf).unwrap());
             thread::sleep(INTERVAL);
         }
     });
--- a/crates/portfield/src/balance/peer_table.rs
+++ b/crates/portfield/src/balance/peer_table.rs
@@ -186,6 +186,32 @@
         heard.values().any(is_unreachable)
     }
 
+    /// Forgets the hosts of this data centre that were not heard for a time; returns their hashes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{GossipConfig, PeerTable, host_hash};
+    /// use std::time::Duration;
+    ///
+    /// let config = GossipConfig { host: 1, data_centre: 1, direct_limit: 12 };
+    /// let mut peers = PeerTable::new(config, std::iter::empty());
+    /// let address = "10.1.0.1:7400".parse()?;
+    /// peers.add_host(address, Some(1));
+    /// let minute = Duration::from_secs(60);
+    /// assert_eq!(peers.forget_dead(minute, minute * 2), []);
+    /// assert_eq!(peers.forget_dead(minute * 3, minute * 2), [host_hash(address)]);
+    /// assert_eq!(peers.n_known(), 0);
+    /// # Ok::<_, std::net::AddrParseError>(())
+    /// ```
+    pub fn forget_dead(&mut self, now: Duration, after: Duration) -> Vec<u64> {
+        let data_centre = Some(self.config.data_centre);
+        let is_dead = |_: &SocketAddr, it: &mut Peer| {
+            it.data_centre == data_centre && it.last_heard + after < now
+        };
+        self.hosts.extract_if(.., is_dead).map(|it| it.1.host).collect()
+    }
+
     /// Returns whether this host is among the first `n` of its data centre by hash, counting all
     /// known hosts, alive or not.
     pub fn is_among_first(&self, n: usize) -> bool {
