perf(host): a busy holder of the list refers to hosts that it was sent to

Cause: who has the list is told by digests, two periods late: 0.8 s at 197 hosts a data centre, as long as a transfer takes.

Change: a host that has just sent the whole list names those that it sent it to at least 800 ms ago, and the asking host goes there (balance::ListSender). Since referrals spread the requests, holders are asked 16 times a period.

--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -12,7 +12,7 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use portfield::{
-    balance::WHOLE_LIST_INTERVAL,
+    balance::{ListAnswer, ListSender},
     catalog::{EvacuationRow, EvacuationSnapshot, MissingRows, StoreVersion},
 };
 use portfield_net::{clock, rpc};
@@ -22,7 +22,6 @@
 use tonic::{Request, Response, Status};
 
 use crate::{
-    atomic_instant::AtomicInstant,
     evacuations,
     state::Host,
     table_read::{ListRow, ReadScope, TableRead, apply_list},
@@ -38,6 +37,9 @@
 /// draining upstream must get no more requests.
 const CHANGES_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Referrals followed in one fetch.
+const MAX_REFERRALS: usize = 6;
+
 /// What to fetch from another host; fetched separately so that a long list delays no configuration.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Wanted {
@@ -79,12 +81,18 @@
     });
 }
 
-/// Asks another host for newer versions and applies them.
+/// Asks another host for newer versions and applies them. A host that is busy refers this one to
+/// others.
 async fn fetch(host: &Arc<Host>, address: SocketAddr, wanted: Wanted) -> eyre::Result<()> {
-    let stream = TcpStream::connect(address).await?;
-    let channel = rpc::Channel::open(&host.rt, stream).await?;
-    let request = request(host, wanted);
-    let mut reply = channel.peers().knowledge(request).await?.into_inner();
+    let mut reply = ask(host, address, wanted).await?;
+    let mut n_referrals = 0;
+    while let Some(holder) = fastrand::choice(&reply.holders) {
+        if n_referrals == MAX_REFERRALS {
+            return Err(eyre::eyre!("referred from one busy host to another"));
+        }
+        n_referrals += 1;
+        reply = ask(host, holder.parse()?, wanted).await?;
+    }
     apply_orders(host, &mut reply);
     if !reply.config.is_empty() {
         host.apply_config(Bytes::from(std::mem::take(&mut reply.config)), "host");
@@ -96,6 +104,12 @@
     Ok(())
 }
 
+async fn ask(host: &Host, address: SocketAddr, wanted: Wanted) -> eyre::Result<KnowledgeReply> {
+    let stream = TcpStream::connect(address).await?;
+    let channel = rpc::Channel::open(&host.rt, stream).await?;
+    Ok(channel.peers().knowledge(request(host, wanted)).await?.into_inner())
+}
+
 /// Builds a request for versions newer than this host's. Parts that are not wanted carry the
 /// highest version, so that the reply leaves them out.
 fn request(host: &Host, wanted: Wanted) -> KnowledgeRequest {
@@ -111,6 +125,7 @@
         list_era: list.era,
         orders_version: orders.number,
         orders_era: orders.era,
+        address: host.settings().peers.to_string(),
     }
 }
 
@@ -170,14 +185,13 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PeersService {
     host: Arc<Host>,
-    /// When the whole list was last sent.
-    list_sent: Arc<AtomicInstant>,
+    list_sender: Arc<Mutex<ListSender<String>>>,
 }
 
 impl PeersService {
     /// Creates the service.
     pub(crate) fn new(host: Arc<Host>) -> Self {
-        Self { host, list_sent: Arc::default() }
+        Self { host, list_sender: Arc::default() }
     }
 }
 
@@ -198,10 +212,10 @@
         let list = StoreVersion::new(request.list_era, request.list_version);
         let orders = StoreVersion::new(request.orders_era, request.orders_version);
         if self.host.with_list(|it| needs_whole_list(it, list)) {
-            if self.list_sent.elapsed().is_some_and(|it| it < WHOLE_LIST_INTERVAL) {
-                return Err(Status::resource_exhausted("the list was just sent to another host"));
+            let mut sender = self.list_sender.lock().unwrap_or_else(PoisonError::into_inner);
+            if let ListAnswer::Ask(holders) = sender.answer(clock::now(), request.address) {
+                return Ok(Response::new(KnowledgeReply { holders, ..reply }));
             }
-            self.list_sent.set_now();
         }
         self.host.with_list(|it| {
             fill_list(it, list, &mut reply);
--- a/crates/portfield/src/balance/fan_out.rs
+++ b/crates/portfield/src/balance/fan_out.rs
@@ -7,11 +7,68 @@
 //! probability by which a host that has the news is asked only a few times per period, and the
 //! number of hosts that have it multiplies in each period.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// Shortest time between two whole lists that a host sends: requests for it come at random, and
 /// several at once would all take too long.
-pub const WHOLE_LIST_INTERVAL: Duration = Duration::from_millis(150);
+const WHOLE_LIST_INTERVAL: Duration = Duration::from_millis(150);
+/// Time after which a host that was sent the list is taken to have it.
+const TRANSFER_TIME: Duration = Duration::from_millis(800);
+/// Hosts remembered that were sent the list.
+const MAX_HOLDERS: usize = 8;
+
+/// What a host does that is asked for the whole list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ListAnswer<A> {
+    /// It sends the list.
+    Send,
+    /// It is busy and names hosts that it sent the list to.
+    Ask(Vec<A>),
+}
+
+/// Limits how often a host sends the whole list, and refers the other requests to the hosts that it
+/// was sent to: a tree grows faster than digests can tell who has the list. `A` is an address.
+///
+/// # Examples
+///
+/// ```
+/// use portfield::balance::{ListAnswer, ListSender};
+/// use std::time::Duration;
+///
+/// let millis = Duration::from_millis;
+/// let mut sender = ListSender::default();
+/// assert_eq!(sender.answer(millis(1_000), "a"), ListAnswer::Send);
+/// assert_eq!(sender.answer(millis(1_100), "b"), ListAnswer::Ask(vec![]), "a has not got it yet");
+/// assert_eq!(sender.answer(millis(1_200), "b"), ListAnswer::Send);
+/// assert_eq!(sender.answer(millis(2_000), "c"), ListAnswer::Send);
+/// assert_eq!(sender.answer(millis(2_001), "d"), ListAnswer::Ask(vec!["a", "b"]));
+/// ```
+#[derive(Debug, Clone)]
+pub struct ListSender<A> {
+    /// Hosts that the list was sent to, and when, the last one at the end.
+    sent: VecDeque<(Duration, A)>,
+}
+
+impl<A> Default for ListSender<A> {
+    fn default() -> Self {
+        Self { sent: VecDeque::new() }
+    }
+}
+
+impl<A: Clone + PartialEq> ListSender<A> {
+    /// Returns what to do with a request for the whole list.
+    pub fn answer(&mut self, now: Duration, from: A) -> ListAnswer<A> {
+        if self.sent.back().is_some_and(|it| now < it.0 + WHOLE_LIST_INTERVAL) {
+            let holders = self.sent.iter().filter(|it| it.0 + TRANSFER_TIME <= now && it.1 != from);
+            return ListAnswer::Ask(holders.map(|it| it.1.clone()).collect());
+        }
+        self.sent.push_back((now, from));
+        if MAX_HOLDERS < self.sent.len() {
+            self.sent.pop_front();
+        }
+        ListAnswer::Send
+    }
+}
 
 /// Size of what is fetched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,7 +84,7 @@
     fn per_holder(self) -> f64 {
         match self {
             Self::Small => 8.0,
-            Self::WholeList => 4.0,
+            Self::WholeList => 16.0,
         }
     }
 }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -55,7 +55,7 @@
 mod window;
 
 pub use balancer::{Balancer, RunId};
-pub use fan_out::{FetchSize, WHOLE_LIST_INTERVAL, asks_now};
+pub use fan_out::{FetchSize, ListAnswer, ListSender, asks_now};
 pub use first_read::{PeerCopy, ReaderRank};
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use peer_table::{Delivery, Introduction, PeerTable, host_hash};
--- a/crates/portfield/tests/fan_out.rs
+++ b/crates/portfield/tests/fan_out.rs
@@ -70,3 +70,17 @@
     assert!(time <= Duration::from_secs(6), "{time:?}");
     assert!(sim.list.n_reads <= n_reads + 4, "{} reads of the store", sim.list.n_reads);
 }
+
+/// All hosts lose power at once: their rows are in the store, and nobody has the list.
+#[test]
+fn a_fleet_that_restarts_whole_gets_the_list_again() {
+    for n_each in [20, 60, 200] {
+        let mut sim = start(5, n_each);
+        time_until_all_know(&mut sim);
+        sim.run(Duration::from_secs(3));
+        sim.restart_all(N_FIRST_ROWS, N_LEADING);
+        let time = time_until_all_know(&mut sim);
+        assert!(time <= Duration::from_secs(12), "{n_each} hosts a data centre: {time:?}");
+        assert!(sim.list.n_reads <= 20, "{} reads of the store", sim.list.n_reads);
+    }
+}
--- a/crates/portfield/tests/gossip_simulation/mod.rs
+++ b/crates/portfield/tests/gossip_simulation/mod.rs
@@ -12,8 +12,8 @@
 
 use portfield::{
     balance::{
-        Balancer, Delivery, FetchSize, GossipConfig, Introduction, PeerCopy, PeerTable,
-        WHOLE_LIST_INTERVAL, asks_now, host_hash,
+        Balancer, Delivery, FetchSize, GossipConfig, Introduction, ListAnswer, ListSender,
+        PeerCopy, PeerTable, asks_now, host_hash,
     },
     catalog::DrainMarks,
     quarantine::Quarantine,
@@ -63,8 +63,8 @@
     pub draw: f64,
     /// Other hosts to which it is sending its list.
     pub n_serving: u32,
-    /// When it last began to send its list to a host.
-    pub last_served: Duration,
+    /// Indices of the hosts that it sent its list to.
+    pub list_sender: ListSender<usize>,
     pub n_sent: u64,
     pub n_received: u64,
 }
@@ -161,7 +161,7 @@
             draw,
             peer_copy: PeerCopy::None,
             n_serving: 0,
-            last_served: Duration::ZERO,
+            list_sender: ListSender::default(),
             n_sent: 0,
             n_received: 0,
         });
@@ -198,6 +198,25 @@
         }
     }
 
+    /// Restarts all hosts at once; each knows what it reads in the store, see
+    /// [`Self::add_first_rows`].
+    pub fn restart_all(&mut self, n_first: usize, n_leading: usize) {
+        for i in 0..self.hosts.len() {
+            self.restart(i);
+            let host = &mut self.hosts[i];
+            let config = GossipConfig {
+                host: host_hash(host.address),
+                data_centre: host.data_centre,
+                direct_limit: DIRECT_LIMIT,
+            };
+            host.peers = PeerTable::new(config, std::iter::empty());
+            let jitter = Duration::from_millis(self.rng.u64(0..300));
+            (host.started, host.next_digest) = (self.now + jitter, self.now + jitter);
+        }
+        self.in_flight.clear();
+        self.add_first_rows(n_first, n_leading);
+    }
+
     /// Restarts a dead host at the same address.
     pub fn restart(&mut self, i: usize) {
         let known: Vec<_> = self.hosts.iter().map(|it| (it.address, it.data_centre)).collect();
@@ -214,6 +233,7 @@
         host.quarantine = Quarantine::default();
         host.drains = DrainMarks::default();
         (host.list_version, host.list_fetch, host.peer_copy) = (0, None, PeerCopy::None);
+        host.list_sender = ListSender::default();
         (host.started, host.next_digest, host.sequence) = (now, now, 0);
         host.incarnation += 1;
         host.is_alive = true;
@@ -258,14 +278,24 @@
         }
     }
 
-    /// Starts to fetch the list from another host.
-    fn fetch_list(&mut self, i: usize, from: usize) {
-        let holder = &self.hosts[from];
-        let is_busy = self.now < holder.last_served + WHOLE_LIST_INTERVAL;
-        if self.hosts[i].list_fetch.is_some() || !holder.is_alive || is_busy {
-            return;
+    /// Starts to fetch the list from another host, or from one that it refers to.
+    fn fetch_list(&mut self, i: usize, mut from: usize) {
+        for _ in 0..6 {
+            let holder = &mut self.hosts[from];
+            if !holder.is_alive || holder.list_version == 0 || self.hosts[i].list_fetch.is_some() {
+                return;
+            }
+            match self.hosts[from].list_sender.answer(self.now, i) {
+                ListAnswer::Send => return self.begin_transfer(i, from),
+                ListAnswer::Ask(holders) => match self.rng.choice(holders) {
+                    Some(it) => from = it,
+                    None => return,
+                },
+            }
         }
-        self.hosts[from].last_served = self.now;
+    }
+
+    fn begin_transfer(&mut self, i: usize, from: usize) {
         let (version, ends) = (self.hosts[from].list_version, self.now + self.list.transfer_time);
         self.hosts[i].list_fetch = Some(ListFetch { from: Some(from), version, ends });
         self.hosts[from].n_serving += 1;
