perf(host): a host of a large data centre reads its peers before it registers

Cause: after a loss of power all hosts of a data centre write their rows in the same second, of which one part takes 300, and read nothing before.

Change: a host reads first; if its data centre has more rows than it reads, the others relay its digests without its row, and it registers beside. In a small one it registers and reads once more, so that of two hosts that start at once one finds the other.

Conclusion: one call more at a start in a small data centre, up to 0.65 s less at 197 hosts a data centre by arithmetic; not measured by itself.

--- a/crates/portfield-host/src/host_discovery.rs
+++ b/crates/portfield-host/src/host_discovery.rs
@@ -44,21 +44,24 @@
     All,
 }
 
+/// Whether the store has this host's row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Registration {
+    Done,
+    Pending,
+}
+
 /// Registers this host and reads the other hosts' rows, forever.
 pub(crate) async fn run(host: Arc<Host>, store: Store) {
-    // Of two hosts that start at once, the later one to register finds the other's row.
-    let is_registered = register_once(&host, &store).await;
-    host.rt.spawn(keep_registered(host.clone(), store.clone(), is_registered));
-    let has_more = loop {
-        match read_hosts(&host, &store, Extent::First).await {
-            Ok(it) => break it,
-            Err(err) => {
-                // Callers do not wait for a store that is down.
-                host.mark_quarantine_loaded();
-                log::warn!(err:% = truncate_error(&err); "table of hosts not read");
-                clock::sleep(MAX_PAUSE).await;
-            }
-        }
+    let has_more = if try_read_first(&host, &store).await == Some(true) {
+        // In a large data centre others relay this host's digests before its row is read.
+        host.rt.spawn(keep_registered(host.clone(), store.clone(), Registration::Pending));
+        true
+    } else {
+        // Of two hosts that start at once, the later one to register finds the other's row.
+        let registration = register_once(&host, &store).await;
+        host.rt.spawn(keep_registered(host.clone(), store.clone(), registration));
+        read_first(&host, &store).await
     };
     host.mark_hosts_read();
     host.rt.spawn(quarantine_store::load(host.clone(), store.clone()));
@@ -78,6 +81,27 @@
     }
 }
 
+/// Reads the first rows, retrying until the store answers; returns whether there are more.
+async fn read_first(host: &Host, store: &Store) -> bool {
+    loop {
+        if let Some(has_more) = try_read_first(host, store).await {
+            return has_more;
+        }
+        clock::sleep(MAX_PAUSE).await;
+    }
+}
+
+/// Reads the first rows; returns whether there are more, `None` if the store does not answer.
+async fn try_read_first(host: &Host, store: &Store) -> Option<bool> {
+    let res = read_hosts(host, store, Extent::First).await;
+    if let Err(err) = &res {
+        // Callers do not wait for a store that is down.
+        host.mark_quarantine_loaded();
+        log::warn!(err:% = truncate_error(err); "table of hosts not read");
+    }
+    res.ok()
+}
+
 /// Reads rows of this data centre's hosts, and of the others if this host may have to lead; returns
 /// whether this data centre has hosts whose rows were not read.
 async fn read_hosts(host: &Host, store: &Store, extent: Extent) -> Result<bool, Error> {
@@ -124,29 +148,28 @@
     Ok(res.has_more)
 }
 
-/// Writes this host's row; returns whether the store has it.
-async fn register_once(host: &Host, store: &Store) -> bool {
+/// Writes this host's row once.
+async fn register_once(host: &Host, store: &Store) -> Registration {
     let address = host.settings().peers.to_string();
     let (part, key) = (part_name(host.own_data_centre()), row_key(host.own_hash()));
     let res = store.write(store::HOSTS_TABLE, &part, &key, address.as_bytes()).await;
-    if let Err(err) = &res {
-        log::warn!(err:% = truncate_error(err); "registration in the store failed");
-    }
-    res.is_ok()
+    let Err(err) = res else { return Registration::Done };
+    log::warn!(err:% = truncate_error(&err); "registration in the store failed");
+    Registration::Pending
 }
 
 /// Retries until the store has this host's row, with random pauses: hosts that start together must
 /// not be refused together again.
 async fn register(host: &Host, store: &Store) {
-    while !register_once(host, store).await {
+    while register_once(host, store).await == Registration::Pending {
         clock::sleep(MAX_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
     }
 }
 
 /// Keeps this host's rows in the store: writes them again after each restore from a backup.
-async fn keep_registered(host: Arc<Host>, store: Store, is_registered: bool) {
+async fn keep_registered(host: Arc<Host>, store: Store, registration: Registration) {
     let mut written = host.store_era();
-    if !is_registered {
+    if registration == Registration::Pending {
         clock::sleep(MAX_PAUSE.mul_f64(fastrand::f64())).await;
         register(&host, &store).await;
     }
