fix(balance): count the silence of a host that was never heard from its first sight

Cause: forget_dead compared a host's last digest, zero for one that was never heard, with the current time. A host that had run for more than ten minutes forgot, and removed the row of, each host that had just registered and had not been heard yet. Change: the silence of such a host counts from the first call that finds it. Test: digest.rs, a_host_that_is_new_in_the_table_is_not_forgotten_as_dead, fails without the change.

--- a/crates/portfield/src/balance/peer_table.rs
+++ b/crates/portfield/src/balance/peer_table.rs
@@ -105,6 +105,8 @@
     forwards: BTreeMap<u64, Digest>,
     /// Leaders of the other data centres.
     leaders: FastMap<u32, Leader>,
+    /// When hosts that were never heard were first found to be silent.
+    unheard_since: BTreeMap<SocketAddr, Duration>,
     /// Hosts heard for the first time, or again after a silence.
     n_appeared: u64,
 }
@@ -120,6 +122,7 @@
             topology,
             forwards: BTreeMap::new(),
             leaders: FastMap::default(),
+            unheard_since: BTreeMap::new(),
             n_appeared: 0,
         }
     }
@@ -154,10 +157,7 @@
         let is_starting = now < UNHEARD_DEAD_AFTER;
         let may_be_alive =
             |it: &&Peer| it.is_alive(now) || (is_starting && it.last_heard.is_zero());
-        let is_before = |it: &&Peer| {
-            it.data_centre == Some(self.config.data_centre) && it.host < self.config.host
-        };
-        let n_before = self.hosts.values().filter(is_before).filter(may_be_alive).count();
+        let n_before = self.hosts_before().filter(may_be_alive).count();
         let since = if is_starting { Duration::ZERO } else { UNHEARD_DEAD_AFTER };
         ReaderRank { n_before, n_known: self.n_known(), since }
     }
@@ -186,7 +186,8 @@
         heard.values().any(is_unreachable)
     }
 
-    /// Forgets the hosts of this data centre that were not heard for a time; returns their hashes.
+    /// Forgets the hosts of this data centre that were not heard for a time; returns their hashes. The
+    /// silence of a host that was never heard counts from the first call that finds it.
     ///
     /// # Examples
     ///
@@ -206,8 +207,15 @@
     /// ```
     pub fn forget_dead(&mut self, now: Duration, after: Duration) -> Vec<u64> {
         let data_centre = Some(self.config.data_centre);
-        let is_dead = |_: &SocketAddr, it: &mut Peer| {
-            it.data_centre == data_centre && it.last_heard + after < now
+        let local_hosts = self.hosts.iter().filter(|it| it.1.data_centre == data_centre);
+        let unheard = local_hosts.filter(|it| it.1.last_heard.is_zero());
+        self.unheard_since = unheard
+            .map(|it| (*it.0, self.unheard_since.get(it.0).copied().unwrap_or(now)))
+            .collect();
+        let unheard_since = &self.unheard_since;
+        let is_dead = |address: &SocketAddr, it: &mut Peer| {
+            let since = unheard_since.get(address).copied().unwrap_or(it.last_heard);
+            it.data_centre == data_centre && since + after <= now
         };
         self.hosts.extract_if(.., is_dead).map(|it| it.1.host).collect()
     }
@@ -215,9 +223,13 @@
     /// Returns whether this host is among the first `n` of its data centre by hash, counting all
     /// known hosts, alive or not.
     pub fn is_among_first(&self, n: usize) -> bool {
+        self.hosts_before().count() < n
+    }
+
+    /// Returns the known hosts of this data centre with lower hashes, alive or not.
+    fn hosts_before(&self) -> impl Iterator<Item = &Peer> {
         let is_local = |it: &&Peer| it.data_centre == Some(self.config.data_centre);
-        let local_hosts = self.hosts.values().filter(is_local);
-        local_hosts.filter(|it| it.host < self.config.host).count() < n
+        self.hosts.values().filter(is_local).filter(|it| it.host < self.config.host)
     }
 
     /// Returns the address hashes of the known hosts of a data centre, alive or not, including this
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -434,3 +434,23 @@
         }
     }
 }
+
+/// A host that has run for an hour reads the row of one that has just registered.
+#[test]
+fn a_host_that_is_new_in_the_table_is_not_forgotten_as_dead() {
+    let config = GossipConfig { host: 1, data_centre: LOCAL_CENTRE, direct_limit: DIRECT };
+    let mut peers = PeerTable::new(config, std::iter::empty());
+    let (hour, minute) = (Duration::from_secs(3600), Duration::from_secs(60));
+    let address: SocketAddr = "10.1.0.1:7400".parse().unwrap();
+    peers.add_host(address, Some(LOCAL_CENTRE));
+    assert!(peers.forget_dead(hour, minute * 10).is_empty(), "known for a moment only");
+    assert!(peers.forget_dead(hour + minute * 9, minute * 10).is_empty());
+    peers.record_digest(
+        hour + minute * 9,
+        address,
+        &Digest { host: 2, data_centre: LOCAL_CENTRE, ..Digest::default() },
+    );
+    assert!(peers.forget_dead(hour + minute * 9, minute * 10).is_empty());
+    assert!(peers.forget_dead(hour + minute * 18, minute * 10).is_empty());
+    assert_eq!(peers.forget_dead(hour + minute * 29, minute * 10).len(), 1);
+}
