refactor(host): one place drops what is kept of removed upstreams; retry reads of other data centres

Cause: stored bytes of removed upstreams were dropped in three places, and a failed read of the other data centres' hosts at a start was not repeated until the next full read. Change: apply_changes drops entries and reported cold times; read_other_centres is retried like the first read; the retry budget takes the number of hosts only where it needs it.

--- a/crates/portfield-host/src/host_discovery.rs
+++ b/crates/portfield-host/src/host_discovery.rs
@@ -1,7 +1,7 @@
 //! Registers this host in the store's table of hosts, and discovers the other hosts there.
 //!
 //! A host reads only a few rows of its data centre: those with the lowest hashes, which become
-//! leaders and relay the digests of all others. What a start costs the store thus does not depend
+//! leaders and relay the digests of all others. What its start costs the store thus does not depend
 //! on the number of hosts.
 
 use std::{sync::Arc, time::Duration};
@@ -53,15 +53,20 @@
 
 /// Registers this host and reads the other hosts' rows, forever.
 pub(crate) async fn run(host: Arc<Host>, store: Store) {
-    let has_more = if try_read_first(&host, &store).await == Some(true) {
+    let (host, store) = (&host, &store);
+    let own = host.own_data_centre();
+    let found = read_first_hosts(host, store, own).await;
+    let has_more = if matches!(found, Ok(true)) {
         // In a large data centre others relay this host's digests before its row is read.
         host.rt.spawn(keep_registered(host.clone(), store.clone(), Registration::Pending));
+        retry(host, || read_other_centres(host, store)).await;
         true
     } else {
+        found.err().into_iter().for_each(|it| record_failure(host, &it));
         // Of two hosts that start at once, the later one to register finds the other's row.
-        let registration = register_once(&host, &store).await;
+        let registration = register_once(host, store).await;
         host.rt.spawn(keep_registered(host.clone(), store.clone(), registration));
-        read_first(&host, &store).await
+        retry(host, || read_hosts(host, store, Extent::First)).await
     };
     host.mark_hosts_read();
     host.rt.spawn(quarantine_store::load(host.clone(), store.clone()));
@@ -71,9 +76,9 @@
     }
     loop {
         if host.is_store_watcher()
-            && let Err(err) = read_hosts(&host, &store, Extent::All).await
+            && let Err(err) = read_hosts(host, store, Extent::All).await
         {
-            log::warn!(err:% = truncate_error(&err); "table of hosts not read");
+            record_failure(host, &err);
             clock::sleep(MAX_PAUSE).await;
             continue;
         }
@@ -81,25 +86,24 @@
     }
 }
 
-/// Reads the first rows, retrying until the store answers; returns whether there are more.
-async fn read_first(host: &Host, store: &Store) -> bool {
+/// Repeats a read until the store answers.
+async fn retry<T, F>(host: &Host, read: impl Fn() -> F) -> T
+where
+    F: Future<Output = Result<T, Error>>,
+{
     loop {
-        if let Some(has_more) = try_read_first(host, store).await {
-            return has_more;
+        match read().await {
+            Ok(it) => return it,
+            Err(err) => record_failure(host, &err),
         }
         clock::sleep(MAX_PAUSE).await;
     }
 }
 
-/// Reads the first rows; returns whether there are more, `None` if the store does not answer.
-async fn try_read_first(host: &Host, store: &Store) -> Option<bool> {
-    let res = read_hosts(host, store, Extent::First).await;
-    if let Err(err) = &res {
-        // Callers do not wait for a store that is down.
-        host.mark_quarantine_loaded();
-        log::warn!(err:% = truncate_error(err); "table of hosts not read");
-    }
-    res.ok()
+/// Records that rows could not be read: callers do not wait for a store that is down.
+fn record_failure(host: &Host, err: &Error) {
+    host.mark_quarantine_loaded();
+    log::warn!(err:% = truncate_error(err); "table of hosts not read");
 }
 
 /// Reads rows of this data centre's hosts, and of the others if this host may have to lead; returns
@@ -118,16 +122,23 @@
     if !has_more {
         host.mark_hosts_loaded();
     }
-    if host.peers().is_among_first(N_LEADING) {
-        let parts = store.parts(store::HOSTS_TABLE).await?;
-        let data_centres = parts.iter().filter_map(|it| u32::from_str_radix(it, 16).ok());
-        for it in data_centres.filter(|it| *it != own) {
-            read_first_hosts(host, store, it).await?;
-        }
-    }
+    read_other_centres(host, store).await?;
     Ok(has_more)
 }
 
+/// Reads the first rows of the other data centres, if this host may have to lead its own.
+async fn read_other_centres(host: &Host, store: &Store) -> Result<(), Error> {
+    if !host.peers().is_among_first(N_LEADING) {
+        return Ok(());
+    }
+    let parts = store.parts(store::HOSTS_TABLE).await?;
+    let data_centres = parts.iter().filter_map(|it| u32::from_str_radix(it, 16).ok());
+    for it in data_centres.filter(|it| *it != host.own_data_centre()) {
+        read_first_hosts(host, store, it).await?;
+    }
+    Ok(())
+}
+
 /// Removes the rows of hosts that were not heard for long: a start would wait for those among the
 /// first.
 async fn remove_dead(host: &Host, store: &Store) -> Result<(), Error> {
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -197,21 +197,21 @@
 
     /// Adds a request to the retry budget of its service.
     pub(crate) fn deposit_retry(&self, service: u32) {
-        self.with_budget(service, |it, _| it.deposit(clock::now()));
+        self.with_budget(service, |it| it.deposit(clock::now()));
     }
 
     /// Takes one retry from the budget of a service; returns `false` if none is left.
     pub(crate) fn withdraw_retry(&self, service: u32) -> bool {
-        self.with_budget(service, |it, n_hosts| it.withdraw(clock::now(), n_hosts))
-    }
-
-    fn with_budget<T>(&self, service: u32, f: impl FnOnce(&mut RetryBudget, usize) -> T) -> T {
         // Hosts behind a network partition may be retrying requests too.
         let n_hosts = 1 + self.peers().n_known();
+        self.with_budget(service, |it| it.withdraw(clock::now(), n_hosts))
+    }
+
+    fn with_budget<T>(&self, service: u32, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let it = self.settings();
         let new = || RetryBudget::new(it.retry_ratio, it.retry_extra, it.retry_window);
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        f(budgets.entry(service).or_insert_with(new), n_hosts)
+        f(budgets.entry(service).or_insert_with(new))
     }
 
     /// Returns the state of the other hosts.
--- a/crates/portfield-host/src/store_watch.rs
+++ b/crates/portfield-host/src/store_watch.rs
@@ -189,7 +189,7 @@
     }
 
     /// Returns whether this host is to call the store for the table now.
-    fn is_call_due(&mut self) -> bool {
+    fn is_call_due(&self) -> bool {
         let is_known = (self.watched.known_version)(&self.host) != KnownVersion::Unknown;
         if self.version.is_some() || (is_known && self.era.is_none()) {
             return self.host.is_store_watcher();
@@ -328,7 +328,6 @@
         host.update_list(|it| {
             for id in it.directory.expire(now) {
                 log::info!(upstream = id; "upstream did not come back");
-                it.entries.remove(&id);
             }
         });
     }
--- a/crates/portfield-host/src/table_read.rs
+++ b/crates/portfield-host/src/table_read.rs
@@ -96,16 +96,12 @@
     // Raw bytes are passed on only for rows that were applied unmodified.
     let is_applied = |it: &ListRow| unmodified_ids.as_ref().is_none_or(|ids| ids.contains(&it.id));
     for it in rows.into_iter().filter(is_applied) {
-        match it.entry {
-            Some(bytes) if directory.get(&it.id).is_some() => {
-                list.entries.insert(it.id, Bytes::from(bytes));
-            }
-            _ => {}
+        if let Some(bytes) = it.entry
+            && directory.get(&it.id).is_some()
+        {
+            list.entries.insert(it.id, Bytes::from(bytes));
         }
     }
-    for it in changed.iter().filter(|it| it.state.is_none()) {
-        list.entries.remove(&it.id);
-    }
     log_changed(&changed, version);
     log_draining_conflicts(&list.directory, &changed, version);
     true
--- a/crates/portfield-host/src/upstream_list.rs
+++ b/crates/portfield-host/src/upstream_list.rs
@@ -119,6 +119,15 @@
         } else {
             touched.iter().for_each(|it| self.patch_ready(it));
         }
+        for it in &touched {
+            let current = self.directory.get(&it.entry.id);
+            if current.is_none() {
+                self.entries.remove(&it.entry.id);
+            }
+            if current.is_none_or(|current| current.hash != it.hash) {
+                self.reported_cold.remove(&it.hash);
+            }
+        }
         let n_touched = touched.len();
         ListChanges { cold: self.take_cold_changes(touched), restarts, n_touched }
     }
@@ -132,11 +141,8 @@
         let checked: Vec<Arc<Upstream>> = if std::mem::take(&mut self.is_cold_reset) {
             self.directory.all().cloned().collect()
         } else {
-            touched.iter().filter(is_listed).cloned().collect()
+            touched.into_iter().filter(|it| is_listed(&it)).collect()
         };
-        for it in touched.iter().filter(|it| self.directory.get(&it.entry.id).is_none()) {
-            self.reported_cold.remove(&it.hash);
-        }
         let mut res = Vec::new();
         for it in checked {
             let cold = it.entry.cold_remaining;
