refactor(balance): fewer copies in windows and summaries; test(soak): start times as entries have them

Windows over a whole service borrow the candidates, a summary builds only entries that it keeps. The soak wrote the start of an upstream in another clock than the entries' own.

--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -275,7 +275,8 @@
         let now = clock::now();
         self.timeline.restarts.push((index, now));
         self.entries[index].1["state"] = json!("ready");
-        self.entries[index].1["born"] = json!(now.as_millis() as u64);
+        // As the platform defines it: hosts compare it with the times of what they were told.
+        self.entries[index].1["born"] = json!(clock::unix_millis());
         let (id, entry) = &self.entries[index];
         self.fleet.store.put("servers", id, entry);
     }
--- a/crates/portfield/src/balance/upstream_table.rs
+++ b/crates/portfield/src/balance/upstream_table.rs
@@ -239,23 +239,17 @@
     /// Returns the loads of the upstreams that are in use or whose totals have changed, those with
     /// the most requests first. `members` has the loads of this data centre's other hosts.
     fn summarize_loads(&mut self, members: &FastMap<u32, Load>) -> Vec<wire::UpstreamLoad> {
-        let mut res: Vec<wire::UpstreamLoad> = self
-            .upstreams
-            .iter()
-            .map(|(id, it)| {
-                let others = members.get(id).copied().unwrap_or_default();
-                wire::UpstreamLoad {
-                    running: (it.own.running + others.running) as u32,
-                    pending: (it.own.pending + others.pending).max(0.0) as u32,
-                    read: it.tokens_read as u64 + it.peers_read,
-                    ..it.report(*id)
-                }
-            })
-            .filter(|it| {
-                0 < it.running
-                    || self.upstreams.get(&it.upstream).is_some_and(|it| 0 < it.n_summaries_left)
-            })
-            .collect();
+        let summed = |(id, it): (&u32, &UpstreamState)| {
+            let others = members.get(id).copied().unwrap_or_default();
+            let load = wire::UpstreamLoad {
+                upstream: *id,
+                running: (it.own.running + others.running) as u32,
+                pending: (it.own.pending + others.pending).max(0.0) as u32,
+                read: it.tokens_read as u64 + it.peers_read,
+            };
+            (0 < load.running || 0 < it.n_summaries_left).then_some(load)
+        };
+        let mut res: Vec<wire::UpstreamLoad> = self.upstreams.iter().filter_map(summed).collect();
         res.sort_unstable_by_key(|it| Reverse((it.running, it.upstream)));
         res.truncate(MAX_SUMMARY_LOADS);
         for it in &res {
--- a/crates/portfield/src/balance/window.rs
+++ b/crates/portfield/src/balance/window.rs
@@ -6,6 +6,8 @@
 //! hosts look at the same window for a shared prompt part, which thus stays at few engines, and at a
 //! random one for all other requests. The window widens if nothing in it may take the request.
 
+use std::borrow::Cow;
+
 use super::{placement::Candidate, scoring::TieBreak};
 
 /// Numbers of upstreams scored, one after the other until one takes the request. A service with no
@@ -17,12 +19,14 @@
 pub(super) fn windows(
     candidates: &[Candidate],
     tie_break: TieBreak,
-) -> impl Iterator<Item = Vec<Candidate>> {
+) -> impl Iterator<Item = Cow<'_, [Candidate]>> {
     let [_, max_size] = WINDOW_SIZES;
     let is_whole = candidates.len() <= max_size;
     let sizes = if is_whole { &WINDOW_SIZES[1..] } else { &WINDOW_SIZES[..] };
-    let from = if is_whole { 0 } else { tie_break.window_start() };
-    let start = candidates.partition_point(|it| it.upstream < from);
+    let start =
+        candidates.partition_point(|it| !is_whole && it.upstream < tie_break.window_start());
     let ring = move || candidates[start..].iter().chain(&candidates[..start]);
-    sizes.iter().map(move |size| ring().take(*size).copied().collect())
+    sizes.iter().map(move |size| {
+        if is_whole { candidates.into() } else { ring().take(*size).copied().collect() }
+    })
 }
--- a/crates/portfield/src/catalog/directory.rs
+++ b/crates/portfield/src/catalog/directory.rs
@@ -295,9 +295,11 @@
     /// Returns the upstreams that reported that they are draining while their entries say `ready`.
     pub fn draining_unlisted(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         let is_entry_ready = |it: &&Arc<Upstream>| it.entry.state == State::Ready;
-        let has_marks = !self.drain_marks.is_empty();
-        self.all()
-            .take_while(move |_| has_marks)
+        // Usually there are no marks, and each digest asks.
+        let marked = (!self.drain_marks.is_empty()).then(|| self.all());
+        marked
+            .into_iter()
+            .flatten()
             .filter(is_entry_ready)
             .filter(|it| self.is_marked_draining(it.wire_id()))
     }
--- a/crates/portfield/tests/gossip_simulation/mod.rs
+++ b/crates/portfield/tests/gossip_simulation/mod.rs
@@ -99,6 +99,12 @@
     digest: Rc<Digest>,
 }
 
+/// Returns the table of a host that knows no other one.
+fn empty_table(address: SocketAddr, data_centre: u32) -> PeerTable {
+    let config = GossipConfig { host: host_hash(address), data_centre, direct_limit: DIRECT_LIMIT };
+    PeerTable::new(config, std::iter::empty())
+}
+
 /// Simulated hosts and the datagrams between them.
 pub struct Simulation {
     pub now: Duration,
@@ -134,15 +140,13 @@
     /// Adds a host with a random start delay.
     pub fn add_host(&mut self, data_centre: u32, number: u32) {
         let address = SocketAddr::from(([10, data_centre as u8, 0, 0], 7000 + number as u16));
-        let config =
-            GossipConfig { host: host_hash(address), data_centre, direct_limit: DIRECT_LIMIT };
         let jitter = Duration::from_millis(self.rng.u64(0..300));
         let draw = self.rng.f64();
         self.by_address.insert(address, self.hosts.len());
         self.hosts.push(Host {
             address,
             data_centre,
-            peers: PeerTable::new(config, std::iter::empty()),
+            peers: empty_table(address, data_centre),
             balancer: Balancer::new(Duration::from_secs(4)),
             quarantine: Quarantine::default(),
             drains: DrainMarks::default(),
@@ -204,12 +208,7 @@
         for i in 0..self.hosts.len() {
             self.restart(i);
             let host = &mut self.hosts[i];
-            let config = GossipConfig {
-                host: host_hash(host.address),
-                data_centre: host.data_centre,
-                direct_limit: DIRECT_LIMIT,
-            };
-            host.peers = PeerTable::new(config, std::iter::empty());
+            host.peers = empty_table(host.address, host.data_centre);
             let jitter = Duration::from_millis(self.rng.u64(0..300));
             (host.started, host.next_digest) = (self.now + jitter, self.now + jitter);
         }
@@ -222,12 +221,7 @@
         let known: Vec<_> = self.hosts.iter().map(|it| (it.address, it.data_centre)).collect();
         let now = self.now;
         let host = &mut self.hosts[i];
-        let config = GossipConfig {
-            host: host_hash(host.address),
-            data_centre: host.data_centre,
-            direct_limit: DIRECT_LIMIT,
-        };
-        host.peers = PeerTable::new(config, std::iter::empty());
+        host.peers = empty_table(host.address, host.data_centre);
         known.iter().for_each(|it| host.peers.add_host(it.0, Some(it.1)));
         host.balancer = Balancer::new(Duration::from_secs(4));
         host.quarantine = Quarantine::default();
