refactor: gossip between hosts in a folder of its own

Cause: portfield/src/balance held 27 files of three concerns, eight of them in one circle of imports. Change: gossip/ takes topology, peer table and state, fan-out, first readers, store watchers and the store's availability; fast_map and decaying_sum stand at the root; RunId in ids, FULL_DIGEST_EVERY in digest_scope. Moves and imports only.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -7,8 +7,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use portfield::{
-    balance::{Assignment, Completion, RunId},
+    balance::{Assignment, Completion},
     catalog::Upstream,
+    ids::RunId,
 };
 use portfield_net::clock;
 use portfield_platform::{request, response::ResponseHead};
--- a/crates/portfield-host/src/newer_copy.rs
+++ b/crates/portfield-host/src/newer_copy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use portfield::balance::PeerCopy;
+use portfield::gossip::PeerCopy;
 
 use crate::atomic_instant::AtomicInstant;
 
--- a/crates/portfield-host/src/peers/fetch.rs
+++ b/crates/portfield-host/src/peers/fetch.rs
@@ -12,8 +12,8 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use portfield::{
-    balance::{ListAnswer, ListSender},
     catalog::{EvacuationRow, EvacuationSnapshot, MissingRows, StoreVersion},
+    gossip::{ListAnswer, ListSender},
 };
 use portfield_net::{clock, rpc};
 use portfield_wire::{
--- a/crates/portfield-host/src/peers/receive.rs
+++ b/crates/portfield-host/src/peers/receive.rs
@@ -7,8 +7,8 @@
 };
 
 use portfield::{
-    balance::{Delivery, FetchSize, GossipTopology, WatcherStatus, asks_now},
     catalog::StoreVersion,
+    gossip::{Delivery, FetchSize, GossipTopology, WatcherStatus, asks_now},
     suspend::CachedState,
 };
 use portfield_net::{clock, panics};
--- a/crates/portfield-host/src/peers/send.rs
+++ b/crates/portfield-host/src/peers/send.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_io::Async;
-use portfield::balance::{GossipTopology, Introduction};
+use portfield::gossip::{GossipTopology, Introduction};
 use portfield_net::clock;
 use portfield_wire::Digest;
 use prost::Message;
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use portfield::{
-    balance::GossipTopology,
     catalog::Upstream,
+    gossip::GossipTopology,
     quarantine::{Fingerprint, QuarantineEntry, RequestKey},
 };
 use portfield_net::clock;
--- a/crates/portfield-host/src/settings.rs
+++ b/crates/portfield-host/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, path::Path, time::Duration};
 
-use portfield::balance::StoreTimeouts;
+use portfield::gossip::StoreTimeouts;
 use portfield_net::settings::{Error, Reader};
 
 /// Settings read at start and on each reload.
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -13,11 +13,12 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use portfield::{
-    balance::{
-        AnswerKind, Balancer, GossipConfig, GossipTopology, LoadShedder, PeerTable, RetryBudget,
-        StoreAvailability, StoreWatchers, WatcherStatus, host_hash,
-    },
+    balance::{AnswerKind, Balancer, LoadShedder, RetryBudget},
     catalog::Catalog,
+    gossip::{
+        GossipConfig, GossipTopology, PeerTable, StoreAvailability, StoreWatchers, WatcherStatus,
+        host_hash,
+    },
     quarantine::{BrokenAttempts, Quarantine, RequestKey},
     suspend::SuspendDetector,
 };
--- a/crates/portfield-host/src/store_watch.rs
+++ b/crates/portfield-host/src/store_watch.rs
@@ -5,8 +5,8 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use portfield::{
-    balance::{PeerCopy, STORE_CALL_TIMEOUT},
     catalog::{MissingRows, REGISTRATION_GRACE, StoreVersion},
+    gossip::{PeerCopy, STORE_CALL_TIMEOUT},
     quarantine::RequestKey,
     suspend::CachedState,
 };
--- a/crates/portfield-host/src/upstream_signals.rs
+++ b/crates/portfield-host/src/upstream_signals.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, PoisonError};
 
 use http::StatusCode;
-use portfield::{balance::GossipTopology, catalog::Upstream};
+use portfield::{catalog::Upstream, gossip::GossipTopology};
 use portfield_net::clock;
 use portfield_platform::{response::ResponseHead, retry_after::RetryAfter};
 use portfield_wire::Digest;
--- a/crates/portfield/src/balance/backoff.rs
+++ b/crates/portfield/src/balance/backoff.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::balancer::RunId;
+use crate::ids::RunId;
 
 /// Longest backoff: an absurd value must not exclude an upstream for ever.
 const MAX_BACKOFF: Duration = Duration::from_secs(600);
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -7,7 +7,6 @@
 use super::{
     admission::{max_wait_ms, time_left_ms},
     bias::Bias,
-    fast_map::FastMap,
     latency_model::LatencyModel,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     prompt::{Prompt, PromptPrefix},
@@ -16,10 +15,7 @@
     upstream_table::UpstreamTable,
     window::windows,
 };
-use crate::wire;
-
-/// Id of a request sent to an upstream, unique on this host.
-pub type RunId = u64;
+use crate::{digest_scope::FULL_DIGEST_EVERY, fast_map::FastMap, ids::RunId, wire};
 
 /// Shortest and longest time after which a refused caller is told to retry.
 const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
@@ -33,9 +29,6 @@
 /// With most engines idle, the bottleneck is the queue at the engine that caches a popular part.
 /// With most engines busy, reading parts again costs all workspaces capacity.
 const SPARE_IDLE_RATIO: f64 = 0.5;
-/// One digest in this many has all usage totals, the others only those that changed: a host that
-/// has just started knows all of them within a second.
-pub(crate) const FULL_DIGEST_EVERY: u64 = 8;
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.05;
 
--- a/crates/portfield/src/balance/load_shedder.rs
+++ b/crates/portfield/src/balance/load_shedder.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{decaying_sum::DecayingSum, shares::max_min_share};
+use super::shares::max_min_share;
+use crate::decaying_sum::DecayingSum;
 
 /// Weight of a new observation; at one per 25 ms it averages over about a tenth of a second.
 const SMOOTHING: f64 = 0.25;
--- a/crates/portfield/src/balance/prefix_cache.rs
+++ b/crates/portfield/src/balance/prefix_cache.rs
@@ -1,6 +1,7 @@
 //! Prompt prefixes that an engine has cached, as far as this host knows.
 
-use super::{fast_map::FastMap, prompt::PromptPrefix};
+use super::prompt::PromptPrefix;
+use crate::fast_map::FastMap;
 
 /// Fraction of an engine's memory that caches prefixes; running requests use the rest.
 ///
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use super::fast_map::FastMap;
-use crate::digest_scope::DIGESTS_PER_UPDATE;
+use crate::{digest_scope::DIGESTS_PER_UPDATE, fast_map::FastMap};
 
 /// Number of buckets in the window.
 const N_BUCKETS: usize = 8;
--- a/crates/portfield/src/balance/upstream_table.rs
+++ b/crates/portfield/src/balance/upstream_table.rs
@@ -3,15 +3,13 @@
 
 use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
-use super::{
-    backoff::Backoff,
+use super::{backoff::Backoff, health::Health, prefix_cache::PrefixCache, warmup::Warmup};
+use crate::{
+    digest_scope::DIGESTS_PER_UPDATE,
     fast_map::FastMap,
-    health::Health,
-    peer_state::{PeerState, peer_timeout},
-    prefix_cache::PrefixCache,
-    warmup::Warmup,
+    gossip::{PeerState, peer_timeout},
+    wire,
 };
-use crate::{digest_scope::DIGESTS_PER_UPDATE, wire};
 
 /// Upstreams that a summary names at most, of some 25 bytes each: a datagram holds 64 KB.
 const MAX_SUMMARY_LOADS: usize = 1_200;
--- a/crates/portfield/src/balance/fan_out.rs
+++ b/crates/portfield/src/gossip/fan_out.rs
@@ -32,7 +32,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::{ListAnswer, ListSender};
+/// use portfield::gossip::{ListAnswer, ListSender};
 /// use std::time::Duration;
 ///
 /// let millis = Duration::from_millis;
@@ -95,7 +95,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::{FetchSize, asks_now};
+/// use portfield::gossip::{FetchSize, asks_now};
 ///
 /// assert!(asks_now(1, 8, FetchSize::Small, 0.99), "a single host serves a few others");
 /// assert!(asks_now(2, 160, FetchSize::Small, 0.09));
--- a/crates/portfield/src/balance/first_read.rs
+++ b/crates/portfield/src/gossip/first_read.rs
@@ -46,7 +46,7 @@
     /// # Examples
     ///
     /// ```
-    /// use portfield::balance::{PeerCopy, ReaderRank};
+    /// use portfield::gossip::{PeerCopy, ReaderRank};
     /// use std::time::Duration;
     ///
     /// let due = |n_before, n_known, copy| {
--- a/crates/portfield/src/balance/peer_state.rs
+++ b/crates/portfield/src/gossip/peer_state.rs
@@ -11,8 +11,8 @@
 
 use std::time::Duration;
 
-use super::{fast_map::FastMap, topology::digest_period};
-use crate::wire;
+use super::topology::digest_period;
+use crate::{fast_map::FastMap, wire};
 
 /// Shortest time without a digest after which a peer's load no longer counts.
 ///
--- a/crates/portfield/src/balance/peer_table.rs
+++ b/crates/portfield/src/gossip/peer_table.rs
@@ -5,11 +5,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    fast_map::FastMap,
     first_read::ReaderRank,
     topology::{GossipConfig, GossipTopology, Peer, digest_period},
 };
-use crate::wire::{Digest, KnownHost};
+use crate::{
+    fast_map::FastMap,
+    wire::{Digest, KnownHost},
+};
 
 /// One summary in this many also goes to a random host of each other data centre, in case its
 /// leader has changed or cannot be reached.
@@ -81,7 +83,7 @@
 ///
 /// ```
 /// use portfield::{
-///     balance::{GossipConfig, PeerTable},
+///     gossip::{GossipConfig, PeerTable},
 ///     wire::Digest,
 /// };
 /// use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
@@ -192,7 +194,7 @@
     /// # Examples
     ///
     /// ```
-    /// use portfield::balance::{GossipConfig, PeerTable, host_hash};
+    /// use portfield::gossip::{GossipConfig, PeerTable, host_hash};
     /// use std::time::Duration;
     ///
     /// let config = GossipConfig { host: 1, data_centre: 1, direct_limit: 12 };
@@ -385,7 +387,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::host_hash;
+/// use portfield::gossip::host_hash;
 ///
 /// let address = "10.1.0.1:7400".parse()?;
 /// assert_eq!(host_hash(address), host_hash(address));
--- a/crates/portfield/src/balance/store_availability.rs
+++ b/crates/portfield/src/gossip/store_availability.rs
@@ -10,7 +10,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::StoreAvailability;
+/// use portfield::gossip::StoreAvailability;
 /// use std::time::Duration;
 ///
 /// let second = Duration::from_secs(1);
--- a/crates/portfield/src/balance/store_watchers.rs
+++ b/crates/portfield/src/gossip/store_watchers.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::{fast_map::FastMap, peer_state::peer_timeout};
+use super::peer_state::peer_timeout;
+use crate::fast_map::FastMap;
 
 /// Up to this many hosts, every host watches the store: the calls that fewer watchers would save
 /// cost less than a hundredth of the fleet's revenue, and each host learns of changes by itself.
@@ -26,7 +27,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::StoreTimeouts;
+/// use portfield::gossip::StoreTimeouts;
 /// use std::time::Duration;
 ///
 /// let hold = |seconds| StoreTimeouts::new(Duration::from_secs(seconds)).hold.as_millis();
@@ -88,7 +89,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::{StoreWatchers, WatcherStatus};
+/// use portfield::gossip::{StoreWatchers, WatcherStatus};
 /// use std::time::Duration;
 ///
 /// let mut watchers = StoreWatchers::default();
--- a/crates/portfield/src/balance/topology.rs
+++ b/crates/portfield/src/gossip/topology.rs
@@ -12,8 +12,10 @@
 
 use std::time::Duration;
 
-use super::balancer::FULL_DIGEST_EVERY;
-use crate::{digest_scope::DigestScope, wire};
+use crate::{
+    digest_scope::{DigestScope, FULL_DIGEST_EVERY},
+    wire,
+};
 
 /// Time between two digests in a small fleet; a shorter period did not improve what callers get.
 const PERIOD: Duration = Duration::from_millis(50);
@@ -75,7 +77,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::{GossipConfig, GossipTopology, Peer};
+/// use portfield::gossip::{GossipConfig, GossipTopology, Peer};
 /// use std::time::Duration;
 ///
 /// let now = Duration::from_secs(30);
--- a/crates/portfield/src/ids.rs
+++ b/crates/portfield/src/ids.rs
@@ -16,6 +16,8 @@
 pub type TicketId = u64;
 /// A loan of a slot, numbered by the shard owner that lends it.
 pub type LoanId = u64;
+/// A request sent to an upstream, numbered by the host that sent it.
+pub type RunId = u64;
 /// One run of a process; a later run has a larger number.
 pub type Incarnation = u64;
 /// A revision of the fleet configuration.
--- a/crates/portfield/src/lib.rs
+++ b/crates/portfield/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - [`catalog`]: routes, workspaces and upstreams that a host knows
 //! - [`balance`]: load balancing, decided by each host on digests that the hosts exchange
+//! - [`gossip`]: which hosts exchange digests, and which read the platform's store
 //! - [`quarantine`]: requests that crash the upstreams that run them
 //! - [`digest_scope`]: incremental and full digests
 //! - [`suspend`]: detection that this process was suspended, which makes its cached state stale
@@ -22,8 +23,11 @@
 
 pub mod balance;
 pub mod catalog;
+mod decaying_sum;
 pub mod digest_scope;
+mod fast_map;
 pub mod fleet;
+pub mod gossip;
 pub mod idempotency;
 pub mod ids;
 pub mod member;
--- a/crates/portfield/src/quarantine/registry.rs
+++ b/crates/portfield/src/quarantine/registry.rs
@@ -11,7 +11,7 @@
     crash_history::{CRASH_THRESHOLD, CrashHistory, Scope},
     fingerprint::Fingerprint,
 };
-use crate::{balance::GossipTopology, digest_scope::DigestScope, wire};
+use crate::{digest_scope::DigestScope, gossip::GossipTopology, wire};
 
 /// Requests per digest, of some 50 bytes each. A crash of an engine breaks some twenty requests at
 /// nine hosts.
--- a/crates/portfield/tests/backoff.rs
+++ b/crates/portfield/tests/backoff.rs
@@ -5,9 +5,10 @@
 use portfield::{
     balance::{
         Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt,
-        PromptPart, Refusal, RunId, Stage,
+        PromptPart, Refusal, Stage,
     },
     catalog::EngineSpec,
+    ids::RunId,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -4,10 +4,11 @@
 
 use portfield::{
     balance::{
-        Assignment, Balancer, Candidate, Completion, Delivery, GossipConfig, GossipTopology, Peer,
-        PeerTable, Placement, PlacementRequest, Prompt, PromptPart, Stage,
+        Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt,
+        PromptPart, Stage,
     },
     catalog::EngineSpec,
+    gossip::{Delivery, GossipConfig, GossipTopology, Peer, PeerTable},
     wire::{self, Digest},
 };
 
--- a/crates/portfield/tests/engine_simulation/mod.rs
+++ b/crates/portfield/tests/engine_simulation/mod.rs
@@ -12,10 +12,10 @@
 
 use portfield::{
     balance::{
-        Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt, PromptPart, RunId,
-        Stage,
+        Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt, PromptPart, Stage,
     },
     catalog::EngineSpec,
+    ids::RunId,
     wire::Digest,
 };
 
--- a/crates/portfield/tests/fan_out.rs
+++ b/crates/portfield/tests/fan_out.rs
@@ -49,7 +49,7 @@
 fn a_fleet_gets_the_list_when_its_first_hosts_are_dead() {
     let mut sim = start(2, 200);
     let mut by_hash: Vec<usize> = (0..sim.hosts.len()).collect();
-    by_hash.sort_by_key(|it| portfield::balance::host_hash(sim.hosts[*it].address));
+    by_hash.sort_by_key(|it| portfield::gossip::host_hash(sim.hosts[*it].address));
     by_hash[..24].iter().for_each(|it| sim.hosts[*it].is_alive = false);
     let time = time_until_all_know(&mut sim);
     assert!(time <= Duration::from_secs(30), "{time:?}");
--- a/crates/portfield/tests/gossip_leaders.rs
+++ b/crates/portfield/tests/gossip_leaders.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use gossip_simulation::{Host, Simulation};
-use portfield::{balance::host_hash, quarantine::RequestKey};
+use portfield::{gossip::host_hash, quarantine::RequestKey};
 
 /// Allowed age of a host's last digest: two periods of 118 ms at 59 hosts, and a lost one.
 const AGE: Duration = Duration::from_millis(400);
--- a/crates/portfield/tests/gossip_simulation/mod.rs
+++ b/crates/portfield/tests/gossip_simulation/mod.rs
@@ -11,11 +11,12 @@
 };
 
 use portfield::{
-    balance::{
-        Balancer, Delivery, FetchSize, GossipConfig, Introduction, ListAnswer, ListSender,
-        PeerCopy, PeerTable, asks_now, host_hash,
-    },
+    balance::Balancer,
     catalog::DrainMarks,
+    gossip::{
+        Delivery, FetchSize, GossipConfig, Introduction, ListAnswer, ListSender, PeerCopy,
+        PeerTable, asks_now, host_hash,
+    },
     quarantine::Quarantine,
     wire::{Digest, KnownHost},
 };
--- a/crates/portfield/tests/host_limits.rs
+++ b/crates/portfield/tests/host_limits.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use portfield::balance::{LoadShedder, RetryBudget, StoreWatchers, WatcherStatus};
+use portfield::{
+    balance::{LoadShedder, RetryBudget},
+    gossip::{StoreWatchers, WatcherStatus},
+};
 
 fn at(millis: u64) -> Duration {
     Duration::from_millis(1_000 + millis)
--- a/crates/portfield/tests/quarantine.rs
+++ b/crates/portfield/tests/quarantine.rs
@@ -8,7 +8,7 @@
     RequestKey,
 };
 use portfield::{
-    balance::{GossipConfig, GossipTopology},
+    gossip::{GossipConfig, GossipTopology},
     wire::Suspect,
 };
 
--- a/crates/portfield/tests/store_availability.rs
+++ b/crates/portfield/tests/store_availability.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use portfield::balance::StoreAvailability;
+use portfield::gossip::StoreAvailability;
 
 const SECOND: Duration = Duration::from_secs(1);
 const MAX_GAP: Duration = Duration::from_millis(3200);
--- a/crates/portfield/tests/warmup.rs
+++ b/crates/portfield/tests/warmup.rs
@@ -7,8 +7,10 @@
 
 use std::time::Duration;
 
-use portfield::balance::{
-    Balancer, Candidate, Placement, PlacementRequest, RunId, Stage, cold_quota, host_hash,
+use portfield::{
+    balance::{Balancer, Candidate, Placement, PlacementRequest, Stage, cold_quota},
+    gossip::host_hash,
+    ids::RunId,
 };
 
 const MAX_RATE: f64 = 14.15;
