refactor: what is known of each upstream in a folder of its own

Change: upstream/ takes the table, prompts, caches, latency, bias, health, backoff and warm-up; balance/ keeps the decisions. Imports go one way (ARCHITECTURE.md). Moves and imports only.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -8,9 +8,10 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use portfield::{
-    balance::{Overload, PlacementRequest, Prompt, Stage},
+    balance::{Overload, PlacementRequest, Stage},
     catalog::{Access, Catalog, EngineSpec, Route, RouteKind, Workspace},
     quarantine::{self, Fingerprint, RequestIdentity},
+    upstream::Prompt,
 };
 use portfield_net::clock;
 use portfield_platform::request;
--- a/crates/portfield-host/src/cold_start.rs
+++ b/crates/portfield-host/src/cold_start.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use portfield::{
-    balance::cold_quota,
     catalog::{ColdStart, Upstream},
+    upstream::cold_quota,
 };
 use portfield_net::clock;
 
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,16 +6,18 @@
 
 use super::{
     admission::{max_wait_ms, time_left_ms},
-    bias::Bias,
-    latency_model::LatencyModel,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
-    prompt::{Prompt, PromptPrefix},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
     shares::{ShareSnapshot, ShareStatus, Shares, Usage},
-    upstream_table::UpstreamTable,
     window::windows,
 };
-use crate::{digest_scope::FULL_DIGEST_EVERY, fast_map::FastMap, ids::RunId, wire};
+use crate::{
+    digest_scope::FULL_DIGEST_EVERY,
+    fast_map::FastMap,
+    ids::RunId,
+    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, UpstreamTable},
+    wire,
+};
 
 /// Shortest and longest time after which a refused caller is told to retry.
 const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
--- a/crates/portfield/src/balance/placement.rs
+++ b/crates/portfield/src/balance/placement.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use super::prompt::Prompt;
-use crate::catalog::EngineSpec;
+use crate::{catalog::EngineSpec, upstream::Prompt};
 
 /// An upstream that a request may be sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,7 +49,7 @@
     /// # Examples
     ///
     /// ```
-    /// use portfield::balance::{PlacementRequest, Prompt, Stage};
+    /// use portfield::{balance::{PlacementRequest, Stage}, upstream::Prompt};
     /// use std::time::Duration;
     ///
     /// let request = PlacementRequest {
--- a/crates/portfield/src/balance/scoring.rs
+++ b/crates/portfield/src/balance/scoring.rs
@@ -5,13 +5,13 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
-    latency_model::LatencyModel,
     placement::{Assignment, Candidate, PlacementRequest},
-    prompt::{Prompt, PromptPrefix},
     shares::ShareStatus,
-    upstream_table::{Load, UpstreamState, UpstreamTable},
 };
-use crate::catalog::EngineSpec;
+use crate::{
+    catalog::EngineSpec,
+    upstream::{LatencyModel, Load, Prompt, PromptPrefix, UpstreamState, UpstreamTable},
+};
 
 /// Cost of reading a shared part again, in milliseconds per token, in addition to the reading time.
 ///
--- a/crates/portfield/src/lib.rs
+++ b/crates/portfield/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - [`catalog`]: routes, workspaces and upstreams that a host knows
 //! - [`balance`]: load balancing, decided by each host on digests that the hosts exchange
+//! - [`upstream`]: what a host knows of each upstream
 //! - [`gossip`]: which hosts exchange digests, and which read the platform's store
 //! - [`quarantine`]: requests that crash the upstreams that run them
 //! - [`digest_scope`]: incremental and full digests
@@ -37,5 +38,6 @@
 pub mod slo;
 pub mod suspend;
 pub mod timer;
+pub mod upstream;
 
 pub use portfield_wire as wire;
--- a/crates/portfield/src/balance/prompt.rs
+++ b/crates/portfield/src/upstream/prompt.rs
@@ -29,7 +29,7 @@
     /// # Examples
     ///
     /// ```
-    /// use portfield::balance::Prompt;
+    /// use portfield::upstream::Prompt;
     ///
     /// let prompt = Prompt { input_tokens: 1_000, max_output_tokens: 50, ..Prompt::default() };
     /// assert_eq!(prompt.token_cost(), 1_100.0);
--- a/crates/portfield/src/balance/warmup.rs
+++ b/crates/portfield/src/upstream/warmup.rs
@@ -29,7 +29,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::balance::cold_quota;
+/// use portfield::upstream::cold_quota;
 ///
 /// let hosts: Vec<u64> = (1..=20).collect();
 /// let quota = |host| cold_quota(14.0, &hosts, host, 7);
--- a/crates/portfield/tests/backoff.rs
+++ b/crates/portfield/tests/backoff.rs
@@ -4,11 +4,11 @@
 
 use portfield::{
     balance::{
-        Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt,
-        PromptPart, Refusal, Stage,
+        Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
     },
     catalog::EngineSpec,
     ids::RunId,
+    upstream::{Prompt, PromptPart},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -7,10 +7,10 @@
 
 use portfield::{
     balance::{
-        Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt,
-        PromptPart, Refusal, Stage,
+        Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
     },
     catalog::EngineSpec,
+    upstream::{Prompt, PromptPart},
     wire::Digest,
 };
 
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -3,12 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use portfield::{
-    balance::{
-        Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt,
-        PromptPart, Stage,
-    },
+    balance::{Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Stage},
     catalog::EngineSpec,
     gossip::{Delivery, GossipConfig, GossipTopology, Peer, PeerTable},
+    upstream::{Prompt, PromptPart},
     wire::{self, Digest},
 };
 
--- a/crates/portfield/tests/engine_simulation/mod.rs
+++ b/crates/portfield/tests/engine_simulation/mod.rs
@@ -11,11 +11,10 @@
 };
 
 use portfield::{
-    balance::{
-        Balancer, Candidate, Completion, Placement, PlacementRequest, Prompt, PromptPart, Stage,
-    },
+    balance::{Balancer, Candidate, Completion, Placement, PlacementRequest, Stage},
     catalog::EngineSpec,
     ids::RunId,
+    upstream::{Prompt, PromptPart},
     wire::Digest,
 };
 
--- a/crates/portfield/tests/many_upstreams.rs
+++ b/crates/portfield/tests/many_upstreams.rs
@@ -7,8 +7,9 @@
 };
 
 use portfield::{
-    balance::{Balancer, Candidate, Placement, PlacementRequest, Prompt, PromptPart, Stage},
+    balance::{Balancer, Candidate, Placement, PlacementRequest, Stage},
     catalog::EngineSpec,
+    upstream::{Prompt, PromptPart},
 };
 
 const NOW: Duration = Duration::from_secs(10);
--- a/crates/portfield/tests/warmup.rs
+++ b/crates/portfield/tests/warmup.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use portfield::{
-    balance::{Balancer, Candidate, Placement, PlacementRequest, Stage, cold_quota},
+    balance::{Balancer, Candidate, Placement, PlacementRequest, Stage},
     gossip::host_hash,
     ids::RunId,
+    upstream::cold_quota,
 };
 
 const MAX_RATE: f64 = 14.15;
