feat: interfaces of the parts for hard load, all switched off

Cause: the parts of docs/design/hard-load.md need common types, wire fields and settings before they are built side by side. Change: EngineSpec.transfer, Prompt.length_hint, PlacementRequest.route and .earlier, Assignment.fetch, UpstreamHeaders.fetch_from, BalancerOptions with settings keys, wire fields. No decision uses them yet.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -230,6 +230,7 @@
             incarnation: &upstream.entry.id,
             workspace: call.workspace.as_ref().map(|it| it.name.as_str()),
             last_event_id: last_event,
+            fetch_from: None,
         },
     );
     let mut res = Request::new(Full::new(call.body.clone()));
--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -105,9 +105,11 @@
         let placement = PlacementRequest {
             workspace: workspace_hash,
             service: hash_name(&service),
+            route: hash_name(&route.name),
             prompt: head.prompt,
             objective: route.latency_target,
             waited: Duration::ZERO,
+            earlier: route.timeout.saturating_sub(timeout),
             stage: Stage::New,
             engine,
         };
--- a/crates/portfield-host/src/lifecycle.rs
+++ b/crates/portfield-host/src/lifecycle.rs
@@ -150,6 +150,7 @@
                 ..new
             };
             let changed = *old != kept;
+            host.balancer().set_options(kept.options);
             *host.settings.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(kept);
             log::info!(changed; "settings reloaded");
         }
--- a/crates/portfield-host/src/settings.rs
+++ b/crates/portfield-host/src/settings.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, net::SocketAddr, path::Path, time::Duration};
 
-use portfield::gossip::StoreTimeouts;
+use portfield::{
+    balance::{BalancerOptions, Switch},
+    gossip::StoreTimeouts,
+};
 use portfield_net::settings::{Error, Reader};
 
 /// Settings read at start and on each reload.
@@ -51,6 +54,16 @@
     pub cold_overrun: f64,
     /// Requests per second allowed in addition.
     pub cold_slack: f64,
+    /// Optional decisions of the balancer.
+    pub options: BalancerOptions,
+    /// Whether this host moves callers to hosts with more processor time left before it is overloaded.
+    pub ingress_balance: Switch,
+    /// Time for which a stream's event may be held back on its way to the caller; zero if none may.
+    pub event_delay: Duration,
+    /// Memory of this process, in megabytes; zero if unknown.
+    pub memory_mb: u64,
+    /// Processor time of this process, in cores; zero if unknown.
+    pub cpu_share: f64,
     /// Region of each data centre, by name.
     pub regions: HashMap<String, String>,
 }
@@ -84,6 +97,16 @@
             store_timeouts: StoreTimeouts::new(it.millis("contact_ms", 3000, (100, 600_000))),
             cold_overrun: it.float("cold_overrun", 1.0, (0.0, 1000.0)),
             cold_slack: it.float("cold_slack", 0.0, (0.0, 1e6)),
+            options: BalancerOptions {
+                cache_transfer: it.switch("cache_transfer"),
+                engine_speed: it.switch("engine_speed"),
+                capacity_shares: it.switch("capacity_shares"),
+                memory_limits: it.switch("memory_limits"),
+            },
+            ingress_balance: it.switch("ingress_balance"),
+            event_delay: it.millis("event_delay_ms", 0, (0, 60_000)),
+            memory_mb: it.integer("memory_mb", 0, (0, 1 << 30)),
+            cpu_share: it.float("cpu_share", 0.0, (0.0, 1024.0)),
             regions: it.string_table("regions"),
         };
         it.finish()?;
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -112,6 +112,7 @@
         let incarnation = fastrand::u64(1..);
         let mut balancer = Balancer::new(settings.share_window);
         balancer.set_seed(incarnation);
+        balancer.set_options(settings.options);
         let seeds = settings.seeds.iter().copied().filter(|it| *it != settings.peers);
         let (pending_writes, receiver) = async_channel::bounded(MAX_PENDING_WRITES);
         let res = Arc::new(Self {
--- a/crates/portfield-net/src/settings.rs
+++ b/crates/portfield-net/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, error, fmt, fs, net::SocketAddr, path::Path, time::Duration};
 
-use portfield::fleet::Diagnostic;
+use portfield::{balance::Switch, fleet::Diagnostic};
 use toml::{Table, Value};
 
 /// Error of a settings file that cannot be used, with every problem found.
@@ -104,6 +104,19 @@
         res
     }
 
+    /// Takes an optional switch, `"on"` or `"off"`, which is the default.
+    pub fn switch(&mut self, key: &str) -> Switch {
+        let Some(value) = self.table.remove(key) else { return Switch::Off };
+        match value.as_str() {
+            Some("on") => Switch::On,
+            Some("off") => Switch::Off,
+            _ => {
+                self.report(key, "must be \"on\" or \"off\"".to_owned());
+                Switch::Off
+            }
+        }
+    }
+
     /// Takes an optional list of addresses, empty by default.
     pub fn addresses(&mut self, key: &str) -> Vec<SocketAddr> {
         let Some(value) = self.table.remove(key) else { return Vec::new() };
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,6 +6,7 @@
 
 use super::{
     admission::{max_wait_ms, time_left_ms},
+    options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
     shares::{ShareSnapshot, ShareStatus, Shares, Usage},
@@ -67,6 +68,7 @@
     engine_memory: FastMap<u32, u64>,
     /// State of the pseudo-random sequence.
     rng_state: u64,
+    options: BalancerOptions,
 }
 
 impl Balancer {
@@ -82,6 +84,7 @@
             n_runs: 0,
             engine_memory: FastMap::default(),
             rng_state: 0,
+            options: BalancerOptions::default(),
         }
     }
 
@@ -90,6 +93,11 @@
         self.rng_state = seed;
     }
 
+    /// Sets which optional decisions are made.
+    pub fn set_options(&mut self, options: BalancerOptions) {
+        self.options = options;
+    }
+
     /// Sets the capacity of all engines together in tokens per second; zero if unknown.
     pub fn set_capacity(&mut self, tokens_rate: f64) {
         self.shares.set_capacity(tokens_rate);
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -8,12 +8,14 @@
 //! - `admission`: how long a request may wait there
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
+//! - [`BalancerOptions`]: which decisions a deployment asks for
 //! - [`LoadShedder`]: overload of this host
 //! - [`RetryBudget`]: limit of retries
 
 mod admission;
 mod balancer;
 mod load_shedder;
+mod options;
 mod placement;
 mod retry_budget;
 mod scoring;
@@ -23,8 +25,9 @@
 
 pub use balancer::Balancer;
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
+pub use options::{BalancerOptions, Switch};
 pub use placement::{
-    Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
+    Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
 };
 pub use retry_budget::RetryBudget;
 pub use shares::{ShareSnapshot, ShareStatus};
--- a/crates/portfield/src/balance/placement.rs
+++ b/crates/portfield/src/balance/placement.rs
@@ -16,27 +16,33 @@
 }
 
 /// Progress of a request when it is placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Stage {
     /// The caller has received nothing yet.
+    #[default]
     New,
     /// The caller has received part of a stream, which is continued however long it has to wait.
     Streaming,
 }
 
 /// A request to be placed.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct PlacementRequest {
     /// Hash of the workspace's name.
     pub workspace: u32,
     /// Hash of the service's name.
     pub service: u32,
+    /// Hash of the route's name.
+    pub route: u32,
     /// The prompt, for services that run on engines.
     pub prompt: Option<Prompt>,
     /// Latency objective: time to the first event, or to the response of a plain service.
     pub objective: Duration,
-    /// Time that the request has waited so far.
+    /// Time that this attempt of the caller has waited so far.
     pub waited: Duration,
+    /// Time that the caller's earlier attempts took: the route's timeout less the time that it still
+    /// waits.
+    pub earlier: Duration,
     /// Progress of the request.
     pub stage: Stage,
     /// Specification of the engines, for services that run on them.
@@ -49,7 +55,7 @@
     /// # Examples
     ///
     /// ```
-    /// use portfield::{balance::{PlacementRequest, Stage}, upstream::Prompt};
+    /// use portfield::{balance::PlacementRequest, upstream::Prompt};
     /// use std::time::Duration;
     ///
     /// let request = PlacementRequest {
@@ -58,8 +64,7 @@
     ///     prompt: Some(Prompt { input_tokens: 1_000, max_output_tokens: 50, ..Prompt::default() }),
     ///     objective: Duration::from_millis(800),
     ///     waited: Duration::ZERO,
-    ///     stage: Stage::New,
-    ///     engine: None,
+    ///     ..PlacementRequest::default()
     /// };
     /// assert_eq!(request.token_cost(), 1_100.0);
     /// ```
@@ -84,6 +89,17 @@
     /// What the workspace has used, as a multiple of its fair share; zero if there is no
     /// contention.
     pub share_ratio: f64,
+    /// Where the upstream is to fetch cached parts of the prompt from, instead of reading them.
+    pub fetch: Option<CacheFetch>,
+}
+
+/// A fetch of cached prompt parts from another upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CacheFetch {
+    /// Wire id of the upstream that caches them.
+    pub source: u32,
+    /// Tokens to be fetched.
+    pub tokens: u32,
 }
 
 /// Why a request is refused.
--- a/crates/portfield/src/balance/scoring.rs
+++ b/crates/portfield/src/balance/scoring.rs
@@ -135,6 +135,7 @@
             uncached_tokens: self.times.uncached_tokens,
             queued_tokens: self.queued_tokens,
             share_ratio: status.share_ratio(),
+            fetch: None,
         }
     }
 }
--- a/crates/portfield/src/catalog/mod.rs
+++ b/crates/portfield/src/catalog/mod.rs
@@ -17,7 +17,7 @@
 };
 pub use routes::{
     Access, Catalog, ColdStart, EngineSpec, Limits, Regions, Route, RouteKind, Service,
-    WeightedService, Workspace,
+    TransferSpec, WeightedService, Workspace,
 };
 pub use upstream::{State, Upstream, UpstreamEntry};
 pub use version::StoreVersion;
--- a/crates/portfield/src/catalog/routes.rs
+++ b/crates/portfield/src/catalog/routes.rs
@@ -122,7 +122,7 @@
 }
 
 /// Capacity of the upstreams of a service that run a model.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct EngineSpec {
     /// Requests that an upstream runs concurrently.
     pub slots: u32,
@@ -130,6 +130,17 @@
     pub kv_capacity: u64,
     /// Tokens in one event.
     pub event_tokens: u32,
+    /// Set if engines fetch cached prompt parts from each other.
+    pub transfer: Option<TransferSpec>,
+}
+
+/// Cost of moving KV cache between engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TransferSpec {
+    /// Size of a cached token, in bytes.
+    pub token_bytes: f64,
+    /// Bandwidth of an engine's link, in megabits per second.
+    pub link_mbps: f64,
 }
 
 /// Limits for a service's upstreams just after their start.
--- a/crates/portfield/src/upstream/prompt.rs
+++ b/crates/portfield/src/upstream/prompt.rs
@@ -18,6 +18,8 @@
     pub input_tokens: u32,
     /// Largest number of tokens to generate.
     pub max_output_tokens: u32,
+    /// Output that the caller expects, in tokens, if it says so; right at the median, often far off.
+    pub length_hint: Option<u32>,
     /// The parts in order; the last one belongs to this request or its session alone.
     pub parts: Vec<PromptPart>,
 }
--- a/crates/portfield/src/upstream/table.rs
+++ b/crates/portfield/src/upstream/table.rs
@@ -100,6 +100,7 @@
             running: self.own.running as u32,
             pending: self.own.pending.max(0.0) as u32,
             read: self.tokens_read as u64,
+            ..Default::default()
         }
     }
 
@@ -182,7 +183,7 @@
     /// Queues prompt prefixes that an upstream now caches for announcement to other hosts.
     pub(crate) fn announce(&mut self, upstream: u32, parts: Vec<u32>) {
         if !parts.is_empty() {
-            let prefix = wire::PrefixUse { upstream, parts };
+            let prefix = wire::PrefixUse { upstream, parts, ..Default::default() };
             self.announcements.push_back(Announcement { prefix, n_left: DIGESTS_PER_UPDATE });
         }
     }
@@ -244,6 +245,7 @@
                 running: (it.own.running + others.running) as u32,
                 pending: (it.own.pending + others.pending).max(0.0) as u32,
                 read: it.tokens_read as u64 + it.peers_read,
+                ..Default::default()
             };
             (0 < load.running || 0 < it.n_summaries_left).then_some(load)
         };
--- a/crates/portfield/tests/backoff.rs
+++ b/crates/portfield/tests/backoff.rs
@@ -29,6 +29,7 @@
         waited: Duration::ZERO,
         stage: Stage::New,
         engine: None,
+        ..PlacementRequest::default()
     }
 }
 
@@ -36,8 +37,18 @@
     let parts =
         vec![PromptPart { id: shared, tokens: 5_000 }, PromptPart { id: !shared, tokens: 400 }];
     PlacementRequest {
-        prompt: Some(Prompt { input_tokens: 5_400, max_output_tokens: 100, parts }),
-        engine: Some(EngineSpec { slots: 16, kv_capacity: 500_000, event_tokens: 3 }),
+        prompt: Some(Prompt {
+            input_tokens: 5_400,
+            max_output_tokens: 100,
+            parts,
+            ..Prompt::default()
+        }),
+        engine: Some(EngineSpec {
+            slots: 16,
+            kv_capacity: 500_000,
+            event_tokens: 3,
+            ..EngineSpec::default()
+        }),
         objective: SECOND,
         ..plain_request()
     }
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -30,11 +30,22 @@
     PlacementRequest {
         workspace,
         service: 1,
-        prompt: Some(Prompt { input_tokens: 10_000 + tokens, max_output_tokens: 100, parts }),
+        prompt: Some(Prompt {
+            input_tokens: 10_000 + tokens,
+            max_output_tokens: 100,
+            parts,
+            ..Prompt::default()
+        }),
         objective: OBJECTIVE,
         waited: Duration::ZERO,
         stage: Stage::New,
-        engine: Some(EngineSpec { slots: 64, kv_capacity: MEMORY, event_tokens: 3 }),
+        engine: Some(EngineSpec {
+            slots: 64,
+            kv_capacity: MEMORY,
+            event_tokens: 3,
+            ..EngineSpec::default()
+        }),
+        ..PlacementRequest::default()
     }
 }
 
@@ -451,7 +462,8 @@
     let mut n_at = HashMap::<u32, usize>::new();
     for n in 0..240 {
         let parts = vec![PromptPart { id: 1_000 + n, tokens: 800 }];
-        let prompt = Prompt { input_tokens: 800, max_output_tokens: 50, parts };
+        let prompt =
+            Prompt { input_tokens: 800, max_output_tokens: 50, parts, ..Prompt::default() };
         let alone = PlacementRequest { prompt: Some(prompt), ..request(1, 1, 1) };
         let placed = assigned(seeded_balancer(n).place(at(0), &alone, &engines(8)));
         *n_at.entry(placed.upstream).or_default() += 1;
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -25,11 +25,22 @@
     PlacementRequest {
         workspace: WORKSPACE,
         service: 1,
-        prompt: Some(Prompt { input_tokens: 10_500, max_output_tokens: 100, parts }),
+        prompt: Some(Prompt {
+            input_tokens: 10_500,
+            max_output_tokens: 100,
+            parts,
+            ..Prompt::default()
+        }),
         objective: Duration::from_millis(800),
         waited: Duration::ZERO,
         stage: Stage::New,
-        engine: Some(EngineSpec { slots: 64, kv_capacity: MEMORY, event_tokens: 3 }),
+        engine: Some(EngineSpec {
+            slots: 64,
+            kv_capacity: MEMORY,
+            event_tokens: 3,
+            ..EngineSpec::default()
+        }),
+        ..PlacementRequest::default()
     }
 }
 
@@ -408,7 +419,7 @@
         upstream: upstream * 400_000,
         running,
         read,
-        pending: 0,
+        ..wire::UpstreamLoad::default()
     };
     for sequence in 1..=10 {
         for host in 10..60 {
--- a/crates/portfield/tests/engine_simulation/mod.rs
+++ b/crates/portfield/tests/engine_simulation/mod.rs
@@ -200,8 +200,12 @@
             },
             PromptPart { id: self.rng.u64(1 << 50..), tokens: own },
         ];
-        let prompt =
-            Prompt { input_tokens: shared + own, max_output_tokens: demand.output_tokens, parts };
+        let prompt = Prompt {
+            input_tokens: shared + own,
+            max_output_tokens: demand.output_tokens,
+            parts,
+            ..Prompt::default()
+        };
         PlacementRequest {
             workspace: demand.workspace,
             service: 1,
@@ -213,7 +217,9 @@
                 slots: 128,
                 kv_capacity: 1_000_000,
                 event_tokens: EVENT_TOKENS,
+                ..EngineSpec::default()
             }),
+            ..PlacementRequest::default()
         }
     }
 
--- a/crates/portfield/tests/many_upstreams.rs
+++ b/crates/portfield/tests/many_upstreams.rs
@@ -13,7 +13,8 @@
 };
 
 const NOW: Duration = Duration::from_secs(10);
-const ENGINE: EngineSpec = EngineSpec { slots: 4, kv_capacity: 400_000, event_tokens: 8 };
+const ENGINE: EngineSpec =
+    EngineSpec { slots: 4, kv_capacity: 400_000, event_tokens: 8, transfer: None };
 
 /// Returns this many candidates with ids that are spread evenly, sorted by id.
 fn candidates(n: u32) -> Vec<Candidate> {
@@ -30,11 +31,17 @@
     PlacementRequest {
         workspace: 1,
         service: 1,
-        prompt: Some(Prompt { input_tokens: 13_000, max_output_tokens: 100, parts }),
+        prompt: Some(Prompt {
+            input_tokens: 13_000,
+            max_output_tokens: 100,
+            parts,
+            ..Prompt::default()
+        }),
         objective: Duration::from_secs(1),
         waited: Duration::ZERO,
         stage: Stage::New,
         engine: Some(ENGINE),
+        ..PlacementRequest::default()
     }
 }
 
--- a/crates/portfield/tests/warmup.rs
+++ b/crates/portfield/tests/warmup.rs
@@ -64,6 +64,7 @@
         waited: Duration::ZERO,
         stage: Stage::New,
         engine: None,
+        ..PlacementRequest::default()
     }
 }
 
