feat(balance): name an engine to fetch cached prompt parts from

The host resolves it among the call's candidates, checks again before it sends that the source takes requests, and sets Kv-Fetch. With cache_transfer off, or without a transfer in the engine's specification, nothing changes.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     call::Call,
+    placement::Placed,
     pool::Connection,
     probe,
     quarantine::{self, EndEvidence},
@@ -115,11 +116,11 @@
 pub(crate) async fn send(
     host: &Arc<Host>,
     call: &Call,
-    upstream: &Arc<Upstream>,
-    assignment: &Assignment,
+    placed: &Placed,
     last_event: Option<&str>,
     timeout: Duration,
 ) -> AttemptResult {
+    let Placed { assignment, upstream, source } = placed;
     let mut run = RunGuard::start(host, call, assignment);
     let started = clock::now();
     let pooled = host.pool.take(upstream.wire_id());
@@ -141,7 +142,16 @@
             let text = "nothing more may be sent there";
             return AttemptResult::Failed(Outcome::NotSent, text.to_owned());
         }
-        let request = build_request(call, upstream, last_event);
+        // The same holds for the upstream that it would fetch from.
+        let source = source.as_ref().filter(|it| host.may_send_to(it));
+        let headers = request::UpstreamHeaders {
+            timeout: call.remaining(),
+            incarnation: &upstream.entry.id,
+            workspace: call.workspace.as_ref().map(|it| it.name.as_str()),
+            last_event_id: last_event,
+            fetch_from: source.map(|it| it.entry.address),
+        };
+        let request = build_request(call, &headers);
         connection.guard.set_caller(call.caller.clone());
         let res = clock::timeout(timeout, connection.sender.try_send_request(request)).await;
         return match res {
@@ -218,21 +228,8 @@
     matches!(err.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
-fn build_request(
-    call: &Call,
-    upstream: &Upstream,
-    last_event: Option<&str>,
-) -> Request<Full<Bytes>> {
-    let headers = request::rewrite_headers(
-        &call.headers,
-        &request::UpstreamHeaders {
-            timeout: call.remaining(),
-            incarnation: &upstream.entry.id,
-            workspace: call.workspace.as_ref().map(|it| it.name.as_str()),
-            last_event_id: last_event,
-            fetch_from: None,
-        },
-    );
+fn build_request(call: &Call, headers: &request::UpstreamHeaders<'_>) -> Request<Full<Bytes>> {
+    let headers = request::rewrite_headers(&call.headers, headers);
     let mut res = Request::new(Full::new(call.body.clone()));
     *res.method_mut() = call.method.clone();
     *res.uri_mut() = call.uri.clone();
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use http::{Response, StatusCode};
 use portfield::{
-    balance::{Assignment, ShareSnapshot, Stage},
+    balance::{ShareSnapshot, Stage},
     catalog::{RouteKind, Upstream},
     quarantine::QuarantineEntry,
 };
@@ -14,7 +14,7 @@
 use crate::{
     attempt::{self, AttemptResult, Outcome, UpstreamResponse},
     call::{Call, SUSPENDED_RETRY, SUSPENDED_TEXT},
-    placement::{PlacementMode, PlacementRefusal},
+    placement::{Placed, PlacementMode, PlacementRefusal},
     probe, quarantine,
     response::{Body, CALLER_LEFT, CALLER_LEFT_RETRY, Failure},
     state::Host,
@@ -75,29 +75,29 @@
             self.check_limits()?;
             self.wait_for_fresh_state().await?;
             self.check_quarantine()?;
-            let (assignment, upstream) = self.place()?;
+            let placed = self.place()?;
             if !self.tried.is_empty() && !self.host.withdraw_retry(self.call.placement.service) {
                 self.host.metrics.count("retry_budget_spent");
                 return Err(self.failure("the retry budget is spent".to_owned(), RETRY));
             }
-            self.log_placed(&assignment, &upstream);
-            self.tried.push(assignment.upstream);
-            let timeout = self.attempt_timeout(assignment.estimate);
+            self.log_placed(&placed);
+            self.tried.push(placed.assignment.upstream);
+            let timeout = self.attempt_timeout(placed.assignment.estimate);
             let (host, call) = (&self.host, &self.call);
-            match attempt::send(host, call, &upstream, &assignment, last_event, timeout).await {
+            match attempt::send(host, call, &placed, last_event, timeout).await {
                 AttemptResult::Response(response) => {
                     self.record_run();
                     return Ok(response);
                 }
                 AttemptResult::Failed(outcome, cause) => {
-                    self.record_failure(&upstream, outcome, cause)?;
+                    self.record_failure(&placed.upstream, outcome, cause)?;
                 }
             }
         }
     }
 
     /// Picks an upstream; otherwise logs the refusal and returns it as the response.
-    fn place(&mut self) -> Result<(Assignment, Arc<Upstream>), Failure> {
+    fn place(&mut self) -> Result<Placed, Failure> {
         self.call.placement.waited = clock::now().saturating_sub(self.call.arrived);
         let is_one_crash_away =
             self.host.quarantine().is_one_crash_away(clock::now(), self.call.quarantine_key());
@@ -128,7 +128,8 @@
         self.host.balancer().share_snapshot(clock::now(), self.call.placement.workspace)
     }
 
-    fn log_placed(&self, assignment: &Assignment, upstream: &Upstream) {
+    fn log_placed(&self, placed: &Placed) {
+        let Placed { assignment, upstream, source } = placed;
         log::info!(
             request = self.call.id, route = self.call.route.name, upstream = upstream.entry.id,
             workspace = self.call.workspace_name(),
@@ -140,6 +141,12 @@
             list:% = self.host.with_list(|it| it.directory.version()),
             store_age_ms = self.host.store_age().as_millis() as u64; "placed"
         );
+        if let (Some(fetch), Some(source)) = (assignment.fetch, source) {
+            log::info!(
+                request = self.call.id, upstream = upstream.entry.id, source = source.entry.id,
+                tokens = fetch.tokens; "cache fetch"
+            );
+        }
     }
 
     fn record_run(&mut self) {
@@ -224,8 +231,8 @@
         if !self.may_retry() {
             return false;
         }
-        let assignment = self.host.place(&self.call, &self.tried, PlacementMode::Any);
-        assignment.is_ok_and(|(it, _)| !self.tried.contains(&it.upstream))
+        let placed = self.host.place(&self.call, &self.tried, PlacementMode::Any);
+        placed.is_ok_and(|it| !self.tried.contains(&it.assignment.upstream))
     }
 
     /// Returns whether another upstream may be asked to repeat or resume the request.
--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -40,6 +40,15 @@
     pub share_ratio: f64,
 }
 
+/// The upstream that a request was placed on.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    pub assignment: Assignment,
+    pub upstream: Arc<Upstream>,
+    /// Where the upstream is to fetch cached parts of the prompt from.
+    pub source: Option<Arc<Upstream>>,
+}
+
 /// Minimum time between two checks which upstreams are no longer listed: each goes through all.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -121,7 +130,7 @@
         call: &Call,
         tried: &[u32],
         mode: PlacementMode,
-    ) -> Result<(Assignment, Arc<Upstream>), PlacementRefusal> {
+    ) -> Result<Placed, PlacementRefusal> {
         let request = &call.placement;
         let ready = self.candidates(call);
         let untried = || ready.candidates.iter().filter(|it| !tried.contains(&it.upstream));
@@ -149,8 +158,9 @@
                 return Err(PlacementRefusal { reason, retry_after, estimate, share_ratio });
             }
         };
-        let chosen = ready.get(assignment.upstream);
-        chosen.map(|it| (assignment, it.clone())).ok_or(PlacementRefusal {
+        let source = assignment.fetch.and_then(|it| ready.get(it.source)).cloned();
+        let chosen = ready.get(assignment.upstream).cloned();
+        chosen.map(|upstream| Placed { assignment, upstream, source }).ok_or(PlacementRefusal {
             reason: Refusal::NoUpstream,
             retry_after: assignment.estimate,
             estimate: assignment.estimate,
--- /dev/null
+++ b/crates/portfield-host/tests/cache_transfer.rs
@@ -0,0 +1,95 @@
+//! Cache transfer between engines, as the engines and callers see it.
+
+mod fleet;
+
+use fleet::{Fleet, Host, config, request, send_request, wait_until};
+use portfield_platform_standins::{FakeUpstream, UpstreamFault};
+use serde_json::json;
+
+/// Part of a request that names a prompt with a shared part of 1,000 tokens.
+const SHARED_PART: &str = "token-count: 1010,24\r\nprefix-hash: cc:1000,bb:10\r\n";
+
+/// Starts a host and two engines that fetch from each other.
+fn start() -> (Fleet, Host) {
+    let mut fleet = Fleet::new(0, 2);
+    let mut config = config(2);
+    let engine = &mut config["services"][1]["engine"];
+    engine["moves"] = json!(true);
+    engine["kv_bytes"] = json!(18_432);
+    engine["link_mbps"] = json!(180_000);
+    fleet.store.put("op", "config", &config);
+    let host = fleet.spawn_host("cache_transfer = 'on'");
+    wait_until("the host is ready", || host.is_ready());
+    (fleet, host)
+}
+
+fn prompt(id: &str) -> String {
+    request("draft", id).replace("token-count: 30,24\r\nprefix-hash: aa:20,bb:10\r\n", SHARED_PART)
+}
+
+/// Lets one engine cache the shared part, and then fail a request, so that the next ones are sent to
+/// the other engine. Returns the holder and the other engine.
+fn cache_at_one(fleet: &Fleet, host: &Host) -> (FakeUpstream, FakeUpstream) {
+    assert_eq!(host.send(&prompt("r1")).status, 200);
+    let is_holder = |it: &&FakeUpstream| !it.requests().is_empty();
+    let (holder, other): (Vec<_>, Vec<_>) = fleet.engines.iter().partition(is_holder);
+    let (holder, other) = (holder[0].clone(), other[0].clone());
+    holder.set_fault(UpstreamFault::TruncateBody);
+    assert!(!host.send(&prompt("r2")).is_complete);
+    holder.set_fault(UpstreamFault::None);
+    (holder, other)
+}
+
+/// Returns the source that the last request to an engine named.
+fn named_source(engine: &FakeUpstream) -> Option<String> {
+    engine.requests().last()?.header("kv-fetch").map(str::to_owned)
+}
+
+/// Guards against a source that is chosen but does not reach the engine, and against a caller that
+/// names one itself: the engine would connect to an address of the caller's choice.
+#[test]
+fn the_engine_gets_the_chosen_source_and_never_the_callers() {
+    let (fleet, host) = start();
+    let forge = |id: &str| prompt(id).replace("tenant:", "kv-fetch: 10.0.0.1:80\r\ntenant:");
+    assert_eq!(host.send(&forge("r0")).status, 200);
+    let first = fleet.engines.iter().find(|it| !it.requests().is_empty()).unwrap();
+    assert_eq!(named_source(first), None, "nothing to fetch");
+    let (holder, other) = cache_at_one(&fleet, &host);
+    let response = host.send(&forge("r3"));
+    assert!(response.is_complete);
+    assert_eq!(named_source(&other), Some(holder.address().to_string()));
+    let logged = &host.log_entries("cache fetch")[0];
+    assert_eq!(
+        (&logged["request"], &logged["source"], &logged["tokens"]),
+        (&json!("r3"), &json!(holder.id), &json!(1_000))
+    );
+}
+
+/// Guards against an answer that is lost or cut with its source, which has crashed before any host
+/// noticed: the engine named it prefills the prompt itself.
+#[test]
+fn a_caller_gets_its_whole_answer_when_the_source_has_crashed() {
+    let (fleet, host) = start();
+    let (holder, other) = cache_at_one(&fleet, &host);
+    holder.set_fault(UpstreamFault::CrashOn("body"));
+    // Sent past the host, which therefore knows nothing of the crash.
+    assert!(!send_request(holder.address(), prompt("x").as_bytes()).unwrap().is_complete);
+    assert!(holder.has_crashed());
+    let response = host.send(&prompt("r3"));
+    assert_eq!((response.is_complete, response.event_ids().len()), (true, 8));
+    assert_eq!(named_source(&other), Some(holder.address().to_string()));
+}
+
+/// Guards against work for an engine that is to be left alone: one that drains is not named.
+#[test]
+fn a_draining_source_is_not_named() {
+    let (fleet, host) = start();
+    let (holder, other) = cache_at_one(&fleet, &host);
+    fleet.store.put("servers", &holder.id, &holder.entry("model", "draining"));
+    wait_until("the host knows of the change", || {
+        host.log_entries("upstream changed").iter().any(|it| it["state"] == "Draining")
+    });
+    let response = host.send(&prompt("r3"));
+    assert_eq!((response.is_complete, response.event_ids().len()), (true, 8));
+    assert_eq!((other.requests().len(), named_source(&other)), (1, None));
+}
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,8 +6,11 @@
 
 use super::{
     admission::{max_wait_ms, time_left_ms},
+    cache_transfer::SourceSearch,
     options::BalancerOptions,
-    placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
+    placement::{
+        Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal,
+    },
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
     shares::{ShareSnapshot, ShareStatus, Shares, Usage},
     window::windows,
@@ -132,8 +135,9 @@
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
             res = self.place_within(now, request, &prefixes, status, tie_break, &window);
-            if matches!(res, Placement::Send(_)) {
-                return res;
+            if let Placement::Send(placed) = res {
+                let fetch = self.choose_fetch(now, request, &prefixes, &window, placed.upstream);
+                return Placement::Send(Assignment { fetch, ..placed });
             }
         }
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
@@ -205,6 +209,22 @@
         }
     }
 
+    /// Returns where the upstream chosen for a request is to fetch cached parts of the prompt from.
+    fn choose_fetch(
+        &self,
+        now: Duration,
+        request: &PlacementRequest,
+        prefixes: &[PromptPrefix],
+        candidates: &[Candidate],
+        chosen: u32,
+    ) -> Option<CacheFetch> {
+        if !self.options.cache_transfer.is_on() {
+            return None;
+        }
+        let upstreams = &self.upstreams;
+        SourceSearch { now, upstreams, prefixes, candidates, chosen }.choose(request)
+    }
+
     /// Returns the usable upstream with the fewest running requests: if it crashes, it takes the
     /// fewest requests with it.
     pub fn least_busy(&self, now: Duration, candidates: &[Candidate]) -> Option<Candidate> {
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -6,6 +6,7 @@
 //! - `window`: which upstreams are scored
 //! - `scoring`: estimated cost of a request at each upstream
 //! - `admission`: how long a request may wait there
+//! - `cache_transfer`: where its upstream fetches cached prompt parts from
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
@@ -14,6 +15,7 @@
 
 mod admission;
 mod balancer;
+mod cache_transfer;
 mod load_shedder;
 mod options;
 mod placement;
