feat(balance): weigh sources of cached parts, and learn which bring nothing

Cause: the source named so far was the one with the most tokens, whether it had prefilled them or not, so many fetches of one part went to one link, and fetched tokens counted as pending prefill. Change: sources are weighed by the prefill saved, the fetches waiting at both links (told in digests as fetching), the data centre, and how certain it is that they hold the part: sent only, or shown by a first event, and tokens read there since. Of about equal ones a random number decides. A host that knows no holder names the part's home. Tokens count as fetched where that is likely, in the estimate and in pending; neither the prefill speed nor the bias learn from fetches that may have brought nothing. A first event as late as after a full prefill corrects the record and pauses that source for a second. One of eight digests repeats eight recent uses with their age, for hosts that have just started. Metrics and log lines.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -6,15 +6,12 @@
 use http::{Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use portfield::{
-    balance::{Assignment, Completion},
-    catalog::Upstream,
-    ids::RunId,
-};
+use portfield::{balance::Completion, catalog::Upstream, ids::RunId};
 use portfield_net::clock;
 use portfield_platform::{request, response::ResponseHead};
 
 use crate::{
+    cache_transfer::FetchContext,
     call::Call,
     placement::Placed,
     pool::Connection,
@@ -83,18 +80,24 @@
 pub(crate) struct RunGuard {
     host: Arc<Host>,
     id: RunId,
+    /// The fetch of cached prompt parts that was asked for.
+    fetch: Option<FetchContext>,
     is_finished: bool,
 }
 
 impl RunGuard {
-    fn start(host: &Arc<Host>, call: &Call, assignment: &Assignment) -> Self {
-        let id = host.balancer().record_start(clock::now(), &call.placement, assignment);
-        Self { host: host.clone(), id, is_finished: false }
+    fn start(host: &Arc<Host>, call: &Call, placed: &Placed) -> Self {
+        let id = host.balancer().record_start(clock::now(), &call.placement, &placed.assignment);
+        let fetch = placed.source.as_ref().map(|it| FetchContext::new(call, it));
+        Self { host: host.clone(), id, fetch, is_finished: false }
     }
 
     /// Records the first event of a stream, or a complete response.
     pub(crate) fn record_first(&self) {
-        self.host.balancer().record_first_event(clock::now(), self.id);
+        let report = self.host.balancer().record_first_event(clock::now(), self.id);
+        if let (Some(fetch), Some(report)) = (&self.fetch, report) {
+            fetch.record_end(&self.host, report);
+        }
     }
 
     /// Records how the run ended; only the first call counts.
@@ -120,8 +123,8 @@
     last_event: Option<&str>,
     timeout: Duration,
 ) -> AttemptResult {
-    let Placed { assignment, upstream, source } = placed;
-    let mut run = RunGuard::start(host, call, assignment);
+    let Placed { upstream, source, .. } = placed;
+    let mut run = RunGuard::start(host, call, placed);
     let started = clock::now();
     let pooled = host.pool.take(upstream.wire_id());
     let mut connection = match pooled {
@@ -144,6 +147,9 @@
         }
         // The same holds for the upstream that it would fetch from.
         let source = source.as_ref().filter(|it| host.may_send_to(it));
+        if source.is_none() {
+            host.balancer().cancel_fetch(run.id);
+        }
         let headers = request::UpstreamHeaders {
             timeout: call.remaining(),
             incarnation: &upstream.entry.id,
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -82,7 +82,7 @@
             }
             self.log_placed(&placed);
             self.tried.push(placed.assignment.upstream);
-            let timeout = self.attempt_timeout(placed.assignment.estimate);
+            let timeout = self.attempt_timeout(placed.assignment.estimate_without_fetch());
             let (host, call) = (&self.host, &self.call);
             match attempt::send(host, call, &placed, last_event, timeout).await {
                 AttemptResult::Response(response) => {
@@ -144,7 +144,9 @@
         if let (Some(fetch), Some(source)) = (assignment.fetch, source) {
             log::info!(
                 request = self.call.id, upstream = upstream.entry.id, source = source.entry.id,
-                tokens = fetch.tokens; "cache fetch"
+                tokens = fetch.tokens, known:? = fetch.knowledge, age = fetch.age,
+                fetch_ms = fetch.time.as_millis() as u64,
+                prefill_ms = fetch.prefill.as_millis() as u64; "cache fetch"
             );
         }
     }
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod atomic_instant;
 mod attempt;
+mod cache_transfer;
 mod call;
 mod cold_start;
 mod evacuations;
--- a/crates/portfield-host/src/metrics.rs
+++ b/crates/portfield-host/src/metrics.rs
@@ -28,6 +28,12 @@
         count(&mut counters, name);
     }
 
+    /// Adds `n` to a counter.
+    pub(crate) fn add(&self, name: &str, n: u64) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        add(&mut counters, name, n);
+    }
+
     /// Records a duration in a histogram.
     pub(crate) fn record_time(&self, name: &str, time: Duration) {
         let mut times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
@@ -67,10 +73,15 @@
 
 /// Increments the counter of a name, which is copied only the first time.
 pub(crate) fn count(counts: &mut BTreeMap<String, u64>, name: &str) {
+    add(counts, name, 1);
+}
+
+/// Adds `n` to the counter of a name.
+fn add(counts: &mut BTreeMap<String, u64>, name: &str, n: u64) {
     match counts.get_mut(name) {
-        Some(it) => *it += 1,
+        Some(it) => *it += n,
         None => {
-            counts.insert(name.to_owned(), 1);
+            counts.insert(name.to_owned(), n);
         }
     }
 }
--- a/crates/portfield-host/tests/cache_transfer.rs
+++ b/crates/portfield-host/tests/cache_transfer.rs
@@ -9,9 +9,9 @@
 /// Part of a request that names a prompt with a shared part of 1,000 tokens.
 const SHARED_PART: &str = "token-count: 1010,24\r\nprefix-hash: cc:1000,bb:10\r\n";
 
-/// Starts a host and two engines that fetch from each other.
-fn start() -> (Fleet, Host) {
-    let mut fleet = Fleet::new(0, 2);
+/// Starts a host and engines that fetch from each other.
+fn start(n_engines: usize) -> (Fleet, Host) {
+    let mut fleet = Fleet::new(0, n_engines);
     let mut config = config(2);
     let engine = &mut config["services"][1]["engine"];
     engine["moves"] = json!(true);
@@ -28,7 +28,7 @@
 }
 
 /// Lets one engine cache the shared part, and then fail a request, so that the next ones are sent to
-/// the other engine. Returns the holder and the other engine.
+/// another engine. Returns the holder and one of the others.
 fn cache_at_one(fleet: &Fleet, host: &Host) -> (FakeUpstream, FakeUpstream) {
     assert_eq!(host.send(&prompt("r1")).status, 200);
     let is_holder = |it: &&FakeUpstream| !it.requests().is_empty();
@@ -49,7 +49,7 @@
 /// names one itself: the engine would connect to an address of the caller's choice.
 #[test]
 fn the_engine_gets_the_chosen_source_and_never_the_callers() {
-    let (fleet, host) = start();
+    let (fleet, host) = start(2);
     let forge = |id: &str| prompt(id).replace("tenant:", "kv-fetch: 10.0.0.1:80\r\ntenant:");
     assert_eq!(host.send(&forge("r0")).status, 200);
     let first = fleet.engines.iter().find(|it| !it.requests().is_empty()).unwrap();
@@ -63,13 +63,19 @@
         (&logged["request"], &logged["source"], &logged["tokens"]),
         (&json!("r3"), &json!(holder.id), &json!(1_000))
     );
+    assert_eq!((&logged["known"], logged["age"].is_u64()), (&json!("Cached"), true));
+    let n = |name: &str| host.metric(&format!("portfield_{name} "));
+    let n_brought = || n("cache_fetches{outcome=\"Brought\"}");
+    wait_until("the fetch is counted", || 0.0 < n_brought());
+    let counted = (n_brought(), n("cache_fetched_tokens"), n("cache_fetched_bytes"));
+    assert_eq!(counted, (1.0, 1_000.0, 18_432_000.0));
 }
 
 /// Guards against an answer that is lost or cut with its source, which has crashed before any host
 /// noticed: the engine named it prefills the prompt itself.
 #[test]
 fn a_caller_gets_its_whole_answer_when_the_source_has_crashed() {
-    let (fleet, host) = start();
+    let (fleet, host) = start(2);
     let (holder, other) = cache_at_one(&fleet, &host);
     holder.set_fault(UpstreamFault::CrashOn("body"));
     // Sent past the host, which therefore knows nothing of the crash.
@@ -83,7 +89,7 @@
 /// Guards against work for an engine that is to be left alone: one that drains is not named.
 #[test]
 fn a_draining_source_is_not_named() {
-    let (fleet, host) = start();
+    let (fleet, host) = start(2);
     let (holder, other) = cache_at_one(&fleet, &host);
     fleet.store.put("servers", &holder.id, &holder.entry("model", "draining"));
     wait_until("the host knows of the change", || {
@@ -93,3 +99,26 @@
     assert_eq!((response.is_complete, response.event_ids().len()), (true, 8));
     assert_eq!((other.requests().len(), named_source(&other)), (1, None));
 }
+
+/// Guards against a stream that breaks and has its whole prompt prefilled where it is resumed,
+/// although a third engine caches the shared part.
+#[test]
+fn a_resumed_stream_fetches_too() {
+    let (fleet, host) = start(3);
+    let (holder, _) = cache_at_one(&fleet, &host);
+    let others = || fleet.engines.iter().filter(|it| it.id != holder.id);
+    others().for_each(|it| it.set_fault(UpstreamFault::StallStream));
+    let caller = host.listen;
+    let resumable = prompt("r3").replace("/draft/", "/digest/");
+    let stream = std::thread::spawn(move || send_request(caller, resumable.as_bytes()));
+    wait_until("the stream has begun", || others().any(|it| !it.requests().is_empty()));
+    others().filter(|it| it.requests().is_empty()).for_each(|it| it.set_fault(UpstreamFault::None));
+    let response = stream.join().unwrap().unwrap();
+    assert_eq!(response.event_ids(), (1..=8).collect::<Vec<_>>());
+    for it in others() {
+        assert_eq!(named_source(it), Some(holder.address().to_string()), "{}", it.id);
+    }
+    let n_resumed =
+        others().filter(|it| it.requests()[0].header("last-event-id").is_some()).count();
+    assert_eq!(n_resumed, 1);
+}
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,11 +6,9 @@
 
 use super::{
     admission::{max_wait_ms, time_left_ms},
-    cache_transfer::SourceSearch,
+    cache_transfer::{FetchOutcome, FetchReport, FetchWatch, PausedSources},
     options::BalancerOptions,
-    placement::{
-        Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal,
-    },
+    placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
     shares::{ShareSnapshot, ShareStatus, Shares, Usage},
     window::windows,
@@ -19,7 +17,7 @@
     digest_scope::FULL_DIGEST_EVERY,
     fast_map::FastMap,
     ids::RunId,
-    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, UpstreamTable},
+    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, RecentUses, UpstreamTable},
     wire,
 };
 
@@ -54,6 +52,8 @@
     has_begun: bool,
     is_engine: bool,
     service: u32,
+    /// What the first event is to show of cached parts, if engines fetch them from each other.
+    fetch: Option<FetchWatch>,
 }
 
 /// Places requests on upstreams.
@@ -61,7 +61,7 @@
 pub struct Balancer {
     pub(super) upstreams: UpstreamTable,
     shares: Shares,
-    latency_models: FastMap<u32, LatencyModel>,
+    pub(super) latency_models: FastMap<u32, LatencyModel>,
     /// Recent underestimates by service.
     biases: FastMap<u32, Bias>,
     /// Mean time of a request in milliseconds, by service.
@@ -70,8 +70,10 @@
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
     /// State of the pseudo-random sequence.
-    rng_state: u64,
-    options: BalancerOptions,
+    pub(super) rng_state: u64,
+    pub(super) options: BalancerOptions,
+    pub(super) paused_sources: PausedSources,
+    pub(super) recent_uses: RecentUses,
 }
 
 impl Balancer {
@@ -88,6 +90,8 @@
             engine_memory: FastMap::default(),
             rng_state: 0,
             options: BalancerOptions::default(),
+            paused_sources: PausedSources::default(),
+            recent_uses: RecentUses::default(),
         }
     }
 
@@ -136,8 +140,9 @@
         for window in windows(candidates, tie_break) {
             res = self.place_within(now, request, &prefixes, status, tie_break, &window);
             if let Placement::Send(placed) = res {
-                let fetch = self.choose_fetch(now, request, &prefixes, &window, placed.upstream);
-                return Placement::Send(Assignment { fetch, ..placed });
+                return Placement::Send(
+                    self.with_fetch(now, request, &prefixes, &window, tie_break, placed),
+                );
             }
         }
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
@@ -209,22 +214,6 @@
         }
     }
 
-    /// Returns where the upstream chosen for a request is to fetch cached parts of the prompt from.
-    fn choose_fetch(
-        &self,
-        now: Duration,
-        request: &PlacementRequest,
-        prefixes: &[PromptPrefix],
-        candidates: &[Candidate],
-        chosen: u32,
-    ) -> Option<CacheFetch> {
-        if !self.options.cache_transfer.is_on() {
-            return None;
-        }
-        let upstreams = &self.upstreams;
-        SourceSearch { now, upstreams, prefixes, candidates, chosen }.choose(request)
-    }
-
     /// Returns the usable upstream with the fewest running requests: if it crashes, it takes the
     /// fewest requests with it.
     pub fn least_busy(&self, now: Duration, candidates: &[Candidate]) -> Option<Candidate> {
@@ -287,16 +276,17 @@
     ) -> RunId {
         self.n_runs += 1;
         let pending = f64::from(assignment.uncached_tokens);
-        let run = Run {
+        let mut run = Run {
             upstream: assignment.upstream,
             pending,
             tokens_to_first: f64::from(assignment.queued_tokens) + pending,
             started: now,
             expected: assignment.estimate.saturating_sub(assignment.bias),
-            due: now + assignment.estimate * 2 + OVERDUE_SLACK,
+            due: now + assignment.estimate_without_fetch() * 2 + OVERDUE_SLACK,
             has_begun: false,
             is_engine: request.engine.is_some(),
             service: request.service,
+            fetch: None,
         };
         let state = self.upstreams.entry(assignment.upstream);
         state.warmup.record_sent(now);
@@ -305,12 +295,10 @@
         state.own.pending += pending;
         if let (Some(prompt), Some(engine)) = (&request.prompt, request.engine) {
             let prefixes = prompt.prefixes();
-            state.record_read(pending + f64::from(prompt.max_output_tokens));
-            state.cache.touch(prefixes.iter().map(|it| it.hash), engine.kv_capacity);
+            let fetched = assignment.fetch.map_or(0, |it| it.expected);
+            state.record_read(pending + f64::from(fetched) + f64::from(prompt.max_output_tokens));
             self.engine_memory.insert(assignment.upstream, engine.kv_capacity);
-            let shared = prefixes.len().saturating_sub(1);
-            let parts = prefixes.iter().take(shared).map(|it| it.hash).collect();
-            self.upstreams.announce(assignment.upstream, parts);
+            run.fetch = self.start_fetch(request, engine, assignment, &prefixes);
             let taken = request.token_cost();
             self.shares.record_local(now, request.workspace, Usage { asked: taken, taken });
         }
@@ -318,25 +306,51 @@
         self.n_runs
     }
 
-    /// Records the first event of a request, or its response; later ones are ignored.
-    pub fn record_first_event(&mut self, now: Duration, id: RunId) {
-        let Some(run) = self.runs.get_mut(&id).filter(|it| !it.has_begun) else { return };
+    /// Records the first event of a request, or its response; later ones are ignored. Returns how
+    /// the request's fetch ended, if it had one.
+    pub fn record_first_event(&mut self, now: Duration, id: RunId) -> Option<FetchReport> {
+        let run = self.runs.get_mut(&id).filter(|it| !it.has_begun)?;
         run.has_begun = true;
         let pending = std::mem::take(&mut run.pending);
+        let (upstream, watch) = (run.upstream, run.fetch.take());
+        let time = now.saturating_sub(run.started);
+        let outcome = watch.as_ref().and_then(|it| it.outcome(time));
         let state = self.upstreams.entry(run.upstream);
         state.own.pending -= pending;
         state.backoff.record_accepted(id);
         if run.is_engine {
-            let time = now.saturating_sub(run.started);
-            self.latency_models.entry(run.service).or_default().observe(run.tokens_to_first, time);
-            let error = (time.as_secs_f64() - run.expected.as_secs_f64()) * 1000.0;
-            self.biases.entry(run.service).or_default().observe(now, error);
+            // How many tokens were read is uncertain after a fetch: none of it may say how fast.
+            if outcome.is_none() {
+                let model = self.latency_models.entry(run.service).or_default();
+                model.observe(run.tokens_to_first, time);
+            }
+            if outcome.is_none_or(|it| it == FetchOutcome::Brought) {
+                let error = (time.as_secs_f64() - run.expected.as_secs_f64()) * 1000.0;
+                self.biases.entry(run.service).or_default().observe(now, error);
+            }
         }
+        watch.and_then(|it| self.finish_fetch(now, upstream, it, time))
+    }
+
+    /// Records that a request's upstream is not told to fetch after all.
+    pub fn cancel_fetch(&mut self, id: RunId) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        let Some(watch) = run.fetch.as_mut().filter(|_| !run.has_begun) else { return };
+        let Some(fetch) = watch.take_fetch() else { return };
+        let (upstream, expected) = (run.upstream, f64::from(fetch.expected));
+        run.pending += expected;
+        run.tokens_to_first += expected;
+        run.expected += fetch.saved();
+        self.upstreams.entry(upstream).own.pending += expected;
+        self.release_fetch(upstream, fetch);
     }
 
     /// Records the end of a request at its upstream.
     pub fn record_end(&mut self, now: Duration, id: RunId, completion: Completion) {
         let Some(run) = self.runs.remove(&id) else { return };
+        if let Some(it) = run.fetch.as_ref().and_then(FetchWatch::fetch) {
+            self.release_fetch(run.upstream, it);
+        }
         let state = self.upstreams.entry(run.upstream);
         state.own.running -= 1.0;
         state.own.pending -= run.pending;
@@ -371,6 +385,9 @@
             taken: it.taken as u64,
         };
         let is_full = digest.sequence.is_multiple_of(FULL_DIGEST_EVERY);
+        if is_full && self.options.cache_transfer.is_on() {
+            digest.prefixes.extend(self.recent_uses.next(&self.upstreams));
+        }
         let changed = self.shares.take_changed_totals().into_iter();
         digest.usage = if is_full {
             self.shares.totals().map(usage).collect()
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -26,10 +26,12 @@
 mod window;
 
 pub use balancer::Balancer;
+pub use cache_transfer::{FetchOutcome, FetchReport};
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
-    Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
+    Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal,
+    SourceKnowledge, Stage,
 };
 pub use retry_budget::RetryBudget;
 pub use shares::{ShareSnapshot, ShareStatus};
--- a/crates/portfield/src/balance/placement.rs
+++ b/crates/portfield/src/balance/placement.rs
@@ -93,13 +93,89 @@
     pub fetch: Option<CacheFetch>,
 }
 
+impl Assignment {
+    /// Returns the estimated time to the first event if the fetch brings nothing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{Assignment, CacheFetch};
+    /// use std::time::Duration;
+    ///
+    /// let millis = Duration::from_millis;
+    /// let fetch = CacheFetch {
+    ///     tokens: 5_000,
+    ///     expected: 5_000,
+    ///     time: millis(5),
+    ///     prefill: millis(105),
+    ///     ..CacheFetch::default()
+    /// };
+    /// let assignment = Assignment {
+    ///     upstream: 1,
+    ///     estimate: millis(60),
+    ///     bias: Duration::ZERO,
+    ///     uncached_tokens: 600,
+    ///     queued_tokens: 0,
+    ///     share_ratio: 0.0,
+    ///     fetch: Some(fetch),
+    /// };
+    /// assert_eq!(assignment.estimate_without_fetch(), millis(160));
+    /// ```
+    pub fn estimate_without_fetch(&self) -> Duration {
+        self.estimate + self.fetch.map_or(Duration::ZERO, |it| it.saved())
+    }
+}
+
 /// A fetch of cached prompt parts from another upstream.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct CacheFetch {
     /// Wire id of the upstream that caches them.
     pub source: u32,
     /// Tokens to be fetched.
     pub tokens: u32,
+    /// Tokens that count as fetched in estimates; the others count as prefilled.
+    pub expected: u32,
+    /// Estimated time of the fetch, after those that wait for the same links.
+    pub time: Duration,
+    /// Estimated time to prefill the tokens instead.
+    pub prefill: Duration,
+    /// What this host knows of the source.
+    pub knowledge: SourceKnowledge,
+    /// Tokens read into the source's memory since the last known use of the parts.
+    pub age: u32,
+    /// Hash of the prefix that ends with the first part to be fetched.
+    pub part: u32,
+}
+
+impl CacheFetch {
+    /// Returns the time by which the fetch shortens the estimate.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::CacheFetch;
+    /// use std::time::Duration;
+    ///
+    /// let prefill = Duration::from_millis(100);
+    /// let doubtful = CacheFetch { tokens: 5_000, prefill, ..CacheFetch::default() };
+    /// assert_eq!(doubtful.saved(), Duration::ZERO);
+    /// assert_eq!(CacheFetch { expected: 5_000, ..doubtful }.saved(), prefill);
+    /// ```
+    pub fn saved(&self) -> Duration {
+        if self.expected == 0 { Duration::ZERO } else { self.prefill.saturating_sub(self.time) }
+    }
+}
+
+/// What a host knows of the source of a fetch.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum SourceKnowledge {
+    /// A first event has shown that it caches the parts.
+    Cached,
+    /// The parts were sent to it; it may not have prefilled them yet.
+    Announced,
+    /// Nothing, but all hosts prefer to cache the parts there.
+    #[default]
+    Home,
 }
 
 /// Why a request is refused.
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 //! - `table`: load of each upstream, from all hosts
 //! - [`prompt`](Prompt): cost of a prompt
 //! - `prefix_cache`: prompt prefixes cached by engines
+//! - `recent_uses`: those that this host used, for hosts that have just started
 //! - `latency_model`: time to the first event, learned from observations
 //! - `bias`: recent error of that estimate
 //! - `health`: upstreams that fail
@@ -15,12 +16,15 @@
 mod latency_model;
 mod prefix_cache;
 mod prompt;
+mod recent_uses;
 mod table;
 mod warmup;
 
 pub(crate) use bias::Bias;
 pub(crate) use latency_model::LatencyModel;
+pub(crate) use prefix_cache::{CachedParts, PrefixState};
 pub(crate) use prompt::PromptPrefix;
 pub use prompt::{Prompt, PromptPart};
+pub(crate) use recent_uses::RecentUses;
 pub(crate) use table::{Load, UpstreamState, UpstreamTable};
 pub use warmup::cold_quota;
--- a/crates/portfield/src/upstream/table.rs
+++ b/crates/portfield/src/upstream/table.rs
@@ -3,7 +3,12 @@
 
 use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
-use super::{backoff::Backoff, health::Health, prefix_cache::PrefixCache, warmup::Warmup};
+use super::{
+    backoff::Backoff,
+    health::Health,
+    prefix_cache::{PrefixCache, PrefixState},
+    warmup::Warmup,
+};
 use crate::{
     digest_scope::DIGESTS_PER_UPDATE,
     fast_map::FastMap,
@@ -32,6 +37,8 @@
     pub running: f64,
     /// Tokens that the upstream has yet to read before the first events of these requests.
     pub pending: f64,
+    /// Cached tokens that requests without a first event fetch from the upstream.
+    pub fetching: f64,
 }
 
 /// What this host knows of one upstream.
@@ -54,6 +61,8 @@
     pub backoff: Backoff,
     /// This host's requests whose first event is overdue.
     pub n_overdue: u32,
+    /// Tokens that this host's requests without a first event at this upstream fetch from others.
+    pub incoming: f64,
 }
 
 impl UpstreamState {
@@ -100,6 +109,7 @@
             running: self.own.running as u32,
             pending: self.own.pending.max(0.0) as u32,
             read: self.tokens_read as u64,
+            fetching: self.own.fetching.max(0.0) as u32,
             ..Default::default()
         }
     }
@@ -109,6 +119,7 @@
         Load {
             running: self.own.running + self.peers.running,
             pending: (self.own.pending + self.peers.pending).max(0.0),
+            fetching: (self.own.fetching + self.peers.fetching).max(0.0),
         }
     }
 }
@@ -180,20 +191,36 @@
         self.upstreams.retain(|id, it| f(*id) || 0.0 < it.own.running || it.backoff.is_recorded());
     }
 
-    /// Queues prompt prefixes that an upstream now caches for announcement to other hosts.
-    pub(crate) fn announce(&mut self, upstream: u32, parts: Vec<u32>) {
+    /// Queues prompt prefixes that were sent to an upstream for announcement to other hosts.
+    pub(crate) fn announce(&mut self, upstream: u32, parts: Vec<u32>, state: PrefixState) {
         if !parts.is_empty() {
-            let prefix = wire::PrefixUse { upstream, parts, ..Default::default() };
+            let unread = state == PrefixState::Sent;
+            let prefix = wire::PrefixUse { upstream, parts, unread, ..Default::default() };
             self.announcements.push_back(Announcement { prefix, n_left: DIGESTS_PER_UPDATE });
         }
     }
 
+    /// Announces that an upstream has read prefixes that were announced as sent there.
+    ///
+    /// Announcements that are still queued are changed, and others are repeated once only: without
+    /// that, digests grew by another tenth.
+    pub(crate) fn announce_read(&mut self, upstream: u32, parts: Vec<u32>) {
+        if parts.is_empty() {
+            return;
+        }
+        let prefix = wire::PrefixUse { upstream, parts, ..Default::default() };
+        if mark_read(&mut self.announcements, &prefix) == 0 {
+            self.announcements.push_back(Announcement { prefix, n_left: 1 });
+        }
+    }
+
     /// Returns this host's loads and announcements for a digest.
     pub(crate) fn report(&mut self) -> (Vec<wire::UpstreamLoad>, Vec<wire::PrefixUse>) {
         // Idle upstreams whose totals were already reported are left out, which keeps digests
         // short.
+        let is_in_use = |it: &Load| 0.0 < it.running || 0.0 < it.fetching;
         let is_reported =
-            |it: &(&u32, &UpstreamState)| 0.0 < it.1.own.running || 0 < it.1.n_reports_left;
+            |it: &(&u32, &UpstreamState)| is_in_use(&it.1.own) || 0 < it.1.n_reports_left;
         let loads =
             self.upstreams.iter().filter(is_reported).map(|(id, it)| it.report(*id)).collect();
         self.upstreams
@@ -216,6 +243,7 @@
             let sum = running.entry(it.upstream).or_default();
             sum.running += f64::from(it.running);
             sum.pending += f64::from(it.pending);
+            sum.fetching += f64::from(it.fetching);
         }
         let mut usage: FastMap<u32, wire::WorkspaceUsage> = FastMap::default();
         for it in members().flat_map(PeerState::observed_usage) {
@@ -245,9 +273,11 @@
                 running: (it.own.running + others.running) as u32,
                 pending: (it.own.pending + others.pending).max(0.0) as u32,
                 read: it.tokens_read as u64 + it.peers_read,
+                fetching: (it.own.fetching + others.fetching).max(0.0) as u32,
                 ..Default::default()
             };
-            (0 < load.running || 0 < it.n_summaries_left).then_some(load)
+            let is_in_use = 0 < load.running || 0 < load.fetching;
+            (is_in_use || 0 < it.n_summaries_left).then_some(load)
         };
         let mut res: Vec<wire::UpstreamLoad> = self.upstreams.iter().filter_map(summed).collect();
         res.sort_unstable_by_key(|it| Reverse((it.running, it.upstream)));
@@ -265,7 +295,11 @@
         if digest.n_summed != 0 || self.last_summary.is_none_or(|it| it + timeout < now) {
             return;
         }
-        for it in &digest.prefixes {
+        // Repeated uses are for hosts of the same data centre, which hear them themselves.
+        for it in digest.prefixes.iter().filter(|it| it.age == 0) {
+            if !it.unread && 0 < mark_read(&mut self.received, it) {
+                continue;
+            }
             if !self.received.iter().any(|known| known.prefix == *it) {
                 self.received
                     .push_back(Announcement { prefix: it.clone(), n_left: DIGESTS_PER_UPDATE });
@@ -296,7 +330,13 @@
         }
         for it in &digest.prefixes {
             let state = self.upstreams.entry(it.upstream).or_default();
-            state.cache.touch(it.parts.iter().copied(), memory(it.upstream));
+            let memory = memory(it.upstream);
+            if 0 < it.age {
+                state.cache.add_earlier(&it.parts, memory, it.age);
+                continue;
+            }
+            let prefix_state = if it.unread { PrefixState::Sent } else { PrefixState::Read };
+            state.cache.touch(it.parts.iter().copied(), memory, prefix_state);
         }
         let usage = digest.usage.iter().map(|it| peer.record_usage(it)).collect();
         self.collect_announcements(now, digest);
@@ -320,6 +360,15 @@
     }
 }
 
+/// Marks the queued announcements of a use as read that are not yet; returns their number.
+fn mark_read(announcements: &mut VecDeque<Announcement>, read: &wire::PrefixUse) -> usize {
+    let is_unread = |it: &&mut Announcement| {
+        it.prefix.unread && it.prefix.upstream == read.upstream && it.prefix.parts == read.parts
+    };
+    let unread = announcements.iter_mut().filter(is_unread);
+    unread.map(|it| it.prefix.unread = false).count()
+}
+
 /// Takes the announcements due now, up to `n`; each is sent [`DIGESTS_PER_UPDATE`] times.
 fn take_announcements(
     announcements: &mut VecDeque<Announcement>,
@@ -341,4 +390,5 @@
     let load = &mut upstreams.entry(it.upstream).or_default().peers;
     load.running = (load.running + sign * f64::from(it.running)).max(0.0);
     load.pending = (load.pending + sign * f64::from(it.pending)).max(0.0);
+    load.fetching = (load.fetching + sign * f64::from(it.fetching)).max(0.0);
 }
