fix(balance): weigh fetches at a link by how much the link is used

Cause: fetches count until the first events of their requests, some hundred milliseconds, while a transfer takes a few: with holders of unequal age, links seemed full and the part was prefilled instead. The load test did not show it: its holders were equal, and it passed with the weighing of fetches removed. Change: the wait is the time of the fetches times the part of the time to the first event that they fill.

--- a/crates/portfield/src/balance/cache_transfer.rs
+++ b/crates/portfield/src/balance/cache_transfer.rs
@@ -61,6 +61,8 @@
     /// Time to transfer a token, in milliseconds.
     transfer_time: f64,
     tokens_per_ms: f64,
+    /// Estimated time to the first event if nothing is fetched, in milliseconds.
+    first_event_time: f64,
     /// Upstream that the request is sent to.
     chosen: Candidate,
     /// Tokens of the shared parts that it caches.
@@ -85,8 +87,9 @@
         request: &PlacementRequest,
         prefixes: &'a [PromptPrefix],
         candidates: &'a [Candidate],
-        chosen: u32,
+        placed: &Assignment,
     ) -> Option<Self> {
+        let chosen = placed.upstream;
         let engine = request.engine?;
         let transfer_time = transfer_time(engine.transfer?);
         let (_, shared) = prefixes.split_last()?;
@@ -111,6 +114,7 @@
             engine,
             transfer_time,
             tokens_per_ms: balancer.latency_model(request.service).tokens_per_ms(),
+            first_event_time: placed.estimate.as_secs_f64() * 1000.0,
             chosen: *candidates.iter().find(|it| it.upstream == chosen)?,
             present: cached,
             part: shared.iter().find(is_lacking)?.hash,
@@ -198,10 +202,15 @@
         })
     }
 
-    /// Returns the time of a fetch in milliseconds, after those that wait at either link.
+    /// Returns the time of a fetch in milliseconds, with the wait for others at either link.
+    ///
+    /// Others count until their first events, though a link that is rarely used has long done them:
+    /// they are weighted with the part of that time for which the link is in use.
     fn fetch_time(&self, source: &UpstreamState, tokens: u32) -> f64 {
         let incoming = self.upstreams.get(self.chosen.upstream).map_or(0.0, |it| it.incoming);
-        (source.total().fetching + incoming + f64::from(tokens)) * self.transfer_time
+        let others = (source.total().fetching + incoming) * self.transfer_time;
+        let used = (others / self.first_event_time.max(1.0)).min(1.0);
+        others * used + f64::from(tokens) * self.transfer_time
     }
 }
 
@@ -332,7 +341,7 @@
         if !self.options.cache_transfer.is_on() {
             return placed;
         }
-        let search = SourceSearch::new(now, self, request, prefixes, candidates, placed.upstream);
+        let search = SourceSearch::new(now, self, request, prefixes, candidates, &placed);
         let Some(search) = search else { return placed };
         let fetch = search.best_holder(self.rng_state).or_else(|| search.home(tie_break));
         let Some(fetch) = fetch else { return placed };
