--- a/crates/portfield-host/src/settings.rs
+++ b/crates/portfield-host/src/settings.rs
@@ -102,6 +102,7 @@
                 engine_speed: it.switch("engine_speed"),
                 capacity_shares: it.switch("capacity_shares"),
                 memory_limits: it.switch("memory_limits"),
+                spread_placement: it.switch("spread_placement"),
             },
             ingress_balance: it.switch("ingress_balance"),
             event_delay: it.millis("event_delay_ms", 0, (0, 60_000)),
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -13,6 +13,7 @@
     },
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
     shares::{ShareSnapshot, ShareStatus, Shares, Usage},
+    unseen_load::UnseenLoad,
     window::windows,
 };
 use crate::{
@@ -72,6 +73,8 @@
     /// State of the pseudo-random sequence.
     rng_state: u64,
     options: BalancerOptions,
+    /// Requests that this host has not heard of, by service.
+    unseen: FastMap<u32, UnseenLoad>,
 }
 
 impl Balancer {
@@ -88,6 +91,7 @@
             engine_memory: FastMap::default(),
             rng_state: 0,
             options: BalancerOptions::default(),
+            unseen: FastMap::default(),
         }
     }
 
@@ -131,10 +135,12 @@
             None => ShareStatus::Uncontended,
         };
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
-        let tie_break = TieBreak::new(&prefixes, self.next_random());
+        let random = self.next_random();
+        let tie_break = TieBreak::new(&prefixes, random);
+        let unseen = (self.unseen_load(now, request, candidates), random);
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
-            res = self.place_within(now, request, &prefixes, status, tie_break, &window);
+            res = self.place_within(now, request, &prefixes, status, tie_break, unseen, &window);
             if let Placement::Send(placed) = res {
                 let fetch = self.choose_fetch(now, request, &prefixes, &window, placed.upstream);
                 return Placement::Send(Assignment { fetch, ..placed });
@@ -154,6 +160,7 @@
         prefixes: &[PromptPrefix],
         status: ShareStatus,
         tie_break: TieBreak,
+        unseen: (UnseenLoad, u64),
         candidates: &[Candidate],
     ) -> Placement {
         let default_model = LatencyModel::default();
@@ -169,6 +176,7 @@
                 candidates.iter().map(|it| it.upstream).filter(is_open),
             ),
             tie_break,
+            unseen,
             shared_tokens: prefixes.iter().rev().skip(1).map(|it| it.tokens).sum(),
         };
         let scored = || candidates.iter().map(|it| costs.score(request, prefixes, it));
@@ -209,6 +217,29 @@
         }
     }
 
+    /// Returns the estimate of unseen requests at each engine; none if the option is off.
+    fn unseen_load(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        candidates: &[Candidate],
+    ) -> UnseenLoad {
+        if !self.options.spread_placement.is_on() || request.engine.is_none() {
+            return UnseenLoad::default();
+        }
+        let known = self.unseen.get(&request.service).copied().unwrap_or_default();
+        if !known.is_stale(now) {
+            return known;
+        }
+        let running = |it: &Candidate| self.upstreams.get(it.upstream).map(|it| it.total().running);
+        let running = candidates.iter().filter_map(running).sum();
+        let mean_time = self.mean_times.get(&request.service).copied().unwrap_or(f64::INFINITY);
+        let period = self.upstreams.digest_period();
+        let res = UnseenLoad::compute(now, running, candidates.len(), mean_time, period);
+        self.unseen.insert(request.service, res);
+        res
+    }
+
     /// Returns where the upstream chosen for a request is to fetch cached parts of the prompt from.
     fn choose_fetch(
         &self,
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -7,6 +7,7 @@
 //! - `scoring`: estimated cost of a request at each upstream
 //! - `admission`: how long a request may wait there
 //! - `cache_transfer`: where its upstream fetches cached prompt parts from
+//! - `unseen_load`: requests of other hosts that this host has not heard of
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
@@ -22,6 +23,7 @@
 mod retry_budget;
 mod scoring;
 mod shares;
+mod unseen_load;
 mod upstream_signals;
 mod window;
 
--- a/crates/portfield/src/balance/options.rs
+++ b/crates/portfield/src/balance/options.rs
@@ -38,4 +38,6 @@
     pub capacity_shares: Switch,
     /// The memory of running requests limits what is sent to an engine.
     pub memory_limits: Switch,
+    /// Requests are spread over engines whose loads this host cannot tell apart.
+    pub spread_placement: Switch,
 }
--- a/crates/portfield/src/balance/scoring.rs
+++ b/crates/portfield/src/balance/scoring.rs
@@ -7,6 +7,7 @@
 use super::{
     placement::{Assignment, Candidate, PlacementRequest},
     shares::ShareStatus,
+    unseen_load::UnseenLoad,
 };
 use crate::{
     catalog::EngineSpec,
@@ -43,6 +44,8 @@
     pub preferred: Option<u32>,
     /// Ranks upstreams of equal cost.
     pub tie_break: TieBreak,
+    /// Requests that this host has not heard of, and a number that differs with each request.
+    pub unseen: (UnseenLoad, u64),
     /// Tokens of the request's shared parts.
     pub shared_tokens: u32,
 }
@@ -162,12 +165,18 @@
         let failures = state.health.failure_rate(self.now) * FAILURE_COST
             + f64::from(state.n_overdue) * OVERDUE_COST;
         let remote = if it.is_local { 0.0 } else { REMOTE_COST };
+        let unseen = request.engine.map_or(0.0, |engine| {
+            let load = state.total().running;
+            let (unseen, random) = self.unseen;
+            let drawn = unseen.draw(random, it.upstream);
+            self.slot_wait(load + drawn, engine) - self.slot_wait(load, engine)
+        });
         let objective = request.objective.as_secs_f64() * 1000.0;
         ScoredUpstream {
             upstream: it.upstream,
             times,
             queued_tokens: state.total().pending as u32,
-            cost: times.wait + times.processing + reread + failures * objective + remote,
+            cost: times.wait + times.processing + reread + failures * objective + remote + unseen,
             rank: self.tie_break.rank(it.upstream),
             is_idle: request.engine.is_some_and(|it| is_idle(it, state)),
             is_blocked: state.is_closed(self.now),
@@ -189,10 +198,7 @@
             .input_tokens
             .saturating_sub(state.cache.cached_tokens(prefixes, engine.kv_capacity))
             .max(1);
-        let slots = f64::from(engine.slots);
-        let excess = (load.running - slots + 1.0).max(0.0);
-        let slot_wait = excess * self.mean_time.unwrap_or(0.0) / slots;
-        let wait = load.pending / rate + slot_wait + self.bias;
+        let wait = load.pending / rate + self.slot_wait(load.running, engine) + self.bias;
         Times {
             wait,
             processing: self.latency.predict(f64::from(uncached_tokens)),
@@ -201,6 +207,14 @@
         }
     }
 
+    /// Returns the time until a slot is free at an engine that runs so many requests, in
+    /// milliseconds.
+    fn slot_wait(&self, running: f64, engine: EngineSpec) -> f64 {
+        let slots = f64::from(engine.slots);
+        let excess = (running - slots + 1.0).max(0.0);
+        excess * self.mean_time.unwrap_or(0.0) / slots
+    }
+
     fn plain_times(&self, slots: u32, load: Load) -> Times {
         let processing = self.mean_time.unwrap_or(INITIAL_PLAIN_TIME);
         let slots = f64::from(slots.max(1));
--- /dev/null
+++ b/crates/portfield/src/balance/unseen_load.rs
@@ -0,0 +1,61 @@
+//! Requests that other hosts have sent to an engine and this host has not heard of yet.
+//!
+//! The case to handle: 59 hosts start 1,600 streams per second on 140 engines of 12 slots, and hear of
+//! each other's starts some 100 ms late. At the peak of the load few engines have a free slot. Each of
+//! them looks free to all hosts until the next digests, gets several times the requests that it has
+//! slots for, and their callers wait for one to two seconds that no host expected, while at other engines
+//! a slot is about to become free.
+//!
+//! So the number of unseen requests at each engine is drawn at random per request, from a range that
+//! follows from the rate of starts and the age of digests. Engines whose known loads differ by less than
+//! that share the requests. Far below the slots, and at a low rate, it decides nothing.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Time between two computations of the rate of starts: it changes little within two digests.
+const REFRESH_PERIOD: Duration = Duration::from_millis(100);
+/// Age of a load that another host reports, in digest periods: half of one until it is sent, one at the
+/// leader, and one more for the hosts of other data centres.
+const DIGEST_AGE_PERIODS: f64 = 1.5;
+/// Largest number of unseen requests at an engine, as a multiple of the mean over all engines: those that
+/// look best get several times as many as the others.
+const MAX_RATIO: f64 = 4.0;
+
+/// Estimate of the requests unseen at each engine of a service.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct UnseenLoad {
+    /// Mean number per engine.
+    mean: f64,
+    computed_at: Option<Duration>,
+}
+
+impl UnseenLoad {
+    /// Returns whether the estimate is to be computed again.
+    pub(super) fn is_stale(&self, now: Duration) -> bool {
+        self.computed_at.is_none_or(|it| it + REFRESH_PERIOD <= now)
+    }
+
+    /// Computes the estimate from the running requests of all `n_engines` engines, the mean time of a
+    /// request in milliseconds and the period of digests.
+    pub(super) fn compute(
+        now: Duration,
+        running: f64,
+        n_engines: usize,
+        mean_time: f64,
+        digest_period: Duration,
+    ) -> Self {
+        // Little's law: starts per millisecond.
+        let rate = running / mean_time.max(1.0);
+        let age = digest_period.as_secs_f64() * 1000.0 * DIGEST_AGE_PERIODS;
+        Self { mean: rate * age / n_engines.max(1) as f64, computed_at: Some(now) }
+    }
+
+    /// Draws the number of unseen requests at an engine; `random` differs with each request.
+    pub(super) fn draw(&self, random: u64, upstream: u32) -> f64 {
+        let hash = xxh3_64_with_seed(&random.to_le_bytes(), u64::from(upstream));
+        let uniform = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+        self.mean * MAX_RATIO * uniform
+    }
+}
--- a/crates/portfield/src/upstream/table.rs
+++ b/crates/portfield/src/upstream/table.rs
@@ -149,6 +149,11 @@
         self.digest_period = period;
     }
 
+    /// Returns the time between two digests of a host of this data centre.
+    pub(crate) fn digest_period(&self) -> Duration {
+        self.digest_period
+    }
+
     /// Returns the state of an upstream, inserting it if needed.
     pub(crate) fn entry(&mut self, upstream: u32) -> &mut UpstreamState {
         self.upstreams.entry(upstream).or_default()
