--- a/crates/portfield/src/balance/admission.rs
+++ b/crates/portfield/src/balance/admission.rs
@@ -54,10 +54,10 @@
     match status {
         // Unexplained wait alone is no reason to refuse an engine that looks idle to all hosts.
         ShareStatus::Served(it) if 1.0 < it => {
-            (slack * excess_wait_ratio(it)).max(0.0) + upstream.times.bias
+            (slack * excess_wait_ratio(it)).max(0.0) + upstream.times.bias - upstream.unseen_wait
         }
         ShareStatus::Underserved(it) if 1.0 < it => {
-            (slack * UNDERSERVED_WAIT_RATIO).max(0.0) + upstream.times.bias
+            (slack * UNDERSERVED_WAIT_RATIO).max(0.0) + upstream.times.bias - upstream.unseen_wait
         }
         _ => slack.max(LATE_WAIT_RATIO * objective),
     }
--- a/crates/portfield/src/balance/scoring.rs
+++ b/crates/portfield/src/balance/scoring.rs
@@ -97,6 +97,9 @@
     pub upstream: u32,
     pub times: Times,
     pub queued_tokens: u32,
+    /// Time that it waits longer, in milliseconds, if other hosts have sent as many requests there as may
+    /// be unseen.
+    pub unseen_wait: f64,
     /// Total cost in milliseconds; the lowest is chosen.
     pub cost: f64,
     /// Decides between equal costs; the highest is chosen.
@@ -165,18 +168,25 @@
         let failures = state.health.failure_rate(self.now) * FAILURE_COST
             + f64::from(state.n_overdue) * OVERDUE_COST;
         let remote = if it.is_local { 0.0 } else { REMOTE_COST };
-        let unseen = request.engine.map_or(0.0, |engine| {
-            let load = state.total().running;
-            let (unseen, random) = self.unseen;
-            let drawn = unseen.draw(random, it.upstream);
-            self.slot_wait(load + drawn, engine) - self.slot_wait(load, engine)
-        });
+        let (unseen, random) = self.unseen;
+        let unseen_wait = |n: f64| {
+            let running = state.total().running;
+            let wait =
+                |engine| self.slot_wait(running + n, engine) - self.slot_wait(running, engine);
+            request.engine.map_or(0.0, wait)
+        };
         let objective = request.objective.as_secs_f64() * 1000.0;
         ScoredUpstream {
             upstream: it.upstream,
             times,
             queued_tokens: state.total().pending as u32,
-            cost: times.wait + times.processing + reread + failures * objective + remote + unseen,
+            unseen_wait: unseen_wait(unseen.largest()),
+            cost: times.wait
+                + times.processing
+                + reread
+                + failures * objective
+                + remote
+                + unseen_wait(unseen.draw(random, it.upstream)),
             rank: self.tie_break.rank(it.upstream),
             is_idle: request.engine.is_some_and(|it| is_idle(it, state)),
             is_blocked: state.is_closed(self.now),
--- a/crates/portfield/src/balance/unseen_load.rs
+++ b/crates/portfield/src/balance/unseen_load.rs
@@ -18,7 +18,7 @@
 const REFRESH_PERIOD: Duration = Duration::from_millis(100);
 /// Age of a load that another host reports, in digest periods: half of one until it is sent, one at the
 /// leader, and one more for the hosts of other data centres.
-const DIGEST_AGE_PERIODS: f64 = 1.5;
+const DIGEST_AGE_PERIODS: f64 = 2.0;
 /// Largest number of unseen requests at an engine, as a multiple of the mean over all engines: those that
 /// look best get several times as many as the others.
 const MAX_RATIO: f64 = 4.0;
@@ -52,10 +52,15 @@
         Self { mean: rate * age / n_engines.max(1) as f64, computed_at: Some(now) }
     }
 
+    /// Returns the number of unseen requests at the engines that look best.
+    pub(super) fn largest(&self) -> f64 {
+        self.mean * MAX_RATIO
+    }
+
     /// Draws the number of unseen requests at an engine; `random` differs with each request.
     pub(super) fn draw(&self, random: u64, upstream: u32) -> f64 {
         let hash = xxh3_64_with_seed(&random.to_le_bytes(), u64::from(upstream));
         let uniform = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-        self.mean * MAX_RATIO * uniform
+        self.largest() * uniform
     }
 }
