--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -20,7 +20,7 @@
     digest_scope::FULL_DIGEST_EVERY,
     fast_map::FastMap,
     ids::RunId,
-    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, UpstreamTable},
+    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, ServiceTime, UpstreamTable},
     wire,
 };
 
@@ -67,6 +67,8 @@
     biases: FastMap<u32, Bias>,
     /// Mean time of a request in milliseconds, by service.
     mean_times: FastMap<u32, f64>,
+    /// The same for engines, if requests are spread over them.
+    service_times: FastMap<u32, ServiceTime>,
     runs: FastMap<RunId, Run>,
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
@@ -86,6 +88,7 @@
             latency_models: FastMap::default(),
             biases: FastMap::default(),
             mean_times: FastMap::default(),
+            service_times: FastMap::default(),
             runs: FastMap::default(),
             n_runs: 0,
             engine_memory: FastMap::default(),
@@ -169,7 +172,7 @@
             now,
             upstreams: &self.upstreams,
             latency: self.latency_models.get(&request.service).unwrap_or(&default_model),
-            mean_time: self.mean_times.get(&request.service).copied(),
+            mean_time: self.mean_time(now, request),
             bias: self.biases.get(&request.service).map_or(0.0, |it| it.shortfall(now)),
             preferred: preferred_upstream(
                 tie_break,
@@ -217,6 +220,15 @@
         }
     }
 
+    /// Returns the mean time of a request of the same service in milliseconds, if it is known.
+    fn mean_time(&self, now: Duration, request: &PlacementRequest) -> Option<f64> {
+        if self.options.spread_placement.is_on() && request.engine.is_some() {
+            let time = self.service_times.get(&request.service).copied().unwrap_or_default();
+            return Some(time.mean(now));
+        }
+        self.mean_times.get(&request.service).copied()
+    }
+
     /// Returns the estimate of unseen requests at each engine; none if the option is off.
     fn unseen_load(
         &mut self,
@@ -233,7 +245,7 @@
         }
         let running = |it: &Candidate| self.upstreams.get(it.upstream).map(|it| it.total().running);
         let running = candidates.iter().filter_map(running).sum();
-        let mean_time = self.mean_times.get(&request.service).copied().unwrap_or(f64::INFINITY);
+        let mean_time = self.mean_time(now, request).unwrap_or(f64::INFINITY);
         let period = self.upstreams.digest_period();
         let res = UnseenLoad::compute(now, running, candidates.len(), mean_time, period);
         self.unseen.insert(request.service, res);
@@ -329,6 +341,9 @@
             is_engine: request.engine.is_some(),
             service: request.service,
         };
+        if request.engine.is_some() {
+            self.service_times.entry(request.service).or_default().record_start(now);
+        }
         let state = self.upstreams.entry(assignment.upstream);
         state.warmup.record_sent(now);
         state.backoff.record_sent(now, self.n_runs);
@@ -368,6 +383,14 @@
     /// Records the end of a request at its upstream.
     pub fn record_end(&mut self, now: Duration, id: RunId, completion: Completion) {
         let Some(run) = self.runs.remove(&id) else { return };
+        if run.is_engine {
+            let time = self.service_times.entry(run.service).or_default();
+            if completion == Completion::Done {
+                time.record_done(now)
+            } else {
+                time.record_stop(now)
+            }
+        }
         let state = self.upstreams.entry(run.upstream);
         state.own.running -= 1.0;
         state.own.pending -= run.pending;
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 //! - `bias`: recent error of that estimate
 //! - `health`: upstreams that fail
 //! - `backoff`: upstreams that asked for a backoff
+//! - `service_time`: mean time that a request occupies a slot
 //! - `warmup`: cold upstreams
 
 mod backoff;
@@ -15,6 +16,7 @@
 mod latency_model;
 mod prefix_cache;
 mod prompt;
+mod service_time;
 mod table;
 mod warmup;
 
@@ -22,5 +24,6 @@
 pub(crate) use latency_model::LatencyModel;
 pub(crate) use prompt::PromptPrefix;
 pub use prompt::{Prompt, PromptPart};
+pub(crate) use service_time::ServiceTime;
 pub(crate) use table::{Load, UpstreamState, UpstreamTable};
 pub use warmup::cold_quota;
