--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -11,13 +11,14 @@
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
     shares::{ShareSnapshot, ShareStatus, Shares, Usage},
+    unseen_load::{UnseenDraw, UnseenLoad},
     window::windows,
 };
 use crate::{
     digest_scope::FULL_DIGEST_EVERY,
     fast_map::FastMap,
     ids::RunId,
-    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, RecentUses, UpstreamTable},
+    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, RecentUses, ServiceTime, UpstreamTable},
     wire,
 };
 
@@ -56,6 +57,14 @@
     fetch: Option<FetchWatch>,
 }
 
+/// What a placement depends on beside the request and the upstreams.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    status: ShareStatus,
+    tie_break: TieBreak,
+    unseen: UnseenDraw,
+}
+
 /// Places requests on upstreams.
 #[derive(Debug)]
 pub struct Balancer {
@@ -66,6 +75,8 @@
     biases: FastMap<u32, Bias>,
     /// Mean time of a request in milliseconds, by service.
     mean_times: FastMap<u32, f64>,
+    /// The same for engines, if requests are spread over them.
+    service_times: FastMap<u32, ServiceTime>,
     runs: FastMap<RunId, Run>,
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
@@ -74,6 +85,8 @@
     pub(super) options: BalancerOptions,
     pub(super) paused_sources: PausedSources,
     pub(super) recent_uses: RecentUses,
+    /// Requests that this host has not heard of, by service.
+    unseen: FastMap<u32, UnseenLoad>,
 }
 
 impl Balancer {
@@ -85,6 +98,7 @@
             latency_models: FastMap::default(),
             biases: FastMap::default(),
             mean_times: FastMap::default(),
+            service_times: FastMap::default(),
             runs: FastMap::default(),
             n_runs: 0,
             engine_memory: FastMap::default(),
@@ -92,6 +106,7 @@
             options: BalancerOptions::default(),
             paused_sources: PausedSources::default(),
             recent_uses: RecentUses::default(),
+            unseen: FastMap::default(),
         }
     }
 
@@ -135,10 +150,13 @@
             None => ShareStatus::Uncontended,
         };
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
-        let tie_break = TieBreak::new(&prefixes, self.next_random());
+        let random = self.next_random();
+        let tie_break = TieBreak::new(&prefixes, random);
+        let load = self.unseen_load(now, request, candidates);
+        let terms = Terms { status, tie_break, unseen: UnseenDraw { load, random } };
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
-            res = self.place_within(now, request, &prefixes, status, tie_break, &window);
+            res = self.place_within(now, request, &prefixes, terms, &window);
             if let Placement::Send(placed) = res {
                 return Placement::Send(
                     self.with_fetch(now, request, &prefixes, &window, tie_break, placed),
@@ -157,8 +175,7 @@
         now: Duration,
         request: &PlacementRequest,
         prefixes: &[PromptPrefix],
-        status: ShareStatus,
-        tie_break: TieBreak,
+        Terms { status, tie_break, unseen }: Terms,
         candidates: &[Candidate],
     ) -> Placement {
         let default_model = LatencyModel::default();
@@ -167,13 +184,14 @@
             now,
             upstreams: &self.upstreams,
             latency: self.latency_models.get(&request.service).unwrap_or(&default_model),
-            mean_time: self.mean_times.get(&request.service).copied(),
+            mean_time: self.mean_time(now, request),
             bias: self.biases.get(&request.service).map_or(0.0, |it| it.shortfall(now)),
             preferred: preferred_upstream(
                 tie_break,
                 candidates.iter().map(|it| it.upstream).filter(is_open),
             ),
             tie_break,
+            unseen,
             shared_tokens: prefixes.iter().rev().skip(1).map(|it| it.tokens).sum(),
         };
         let scored = || candidates.iter().map(|it| costs.score(request, prefixes, it));
@@ -214,6 +232,38 @@
         }
     }
 
+    /// Returns the mean time of a request of the same service in milliseconds, if it is known.
+    fn mean_time(&self, now: Duration, request: &PlacementRequest) -> Option<f64> {
+        if self.options.spread_placement.is_on() && request.engine.is_some() {
+            let time = self.service_times.get(&request.service).copied().unwrap_or_default();
+            return Some(time.mean(now));
+        }
+        self.mean_times.get(&request.service).copied()
+    }
+
+    /// Returns the estimate of unseen requests at each engine; none if the option is off.
+    fn unseen_load(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        candidates: &[Candidate],
+    ) -> UnseenLoad {
+        if !self.options.spread_placement.is_on() || request.engine.is_none() {
+            return UnseenLoad::default();
+        }
+        let known = self.unseen.get(&request.service).copied().unwrap_or_default();
+        if !known.is_stale(now) {
+            return known;
+        }
+        let running = |it: &Candidate| self.upstreams.get(it.upstream).map(|it| it.total().running);
+        let running = candidates.iter().filter_map(running).sum();
+        let mean_time = self.mean_time(now, request).unwrap_or(f64::INFINITY);
+        let period = self.upstreams.digest_period();
+        let res = UnseenLoad::compute(now, running, candidates.len(), mean_time, period);
+        self.unseen.insert(request.service, res);
+        res
+    }
+
     /// Returns the usable upstream with the fewest running requests: if it crashes, it takes the
     /// fewest requests with it.
     pub fn least_busy(&self, now: Duration, candidates: &[Candidate]) -> Option<Candidate> {
@@ -288,6 +338,9 @@
             service: request.service,
             fetch: None,
         };
+        if request.engine.is_some() {
+            self.service_times.entry(request.service).or_default().record_start(now);
+        }
         let state = self.upstreams.entry(assignment.upstream);
         state.warmup.record_sent(now);
         state.backoff.record_sent(now, self.n_runs);
@@ -351,6 +404,14 @@
         if let Some(it) = run.fetch.as_ref().and_then(FetchWatch::fetch) {
             self.release_fetch(run.upstream, it);
         }
+        if run.is_engine {
+            let time = self.service_times.entry(run.service).or_default();
+            if completion == Completion::Done {
+                time.record_done(now);
+            } else {
+                time.record_stop(now);
+            }
+        }
         let state = self.upstreams.entry(run.upstream);
         state.own.running -= 1.0;
         state.own.pending -= run.pending;
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 //! - `bias`: recent error of that estimate
 //! - `health`: upstreams that fail
 //! - `backoff`: upstreams that asked for a backoff
+//! - `service_time`: mean time that a request occupies a slot
 //! - `warmup`: cold upstreams
 
 mod backoff;
@@ -17,6 +18,7 @@
 mod prefix_cache;
 mod prompt;
 mod recent_uses;
+mod service_time;
 mod table;
 mod warmup;
 
@@ -26,5 +28,6 @@
 pub(crate) use prompt::PromptPrefix;
 pub use prompt::{Prompt, PromptPart};
 pub(crate) use recent_uses::RecentUses;
+pub(crate) use service_time::ServiceTime;
 pub(crate) use table::{Load, UpstreamState, UpstreamTable};
 pub use warmup::cold_quota;
