feat(host): move callers from hot hosts to others of the data centre

The platform assigns connections by hash, so a few large callers use two or three hosts, which refuse most of their requests while the mean host uses a sixth of its share. A host left rotation only once its timers were late, whatever the others did, and closed connections only with a refusal.

With ingress_balance = "on" a host measures its processor time against cpu_share and tells it in Digest.busy. A decision without I/O (portfield/src/balance/ingress_balance.rs) takes it out of rotation from a load of 0.8 while half of the data centre's hosts have room by recent digests, at most a quarter of them at a time by rank, for less than an eighth of the time; and closes some connections of the largest workspace after a response, mostly while new ones go elsewhere. Off means no change.

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -24,6 +24,7 @@
     }
     let is_ready = host.is_ready();
     host.load_shedder().record_probe(is_ready);
+    host.ingress_balance().record_probe(is_ready);
     if is_ready {
         http1::json_response(200, &"ready")
     } else {
@@ -128,6 +129,7 @@
         ("hosts", n_hosts),
         ("least_part", least_part),
         ("late_ms", host.load_shedder().lateness()),
+        ("busy", f64::from(host.told_load())),
         ("gather_ms", host.gathering.wait_time().as_millis() as f64),
         ("active", host.n_active() as f64),
         ("quarantine_suspects", n_suspects as f64),
--- a/crates/portfield-host/src/ingress.rs
+++ b/crates/portfield-host/src/ingress.rs
@@ -7,7 +7,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use crate::metrics::count;
@@ -21,6 +24,8 @@
     pub n_closed: u64,
     /// Connections closed by their callers without a `connection: close` from this host.
     pub n_caller_closed: u64,
+    /// Connections closed by this host to move their callers to another one.
+    pub n_moved: u64,
     /// Requests read.
     pub n_requests: u64,
     /// Requests refused for lack of processor time, by workspace.
@@ -44,19 +49,32 @@
 #[derive(Debug, Default)]
 pub(crate) struct IngressStats {
     counts: Mutex<Counts>,
+    n_open: AtomicUsize,
 }
 
 impl IngressStats {
     /// Counts a new connection.
     pub(crate) fn record_accepted(&self) {
+        self.n_open.fetch_add(1, Ordering::Relaxed);
         self.counts().n_accepted += 1;
     }
 
     /// Counts a closed connection.
     pub(crate) fn record_closed(&self) {
+        self.n_open.fetch_sub(1, Ordering::Relaxed);
         self.counts().n_closed += 1;
     }
 
+    /// Returns the number of open connections.
+    pub(crate) fn n_open(&self) -> usize {
+        self.n_open.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that this host closes to move its caller to another one.
+    pub(crate) fn record_moved(&self) {
+        self.counts().n_moved += 1;
+    }
+
     /// Counts a connection that its caller closed without a `connection: close` from this host.
     pub(crate) fn record_caller_close(&self) {
         self.counts().n_caller_closed += 1;
--- a/crates/portfield-host/src/lifecycle.rs
+++ b/crates/portfield-host/src/lifecycle.rs
@@ -10,7 +10,7 @@
 use async_signal::{Signal, Signals};
 use eyre::WrapErr;
 use futures_lite::StreamExt;
-use portfield::balance::ProcessorUse;
+use portfield::balance::{LocalHosts, OwnLoad, ProcessorUse};
 use portfield_net::{clock, http1, logs, rpc, rt::Runtime};
 use portfield_wire::peers_server::PeersServer;
 
@@ -108,6 +108,9 @@
         processor.observe(now, clock::processor_time(), settings.cpu_share);
         let shortage = shortage.max(processor.shortage());
         host.gathering.advance(shortage, settings.event_delay);
+        if settings.ingress_balance.is_on() {
+            balance_ingress(&host, processor.load());
+        }
         if is_busy != was_busy {
             was_busy = is_busy;
             log::warn!(is_busy, late_ms = late, active = host.n_active(); "load state changed");
@@ -120,6 +123,30 @@
     }
 }
 
+/// Decides whether this host takes new connections, and which it closes.
+fn balance_ingress(host: &Host, processor_load: f64) {
+    let now = clock::now();
+    let (load, late, largest_workspace) = {
+        let shedder = host.load_shedder();
+        let load = processor_load.max(shedder.load());
+        (load, shedder.lateness(), shedder.largest_workspace(now))
+    };
+    let own = OwnLoad { load, n_connections: host.ingress.n_open(), largest_workspace };
+    let hosts = {
+        let peers = host.peers();
+        let n_known = peers.hosts_in(host.own_data_centre()).len();
+        LocalHosts { n_known, digest_period: peers.topology().period() }
+    };
+    let change = host.ingress_balance().update(now, own, hosts);
+    let Some((rotation, others)) = change else { return };
+    host.metrics.count("rotation_changes");
+    log::warn!(
+        rotation:?, load, late_ms = late, connections = own.n_connections, hosts = hosts.n_known,
+        alive = others.n_alive, with_room = others.n_with_room, room = others.room,
+        busier = others.n_busier; "rotation changed"
+    );
+}
+
 /// Interval of the log line with the counts of callers' connections and requests.
 pub(crate) const INGRESS_PERIOD: Duration = Duration::from_secs(1);
 
@@ -127,6 +154,9 @@
 /// host is busy.
 fn log_ingress(host: &Host, late: f64, is_busy: bool) {
     let counts = host.ingress.take();
+    if 0 < counts.n_moved {
+        log::info!(n = counts.n_moved, connections = host.ingress.n_open(); "callers moved");
+    }
     let n_refused = counts.n_refused();
     if n_refused == 0 && !is_busy {
         return;
--- a/crates/portfield-host/src/peers/receive.rs
+++ b/crates/portfield-host/src/peers/receive.rs
@@ -123,6 +123,9 @@
     host.peers().record_digest(now, from, digest);
     if digest.n_summed == 0 {
         let store_age = Duration::from_millis(u64::from(digest.store_age));
+        if digest.data_centre == host.own_data_centre() {
+            host.ingress_balance().record_peer(now, digest.host, digest.busy);
+        }
         host.record_store_contact(now.saturating_sub(store_age));
         host.record_watcher(WatcherStatus {
             host: digest.host,
--- a/crates/portfield-host/src/peers/send.rs
+++ b/crates/portfield-host/src/peers/send.rs
@@ -90,6 +90,7 @@
 /// Adds this host's state to its digest header.
 fn own_digest(host: &Host, topology: &GossipTopology, header: Digest) -> Digest {
     let mut res = header;
+    res.busy = host.told_load();
     res.seeks_hosts = !host.peers().knows_local_host();
     host.balancer().fill_digest(clock::now(), &mut res);
     quarantine::fill_digest(host, topology, &mut res);
--- a/crates/portfield-host/src/server.rs
+++ b/crates/portfield-host/src/server.rs
@@ -128,9 +128,11 @@
     host.ingress.record_request();
     let id = request.headers().get(portfield_platform::request::ATTEMPT_ID);
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
+    let mut workspace = 0;
     let (mut res, answer_kind) = match read_request(&host, caller, request).await {
         // Boxed, so that the future of a refused request is small.
         Ok(call) => {
+            workspace = call.placement.workspace;
             let served = Box::pin(forward::serve_request(host.clone(), call));
             (served.await, AnswerKind::Served)
         }
@@ -143,7 +145,7 @@
             (it.to_response(&id), it.answer_kind)
         }
     };
-    if host.should_close(answer_kind) {
+    if host.should_close(answer_kind, workspace) {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     res
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -13,7 +13,9 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use portfield::{
-    balance::{AnswerKind, Balancer, LoadShedder, RetryBudget},
+    balance::{
+        AnswerKind, Balancer, ConnectionUse, IngressBalance, LoadShedder, RetryBudget, Rotation,
+    },
     catalog::Catalog,
     gossip::{
         GossipConfig, GossipTopology, PeerTable, StoreAvailability, StoreWatchers, WatcherStatus,
@@ -78,6 +80,7 @@
     store_watchers: Mutex<StoreWatchers>,
     store_availability: Mutex<StoreAvailability>,
     load_shedder: Mutex<LoadShedder>,
+    ingress_balance: Mutex<IngressBalance>,
     broken_attempts: Mutex<BrokenAttempts>,
     quarantine: Mutex<Quarantine>,
     suspend_detector: Mutex<SuspendDetector>,
@@ -139,6 +142,7 @@
             store_watchers: Mutex::new(StoreWatchers::new(settings.store_timeouts)),
             store_availability: Mutex::new(StoreAvailability::new(OUTAGE_THRESHOLD)),
             load_shedder: Mutex::default(),
+            ingress_balance: Mutex::new(IngressBalance::new(gossip_config.host)),
             broken_attempts: Mutex::default(),
             quarantine: Mutex::default(),
             suspend_detector: Mutex::default(),
@@ -231,6 +235,25 @@
         self.load_shedder.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the decision whether this host takes new connections.
+    pub(crate) fn ingress_balance(&self) -> MutexGuard<'_, IngressBalance> {
+        self.ingress_balance.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the load that this host tells the others, zero if it tells none.
+    pub(crate) fn told_load(&self) -> u32 {
+        if self.settings().ingress_balance.is_on() { self.ingress_balance().busy() } else { 0 }
+    }
+
+    /// Returns whether this host takes new connections, as far as its load is concerned.
+    fn is_in_rotation(&self) -> bool {
+        if self.settings().ingress_balance.is_on() {
+            self.ingress_balance().rotation() == Rotation::In
+        } else {
+            !self.load_shedder().is_overloaded()
+        }
+    }
+
     /// Returns the attempts that recently broke.
     pub(crate) fn broken_attempts(&self) -> MutexGuard<'_, BrokenAttempts> {
         self.broken_attempts.lock().unwrap_or_else(PoisonError::into_inner)
@@ -292,11 +315,24 @@
         }
     }
 
-    /// Returns whether to close a caller's connection after a response.
-    pub(crate) fn should_close(&self, answer_kind: AnswerKind) -> bool {
+    /// Returns whether to close a caller's connection after a response to a request of this
+    /// workspace.
+    pub(crate) fn should_close(&self, answer_kind: AnswerKind, workspace: u32) -> bool {
         self.is_stopping()
             || self.load_shedder().closes_connection(answer_kind)
             || !self.can_accept()
+            || self.moves_caller(workspace)
+    }
+
+    /// Returns whether to close the connection so that its caller moves to another host.
+    fn moves_caller(&self, workspace: u32) -> bool {
+        let is_moved = self.settings().ingress_balance.is_on()
+            && self.ingress_balance().connection_use(workspace) == ConnectionUse::Close;
+        if is_moved {
+            self.metrics.count("callers_moved");
+            self.ingress.record_moved();
+        }
+        is_moved
     }
 
     /// Recomputes which hosts this host's digests go to, and returns them.
@@ -374,7 +410,7 @@
             && quarantine_known
             && self.has_fresh_state()
             && !self.is_stopping()
-            && !self.load_shedder().is_overloaded()
+            && self.is_in_rotation()
             && self.can_accept()
     }
 
--- a/crates/portfield/src/balance/load_shedder.rs
+++ b/crates/portfield/src/balance/load_shedder.rs
@@ -164,6 +164,32 @@
         self.lateness
     }
 
+    /// Returns the load of this host by its lateness, as a fraction of what it can bear.
+    pub fn load(&self) -> f64 {
+        self.lateness / OVERLOAD_LATENESS
+    }
+
+    /// Returns the workspace that offered most work recently.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::LoadShedder;
+    /// use std::time::Duration;
+    ///
+    /// let mut shedder = LoadShedder::default();
+    /// let now = Duration::from_secs(1);
+    /// assert_eq!(shedder.largest_workspace(now), None);
+    /// assert!(shedder.shed(now, 1, 2.0, 0.5).is_none());
+    /// assert!(shedder.shed(now, 2, 40.0, 0.5).is_none());
+    /// assert_eq!(shedder.largest_workspace(now), Some(2));
+    /// ```
+    pub fn largest_workspace(&self, now: Duration) -> Option<u32> {
+        let offered = |it: &DecayingSum| it.value(now);
+        let largest = self.offered.iter().max_by(|a, b| offered(a.1).total_cmp(&offered(b.1)));
+        largest.map(|it| *it.0)
+    }
+
     /// Returns how short of processor time this host is, from 0 to 1, by its lateness.
     ///
     /// # Examples
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -11,10 +11,12 @@
 //! - [`BalancerOptions`]: which decisions a deployment asks for
 //! - [`LoadShedder`]: overload of this host
 //! - [`ProcessorUse`]: processor time in use
+//! - [`IngressBalance`]: which hosts take new connections
 //! - [`RetryBudget`]: limit of retries
 
 mod admission;
 mod balancer;
+mod ingress_balance;
 mod load_shedder;
 mod options;
 mod placement;
@@ -26,6 +28,9 @@
 mod window;
 
 pub use balancer::Balancer;
+pub use ingress_balance::{
+    ConnectionUse, IngressBalance, LocalHosts, OwnLoad, PeerSummary, Rotation,
+};
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
