--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -12,14 +12,18 @@
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
 //! - [`LoadShedder`]: overload of this host
+//! - [`ProcessorUse`]: processor time in use
+//! - [`IngressBalance`]: which hosts take new connections
 //! - [`RetryBudget`]: limit of retries
 
 mod admission;
 mod balancer;
 mod cache_transfer;
+mod ingress_balance;
 mod load_shedder;
 mod options;
 mod placement;
+mod processor_use;
 mod retry_budget;
 mod scoring;
 mod shares;
@@ -29,11 +33,15 @@
 
 pub use balancer::Balancer;
 pub use cache_transfer::{FetchOutcome, FetchReport};
+pub use ingress_balance::{
+    ConnectionUse, IngressBalance, LocalHosts, OwnLoad, PeerSummary, Rotation,
+};
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
     Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal,
     SourceKnowledge, Stage,
 };
+pub use processor_use::ProcessorUse;
 pub use retry_budget::RetryBudget;
 pub use shares::{ShareSnapshot, ShareStatus};
