fix(host): an overloaded host stays out of rotation

Cause: with ingress_balance on, the rule that bounds the time out of rotation replaced the one that keeps an overloaded host out. Change: a host is ready only if both rules say so; a host without callers stays in rotation.

--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -247,11 +247,11 @@
 
     /// Returns whether this host takes new connections, as far as its load is concerned.
     fn is_in_rotation(&self) -> bool {
-        if self.settings().ingress_balance.is_on() {
-            self.ingress_balance().rotation() == Rotation::In
-        } else {
-            !self.load_shedder().is_overloaded()
-        }
+        // An overloaded host stays out however long that lasts: back in rotation, it would get the
+        // callers that it refuses again.
+        let is_balanced = !self.settings().ingress_balance.is_on()
+            || self.ingress_balance().rotation() == Rotation::In;
+        is_balanced && !self.load_shedder().is_overloaded()
     }
 
     /// Returns the attempts that recently broke.
--- a/crates/portfield/src/balance/ingress_balance.rs
+++ b/crates/portfield/src/balance/ingress_balance.rs
@@ -302,7 +302,9 @@
         let n_known = n_known as f64;
         // Silent hosts may be out of rotation, or gone.
         let n_out = (n_known * OUT_RATIO).floor() - peers.n_silent as f64;
-        HIGH_LOAD <= self.own.load
+        // A start takes processor time too, but without callers there is nobody to move.
+        0 < self.own.n_connections
+            && HIGH_LOAD <= self.own.load
             && MIN_OUT <= self.out_left
             && (peers.n_busier as f64) < n_out
             && n_known * ROOM_RATIO.0 <= peers.n_with_room as f64
