feat(balance): hosts book the retries that they invite

Cause: each refused caller was told when the queue at its engine would be short. All came back within the overload, and nearly all were refused again, while capacity after a burst was left over. Change: with capacity_shares on, a host books retries into its part of the capacity that it expects to be spare (room of the last seconds, over the hosts heard in the last 30 s), one after the other, up to a third of the time that the caller waits. Without room in that time the caller is told the estimate. A returning caller may wait for 0.05 of its objective beyond its share while the engines are full. Log fields and counters tell of it.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -110,6 +110,7 @@
             objective: route.latency_target,
             waited: Duration::ZERO,
             earlier: route.timeout.saturating_sub(timeout),
+            patience: timeout,
             stage: Stage::New,
             engine,
         };
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -102,7 +102,7 @@
         let is_one_crash_away =
             self.host.quarantine().is_one_crash_away(clock::now(), self.call.quarantine_key());
         let mode = if is_one_crash_away { PlacementMode::Isolated } else { PlacementMode::Any };
-        let PlacementRefusal { reason, retry_after, estimate, share_ratio } =
+        let PlacementRefusal { reason, retry_after, estimate, share_ratio, room, invited } =
             match self.host.place(&self.call, &self.tried, mode) {
                 Ok(it) => return Ok(it),
                 Err(it) => it,
@@ -116,11 +116,20 @@
             best = shares.largest_usage, level_age_ms = shares.age.as_millis() as u64,
             estimate_ms = estimate.as_millis() as u64, retry_ms = retry_after.as_millis() as u64,
             objective_ms = self.call.route.latency_target.as_millis() as u64,
+            room = room.room, free_slots = room.free_slots, queue_ms = room.queue_ms as u64,
+            invited_ms = invited.map_or(0, |it| it.as_millis() as u64),
+            earlier_ms = self.call.placement.earlier.as_millis() as u64,
             config = self.call.config_version,
             list:% = self.host.with_list(|it| it.directory.version()),
             hosts = self.host.balancer().n_hosts(clock::now()); "not placed"
         );
         self.host.metrics.count(&format!("refused{{reason=\"{reason:?}\"}}"));
+        if invited.is_some() {
+            self.host.metrics.count("retries_invited");
+        }
+        if self.call.placement.is_returning() {
+            self.host.metrics.count("refused_returning");
+        }
         Err(self.failure(format!("refused: {reason:?}"), retry_after))
     }
 
--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -7,7 +7,7 @@
 };
 
 use portfield::{
-    balance::{Assignment, Candidate, Placement, Refusal},
+    balance::{Assignment, Candidate, EngineRoom, Placement, Refusal},
     catalog::{Regions, Restart, Upstream},
 };
 use portfield_net::clock;
@@ -38,6 +38,10 @@
     pub estimate: Duration,
     /// Recent usage of the workspace, as a multiple of its fair share.
     pub share_ratio: f64,
+    /// Room at the engines.
+    pub room: EngineRoom,
+    /// When this host expects room for the retry, if it has booked it.
+    pub invited: Option<Duration>,
 }
 
 /// Minimum time between two checks which upstreams are no longer listed: each goes through all.
@@ -145,8 +149,15 @@
         drop(balancer);
         let assignment = match res {
             Placement::Send(it) => it,
-            Placement::Refuse { reason, retry_after, estimate, share_ratio } => {
-                return Err(PlacementRefusal { reason, retry_after, estimate, share_ratio });
+            Placement::Refuse { reason, retry_after, estimate, share_ratio, room, invited } => {
+                return Err(PlacementRefusal {
+                    reason,
+                    retry_after,
+                    estimate,
+                    share_ratio,
+                    room,
+                    invited,
+                });
             }
         };
         let chosen = ready.get(assignment.upstream);
@@ -155,6 +166,8 @@
             retry_after: assignment.estimate,
             estimate: assignment.estimate,
             share_ratio: assignment.share_ratio,
+            room: EngineRoom::default(),
+            invited: None,
         })
     }
 }
--- a/crates/portfield/src/balance/admission.rs
+++ b/crates/portfield/src/balance/admission.rs
@@ -39,6 +39,10 @@
 /// A later request within its share finds this queue and still has most of its objective. With a
 /// quarter as many are served, but more within their shares are late.
 const ROOM_WAIT_RATIO: f64 = 0.15;
+/// The same while the engines are full, for a caller that comes back: it goes before new ones of its
+/// workspace, since it does not come a third time. With 0.15 more of them are served, but fewer
+/// requests in time.
+const RETURNING_WAIT_RATIO: f64 = 0.05;
 /// Requests that may wait at a plain upstream for each running one.
 const PLAIN_QUEUE_RATIO: f64 = 3.0;
 
@@ -61,12 +65,10 @@
     let objective = request.objective.as_secs_f64() * 1000.0;
     let slack = time_left_ms(request) - upstream.times.processing;
     match status {
-        ShareStatus::Served(it) if 1.0 < it && room.is_some_and(|it| !it.is_full()) => {
-            slack.min(ROOM_WAIT_RATIO * objective).max(0.0) + upstream.times.bias
-        }
         // Unexplained wait alone is no reason to refuse an engine that looks idle to all hosts.
         ShareStatus::Served(it) if 1.0 < it => {
-            (slack * excess_wait_ratio(it)).max(0.0) + upstream.times.bias
+            let room_wait = room.map_or(0.0, |it| room_wait_ms(request, it)).min(slack);
+            (slack * excess_wait_ratio(it)).max(room_wait).max(0.0) + upstream.times.bias
         }
         ShareStatus::Underserved(it) if 1.0 < it => {
             (slack * UNDERSERVED_WAIT_RATIO).max(0.0) + upstream.times.bias
@@ -75,6 +77,16 @@
     }
 }
 
+/// Returns the longest wait, in milliseconds, that room at the engines allows a workspace beyond its
+/// share.
+fn room_wait_ms(request: &PlacementRequest, room: &EngineRoom) -> f64 {
+    let objective = request.objective.as_secs_f64() * 1000.0;
+    if !room.is_full() {
+        return ROOM_WAIT_RATIO * objective;
+    }
+    if request.is_returning() { RETURNING_WAIT_RATIO * objective } else { 0.0 }
+}
+
 /// Returns the time left until the request's objective has passed, in milliseconds.
 pub(super) fn time_left_ms(request: &PlacementRequest) -> f64 {
     let left = request.objective.as_secs_f64() - request.waited.as_secs_f64();
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,7 +6,8 @@
 
 use super::{
     admission::{max_wait_ms, time_left_ms},
-    capacity::RoomMeter,
+    capacity::{EngineRoom, RoomMeter},
+    invitations::{Booking, Claim, Invitations},
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -33,6 +34,8 @@
 /// With most engines idle, the bottleneck is the queue at the engine that caches a popular part.
 /// With most engines busy, reading parts again costs all workspaces capacity.
 const SPARE_IDLE_RATIO: f64 = 0.5;
+/// Part of the objective within which a refusal must come for the retry to be worthwhile.
+const EARLY_REFUSAL_RATIO: f64 = 0.25;
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.05;
 
@@ -67,6 +70,8 @@
     runs: FastMap<RunId, Run>,
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
+    /// Retries that this host has invited, by service.
+    invitations: FastMap<u32, Invitations>,
     /// State of the pseudo-random sequence.
     rng_state: u64,
     options: BalancerOptions,
@@ -84,6 +89,7 @@
             runs: FastMap::default(),
             n_runs: 0,
             engine_memory: FastMap::default(),
+            invitations: FastMap::default(),
             rng_state: 0,
             options: BalancerOptions::default(),
         }
@@ -132,7 +138,9 @@
         let tie_break = TieBreak::new(&prefixes, self.next_random());
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
-            res = self.place_within(now, request, &prefixes, status, tie_break, &window);
+            let room;
+            (res, room) = self.place_within(now, request, &prefixes, status, tie_break, &window);
+            self.observe_room(now, request, &room);
             if matches!(res, Placement::Send(_)) {
                 return res;
             }
@@ -140,10 +148,60 @@
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
             self.record_refusal(now, request.workspace, request.token_cost());
         }
-        res
+        self.advise_retry(now, request, res)
     }
 
-    /// Chooses one of the candidates for a request.
+    /// Tells a refused caller when there will be room for its retry, where shares follow what
+    /// engines can do.
+    fn advise_retry(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        placement: Placement,
+    ) -> Placement {
+        let Placement::Refuse { reason, retry_after, estimate, share_ratio, room, .. } = placement
+        else {
+            return placement;
+        };
+        // Callers retry once, and earn nothing by it if the refusal came late.
+        if !matches!(reason, Refusal::Busy | Refusal::Share)
+            || !self.options.capacity_shares.is_on()
+            || request.engine.is_none()
+            || request.is_returning()
+            || request.objective.mul_f64(EARLY_REFUSAL_RATIO) < request.waited
+        {
+            return placement;
+        }
+        let left = request.patience.saturating_sub(request.waited) / 3;
+        let shares = self.shares.snapshot(now, request.workspace);
+        let is_within = 0.0 < shares.asked && shares.asked <= shares.fair_share;
+        let booking = Booking {
+            claim: if is_within { Claim::WithinShare } else { Claim::BeyondShare },
+            tokens: f64::from(request.own_tokens()),
+            earliest: retry_after,
+            latest: if request.patience.is_zero() { RETRY_BOUNDS.1 } else { left },
+            random: (self.next_random() >> 11) as f64 / (1_u64 << 53) as f64,
+        };
+        let n_hosts = self.n_hosts(now);
+        let invitations = self.invitations.entry(request.service).or_default();
+        invitations.observe_hosts(now, n_hosts);
+        let advice = invitations.book(now, &booking);
+        let (retry_after, invited) = (advice.time(), advice.invited());
+        Placement::Refuse { reason, retry_after, estimate, share_ratio, room, invited }
+    }
+
+    /// Records the room that a request found at a service's engines.
+    fn observe_room(&mut self, now: Duration, request: &PlacementRequest, room: &EngineRoom) {
+        if !self.options.capacity_shares.is_on() || request.engine.is_none() {
+            return;
+        }
+        let model = self.latency_models.get(&request.service);
+        let speed = model.cloned().unwrap_or_default().tokens_per_ms() * 1000.0;
+        let invitations = self.invitations.entry(request.service).or_default();
+        invitations.observe(now, room, speed * f64::from(room.n_engines));
+    }
+
+    /// Chooses one of the candidates for a request; returns the room at them too.
     fn place_within(
         &self,
         now: Duration,
@@ -152,7 +210,7 @@
         status: ShareStatus,
         tie_break: TieBreak,
         candidates: &[Candidate],
-    ) -> Placement {
+    ) -> (Placement, EngineRoom) {
         let default_model = LatencyModel::default();
         let is_open = |id: &u32| !self.upstreams.get(*id).is_some_and(|it| it.is_unavailable(now));
         let costs = CostModel {
@@ -173,13 +231,13 @@
         let mut meter = RoomMeter::default();
         let measured = scored().filter(is_sendable).inspect(|it| meter.add(request.objective, it));
         let Some(best) = min_by_key(measured, |it| it.cost) else {
-            return refuse_blocked(now, scored());
+            return (refuse_blocked(now, scored()), EngineRoom::default());
         };
         let room = meter.room();
         let share_room = self.options.capacity_shares.is_on().then_some(&room);
         let max_wait = max_wait_ms(request, status, share_room, &best);
         if best.times.wait <= max_wait {
-            return Placement::Send(best.assignment(status));
+            return (Placement::Send(best.assignment(status)), room);
         }
         // Reading shared parts again costs all workspaces capacity, so this is only for starved
         // ones.
@@ -188,12 +246,12 @@
                 min_by_key(scored().filter(is_sendable), |it| it.times.wait + it.times.processing)
             && fastest.times.wait <= max_wait_ms(request, status, share_room, &fastest)
         {
-            return Placement::Send(fastest.assignment(status));
+            return (Placement::Send(fastest.assignment(status)), room);
         }
         if let Some(spare) =
             spare_engine(candidates.len(), || scored().filter(is_sendable), time_left_ms(request))
         {
-            return Placement::Send(spare.assignment(status));
+            return (Placement::Send(spare.assignment(status)), room);
         }
         let reason = if matches!(status, ShareStatus::Served(it) if 1.0 < it) {
             Refusal::Share
@@ -202,12 +260,15 @@
         };
         let retry_after =
             from_millis(best.times.wait - max_wait).clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1);
-        Placement::Refuse {
+        let refusal = Placement::Refuse {
             reason,
             retry_after,
             estimate: best.estimate(),
             share_ratio: status.share_ratio(),
-        }
+            room,
+            invited: None,
+        };
+        (refusal, room)
     }
 
     /// Returns the usable upstream with the fewest running requests: if it crashes, it takes the
@@ -446,5 +507,12 @@
         Refusal::Backoff => wait,
         _ => wait.min(RETRY_BOUNDS.1),
     };
-    Placement::Refuse { reason, retry_after, estimate: retry_after, share_ratio: 0.0 }
+    Placement::Refuse {
+        reason,
+        retry_after,
+        estimate: retry_after,
+        share_ratio: 0.0,
+        room: EngineRoom::default(),
+        invited: None,
+    }
 }
--- a/crates/portfield/src/balance/capacity.rs
+++ b/crates/portfield/src/balance/capacity.rs
@@ -24,12 +24,14 @@
 /// ```
 /// use portfield::balance::EngineRoom;
 ///
-/// let engines = EngineRoom { free_slots: 0.4, queue_ms: 90.0, room: 0.3 };
+/// let engines = EngineRoom { n_engines: 140, free_slots: 0.4, queue_ms: 90.0, room: 0.3 };
 /// assert!(!engines.is_full());
 /// assert!(EngineRoom::default().is_full());
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct EngineRoom {
+    /// Number of engines that may be used.
+    pub n_engines: u32,
     /// Part of the slots that is free.
     pub free_slots: f64,
     /// Mean time that an engine needs for its unread prompts, in milliseconds.
@@ -44,13 +46,17 @@
     pub fn is_full(&self) -> bool {
         self.room < FULL_BELOW
     }
+
+    /// Returns the part of the engines' capacity that is spare; zero if they are full.
+    pub(super) fn spare(&self) -> f64 {
+        ((self.room - FULL_BELOW) / (1.0 - FULL_BELOW)).max(0.0)
+    }
 }
 
 /// Adds up the room at the engines that are scored for a request.
 #[derive(Debug, Default)]
 pub(super) struct RoomMeter {
     sum: EngineRoom,
-    n_engines: f64,
 }
 
 impl RoomMeter {
@@ -61,13 +67,13 @@
         self.sum.free_slots += it.free_slots;
         self.sum.queue_ms += it.queue_ms;
         self.sum.room += it.free_slots.min(free_time);
-        self.n_engines += 1.0;
+        self.sum.n_engines += 1;
     }
 
     /// Returns the room at all engines added.
     pub(super) fn room(&self) -> EngineRoom {
-        let n = self.n_engines.max(1.0);
-        let EngineRoom { free_slots, queue_ms, room } = self.sum;
-        EngineRoom { free_slots: free_slots / n, queue_ms: queue_ms / n, room: room / n }
+        let EngineRoom { n_engines, free_slots, queue_ms, room } = self.sum;
+        let n = f64::from(n_engines.max(1));
+        EngineRoom { n_engines, free_slots: free_slots / n, queue_ms: queue_ms / n, room: room / n }
     }
 }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -7,6 +7,7 @@
 //! - `scoring`: estimated cost of a request at each upstream
 //! - `admission`: how long a request may wait there
 //! - `capacity`: what engines can still take
+//! - `invitations`: when a refused caller is to come back
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
@@ -16,6 +17,7 @@
 mod admission;
 mod balancer;
 mod capacity;
+mod invitations;
 mod load_shedder;
 mod options;
 mod placement;
@@ -27,6 +29,7 @@
 
 pub use balancer::Balancer;
 pub use capacity::EngineRoom;
+pub use invitations::RetryAdvice;
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
--- a/crates/portfield/src/balance/placement.rs
+++ b/crates/portfield/src/balance/placement.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
+use super::capacity::EngineRoom;
 use crate::{catalog::EngineSpec, upstream::Prompt};
 
+/// Time of earlier attempts above which a caller comes back after a refusal: less is what callers
+/// lose between reckoning their deadline and sending.
+const MIN_EARLIER: Duration = Duration::from_millis(20);
+
 /// An upstream that a request may be sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -43,6 +48,9 @@
     /// Time that the caller's earlier attempts took: the route's timeout less the time that it still
     /// waits.
     pub earlier: Duration,
+    /// Time that the caller waits for the whole response, from the arrival of this attempt; zero if
+    /// unknown.
+    pub patience: Duration,
     /// Progress of the request.
     pub stage: Stage,
     /// Specification of the engines, for services that run on them.
@@ -71,6 +79,28 @@
     pub fn token_cost(&self) -> f64 {
         self.prompt.as_ref().map_or(0.0, Prompt::token_cost)
     }
+
+    /// Returns whether the caller comes back after a refusal.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::PlacementRequest;
+    /// use std::time::Duration;
+    ///
+    /// let earlier = Duration::from_millis(700);
+    /// assert!(PlacementRequest { earlier, ..PlacementRequest::default() }.is_returning());
+    /// assert!(!PlacementRequest::default().is_returning());
+    /// ```
+    pub fn is_returning(&self) -> bool {
+        MIN_EARLIER < self.earlier
+    }
+
+    /// Returns the tokens of the part of the prompt that no other request shares.
+    pub(super) fn own_tokens(&self) -> u32 {
+        let Some(prompt) = &self.prompt else { return 0 };
+        prompt.parts.last().map_or(prompt.input_tokens, |it| it.tokens)
+    }
 }
 
 /// The upstream chosen for a request.
@@ -131,6 +161,10 @@
         /// What the workspace has used, as a multiple of its fair share; zero if there is no
         /// contention.
         share_ratio: f64,
+        /// Room at the engines; zero without engines that may be used.
+        room: EngineRoom,
+        /// When this host expects room for the retry, if it has booked it.
+        invited: Option<Duration>,
     },
 }
 
--- a/crates/portfield/tests/engine_simulation/mod.rs
+++ b/crates/portfield/tests/engine_simulation/mod.rs
@@ -407,6 +407,9 @@
     fn attempt(&mut self, now: Duration, attempt: Attempt) {
         let mut attempt = Attempt { sent: now, ..attempt };
         attempt.request.earlier = now - attempt.first_sent;
+        if attempt.deadline != Duration::MAX {
+            attempt.request.patience = attempt.deadline.saturating_sub(now);
+        }
         let host = self.pick_host(now);
         let cost = attempt.request.prompt.as_ref().map_or(0.0, Prompt::token_cost);
         self.record_tokens(now, &attempt, Tokens { asked: cost, granted: 0.0 });
--- a/crates/portfieldctl/src/logs.rs
+++ b/crates/portfieldctl/src/logs.rs
@@ -172,9 +172,22 @@
         );
     }
     if let Some(it) = find_last("not placed") {
+        let room = match it.kvs.contains_key("room") {
+            true => format!(
+                ", {} of the engines' capacity left ({} ms of unread prompts each), told to retry after \
+                 {} ms (booked: {} ms), earlier attempts took {} ms",
+                it.value_text("room"),
+                it.value_text("queue_ms"),
+                it.value_text("retry_ms"),
+                it.value_text("invited_ms"),
+                it.value_text("earlier_ms"),
+            ),
+            // A line of an older version.
+            false => String::new(),
+        };
         return format!(
             "refused, {}: estimated {} ms to the first event against an objective of {} ms, workspace \
-             at {} times its share, {} hosts known, configuration {}, list {}",
+             at {} times its share, {} hosts known, configuration {}, list {}{room}",
             it.value_text("reason"),
             it.value_text("estimate_ms"),
             it.value_text("objective_ms"),
--- a/crates/portfieldctl/tests/explain.rs
+++ b/crates/portfieldctl/tests/explain.rs
@@ -20,6 +20,7 @@
 h1 {"timestamp":"2026-03-04T06:24:51.501+00:00","message":"given up","kvs":{"request":"r4","status":503,"may_have_run":false}}
 h1 {"timestamp":"2026-03-04T06:24:51.600+00:00","message":"attempt failed","kvs":{"request":"r5","upstream":"i-8","outcome":"not run","cause":"turned away with 503"}}
 h1 {"timestamp":"2026-03-04T06:24:51.601+00:00","message":"not placed","kvs":{"request":"r5","reason":"Backoff","estimate_ms":2400,"retry_ms":900}}
+h1 {"timestamp":"2026-03-04T06:24:51.700+00:00","message":"not placed","kvs":{"request":"r6","reason":"Share","estimate_ms":300,"objective_ms":800,"share":1.6,"hosts":8,"config":2,"list":21,"room":0.04,"free_slots":0.3,"queue_ms":410,"retry_ms":700,"invited_ms":700,"earlier_ms":0}}
 h1 {"timestamp":"2026-03-04T06:24:52.000+00:00","message":"lines left out","kvs":{"placed":3}}
 "#;
 
@@ -54,6 +55,16 @@
     );
 }
 
+/// An operator could not tell whether the engines were full when a share bound.
+#[test]
+fn refusal_shows_the_room_at_the_engines() {
+    let text = explained("r6");
+    assert!(
+        text.contains("0.04 of the engines' capacity left (410 ms of unread prompts each), told to retry after 700 ms"),
+        "{text}"
+    );
+}
+
 #[test]
 fn backoff_refusal_shows_the_remaining_time() {
     let text = explained("r5");
