feat(balance): kinds of requests leave room to each other

Cause: engines serve in order of arrival, and a small prompt may wait for longer than a large one of its kind, so small ones kept queues too long for the largest tenth. A burst of one kind used its workspace's share. Before demand was known to exceed capacity, a burst filled the queues up to its objective. Change, with capacity_shares on: all prompts of a kind may wait as long as its large ones (95th percentile, by host); a kind that had more than its max-min share of what its workspace was granted counts as up to 1.5 times further beyond the workspace's share; without contention nobody waits for more than 0.4 of the objective; what estimates fell short of counts as queue in the room.

--- a/crates/portfield/src/balance/admission.rs
+++ b/crates/portfield/src/balance/admission.rs
@@ -43,17 +43,34 @@
 /// workspace, since it does not come a third time. With 0.15 more of them are served, but fewer
 /// requests in time.
 const RETURNING_WAIT_RATIO: f64 = 0.05;
+/// Part of the objective that any workspace may wait before demand is known to exceed the capacity,
+/// where shares follow what engines can do.
+///
+/// A burst is known as one only after some tenths of a second. Until then it would fill all queues up
+/// to its objective, and make the requests late that come after it, of all workspaces: in bursts of
+/// one second the worst served workspace got 0.48 of what it was entitled to, now 0.56 or more.
+const CALM_WAIT_RATIO: f64 = 0.4;
 /// Requests that may wait at a plain upstream for each running one.
 const PLAIN_QUEUE_RATIO: f64 = 3.0;
 
+/// Limits of the wait where shares follow what engines can do.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CapacityLimits {
+    pub room: EngineRoom,
+    /// Time that a large prompt of the request's kind takes longer than the request, in
+    /// milliseconds. All requests of a kind may wait for the same time, that of a large one:
+    /// otherwise small ones keep queues too long for it.
+    pub reserved_ms: f64,
+}
+
 /// Returns the longest wait, in milliseconds, with which a request is still sent.
 ///
-/// A stream that has begun is always sent: its caller already has part of the response. `room` is
-/// the room at the engines where shares follow what engines can do.
+/// A stream that has begun is always sent: its caller already has part of the response. `limits`
+/// are given where shares follow what engines can do.
 pub(super) fn max_wait_ms(
     request: &PlacementRequest,
     status: ShareStatus,
-    room: Option<&EngineRoom>,
+    limits: Option<&CapacityLimits>,
     upstream: &ScoredUpstream,
 ) -> f64 {
     if request.stage == Stage::Streaming {
@@ -63,16 +80,21 @@
         return upstream.times.processing * PLAIN_QUEUE_RATIO;
     }
     let objective = request.objective.as_secs_f64() * 1000.0;
-    let slack = time_left_ms(request) - upstream.times.processing;
+    let reserved_ms = limits.map_or(0.0, |it| it.reserved_ms);
+    let slack = time_left_ms(request) - upstream.times.processing - reserved_ms;
     match status {
         // Unexplained wait alone is no reason to refuse an engine that looks idle to all hosts.
         ShareStatus::Served(it) if 1.0 < it => {
-            let room_wait = room.map_or(0.0, |it| room_wait_ms(request, it)).min(slack);
-            (slack * excess_wait_ratio(it)).max(room_wait).max(0.0) + upstream.times.bias
+            let room_wait = limits.map_or(0.0, |it| room_wait_ms(request, &it.room)).min(slack);
+            ((slack * excess_wait_ratio(it)).max(0.0) + upstream.times.bias).max(room_wait)
         }
         ShareStatus::Underserved(it) if 1.0 < it => {
             (slack * UNDERSERVED_WAIT_RATIO).max(0.0) + upstream.times.bias
         }
+        ShareStatus::Uncontended if limits.is_some() => {
+            let bound = (CALM_WAIT_RATIO * objective).max(upstream.times.bias);
+            slack.min(bound).max(LATE_WAIT_RATIO * objective)
+        }
         _ => slack.max(LATE_WAIT_RATIO * objective),
     }
 }
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -5,9 +5,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    admission::{max_wait_ms, time_left_ms},
+    admission::{CapacityLimits, max_wait_ms, time_left_ms},
     capacity::{EngineRoom, RoomMeter},
     invitations::{Booking, Claim, Invitations},
+    kinds::Kinds,
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -72,6 +73,7 @@
     engine_memory: FastMap<u32, u64>,
     /// Retries that this host has invited, by service.
     invitations: FastMap<u32, Invitations>,
+    kinds: Kinds,
     /// State of the pseudo-random sequence.
     rng_state: u64,
     options: BalancerOptions,
@@ -90,6 +92,7 @@
             n_runs: 0,
             engine_memory: FastMap::default(),
             invitations: FastMap::default(),
+            kinds: Kinds::default(),
             rng_state: 0,
             options: BalancerOptions::default(),
         }
@@ -130,12 +133,16 @@
         request: &PlacementRequest,
         candidates: &[Candidate],
     ) -> Placement {
-        let status = match request.engine {
+        let mut status = match request.engine {
             Some(_) => self.shares.status(now, request.workspace),
             None => ShareStatus::Uncontended,
         };
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
         let tie_break = TieBreak::new(&prefixes, self.next_random());
+        if self.options.capacity_shares.is_on() && request.engine.is_some() {
+            self.kinds.observe(request);
+            status = self.kinds.status(now, request, status);
+        }
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
             let room;
@@ -147,10 +154,19 @@
         }
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
             self.record_refusal(now, request.workspace, request.token_cost());
+            self.record_kind_usage(now, request, 0.0);
         }
         self.advise_retry(now, request, res)
     }
 
+    /// Records that a request was granted `taken` tokens, for the shares of its workspace's kinds.
+    fn record_kind_usage(&mut self, now: Duration, request: &PlacementRequest, taken: f64) {
+        if self.options.capacity_shares.is_on() && request.engine.is_some() {
+            let usage = Usage { asked: request.token_cost(), taken };
+            self.kinds.record_usage(now, request, usage);
+        }
+    }
+
     /// Tells a refused caller when there will be room for its retry, where shares follow what
     /// engines can do.
     fn advise_retry(
@@ -234,8 +250,11 @@
             return (refuse_blocked(now, scored()), EngineRoom::default());
         };
         let room = meter.room();
-        let share_room = self.options.capacity_shares.is_on().then_some(&room);
-        let max_wait = max_wait_ms(request, status, share_room, &best);
+        let limits = self.options.capacity_shares.is_on().then(|| CapacityLimits {
+            room,
+            reserved_ms: self.kinds.reserved_tokens(request) / costs.latency.tokens_per_ms(),
+        });
+        let max_wait = max_wait_ms(request, status, limits.as_ref(), &best);
         if best.times.wait <= max_wait {
             return (Placement::Send(best.assignment(status)), room);
         }
@@ -244,7 +263,7 @@
         if matches!(status, ShareStatus::Starved(_))
             && let Some(fastest) =
                 min_by_key(scored().filter(is_sendable), |it| it.times.wait + it.times.processing)
-            && fastest.times.wait <= max_wait_ms(request, status, share_room, &fastest)
+            && fastest.times.wait <= max_wait_ms(request, status, limits.as_ref(), &fastest)
         {
             return (Placement::Send(fastest.assignment(status)), room);
         }
@@ -359,6 +378,7 @@
             self.upstreams.announce(assignment.upstream, parts);
             let taken = request.token_cost();
             self.shares.record_local(now, request.workspace, Usage { asked: taken, taken });
+            self.record_kind_usage(now, request, taken);
         }
         self.runs.insert(self.n_runs, run);
         self.n_runs
--- a/crates/portfield/src/balance/capacity.rs
+++ b/crates/portfield/src/balance/capacity.rs
@@ -34,7 +34,8 @@
     pub n_engines: u32,
     /// Part of the slots that is free.
     pub free_slots: f64,
-    /// Mean time that an engine needs for its unread prompts, in milliseconds.
+    /// Mean time that an engine needs for its unread prompts, in milliseconds, with what estimates
+    /// fell short of lately.
     pub queue_ms: f64,
     /// Mean, over the engines, of the free part of the slots or of the free part of the time that
     /// the objective allows for a queue, whichever is less; zero without engines.
@@ -63,9 +64,11 @@
     /// Adds an engine that a request with this objective may be sent to.
     pub(super) fn add(&mut self, objective: Duration, it: &ScoredUpstream) {
         let longest_ms = objective.as_secs_f64() * 1000.0 * ROOM_QUEUE_RATIO;
-        let free_time = (1.0 - it.queue_ms / longest_ms.max(1.0)).max(0.0);
+        // Late or lost digests show engines emptier than they are; the bias tells by how much.
+        let queue_ms = it.queue_ms + it.times.bias;
+        let free_time = (1.0 - queue_ms / longest_ms.max(1.0)).max(0.0);
         self.sum.free_slots += it.free_slots;
-        self.sum.queue_ms += it.queue_ms;
+        self.sum.queue_ms += queue_ms;
         self.sum.room += it.free_slots.min(free_time);
         self.sum.n_engines += 1;
     }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -8,6 +8,7 @@
 //! - `admission`: how long a request may wait there
 //! - `capacity`: what engines can still take
 //! - `invitations`: when a refused caller is to come back
+//! - `kinds`: requests of one route
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
@@ -18,6 +19,7 @@
 mod balancer;
 mod capacity;
 mod invitations;
+mod kinds;
 mod load_shedder;
 mod options;
 mod placement;
