--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -5,8 +5,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    admission::{max_wait_ms, time_left_ms},
+    admission::{CapacityLimits, max_wait_ms, time_left_ms},
     cache_transfer::{FetchOutcome, FetchReport, FetchWatch, PausedSources},
+    capacity::{EngineRoom, RoomMeter},
+    invitations::{Booking, Claim, Invitations},
+    kinds::Kinds,
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -34,6 +37,8 @@
 /// With most engines idle, the bottleneck is the queue at the engine that caches a popular part.
 /// With most engines busy, reading parts again costs all workspaces capacity.
 const SPARE_IDLE_RATIO: f64 = 0.5;
+/// Part of the objective within which a refusal must come for the retry to be worthwhile.
+const EARLY_REFUSAL_RATIO: f64 = 0.25;
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.05;
 
@@ -80,6 +85,9 @@
     runs: FastMap<RunId, Run>,
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
+    /// Retries that this host has invited, by service.
+    invitations: FastMap<u32, Invitations>,
+    kinds: Kinds,
     /// State of the pseudo-random sequence.
     pub(super) rng_state: u64,
     pub(super) options: BalancerOptions,
@@ -102,6 +110,8 @@
             runs: FastMap::default(),
             n_runs: 0,
             engine_memory: FastMap::default(),
+            invitations: FastMap::default(),
+            kinds: Kinds::default(),
             rng_state: 0,
             options: BalancerOptions::default(),
             paused_sources: PausedSources::default(),
@@ -145,18 +155,24 @@
         request: &PlacementRequest,
         candidates: &[Candidate],
     ) -> Placement {
-        let status = match request.engine {
+        let mut status = match request.engine {
             Some(_) => self.shares.status(now, request.workspace),
             None => ShareStatus::Uncontended,
         };
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
+        if self.options.capacity_shares.is_on() && request.engine.is_some() {
+            self.kinds.observe(request);
+            status = self.kinds.status(now, request, status);
+        }
         let random = self.next_random();
         let tie_break = TieBreak::new(&prefixes, random);
         let load = self.unseen_load(now, request, candidates);
         let terms = Terms { status, tie_break, unseen: UnseenDraw { load, random } };
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
-            res = self.place_within(now, request, &prefixes, terms, &window);
+            let room;
+            (res, room) = self.place_within(now, request, &prefixes, terms, &window);
+            self.observe_room(now, request, &room);
             if let Placement::Send(placed) = res {
                 return Placement::Send(
                     self.with_fetch(now, request, &prefixes, &window, tie_break, placed),
@@ -165,11 +181,70 @@
         }
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
             self.record_refusal(now, request.workspace, request.token_cost());
+            self.record_kind_usage(now, request, 0.0);
         }
-        res
+        self.advise_retry(now, request, res)
+    }
+
+    /// Records that a request was granted `taken` tokens, for the shares of its workspace's kinds.
+    fn record_kind_usage(&mut self, now: Duration, request: &PlacementRequest, taken: f64) {
+        if self.options.capacity_shares.is_on() && request.engine.is_some() {
+            let usage = Usage { asked: request.token_cost(), taken };
+            self.kinds.record_usage(now, request, usage);
+        }
+    }
+
+    /// Tells a refused caller when there will be room for its retry, where shares follow what
+    /// engines can do.
+    fn advise_retry(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        placement: Placement,
+    ) -> Placement {
+        let Placement::Refuse { reason, retry_after, estimate, share_ratio, room, .. } = placement
+        else {
+            return placement;
+        };
+        // Callers retry once, and earn nothing by it if the refusal came late.
+        if !matches!(reason, Refusal::Busy | Refusal::Share)
+            || !self.options.capacity_shares.is_on()
+            || request.engine.is_none()
+            || request.is_returning()
+            || request.objective.mul_f64(EARLY_REFUSAL_RATIO) < request.waited
+        {
+            return placement;
+        }
+        let left = request.patience.saturating_sub(request.waited) / 3;
+        let shares = self.shares.snapshot(now, request.workspace);
+        let is_within = 0.0 < shares.asked && shares.asked <= shares.fair_share;
+        let booking = Booking {
+            claim: if is_within { Claim::WithinShare } else { Claim::BeyondShare },
+            tokens: f64::from(request.own_tokens()),
+            earliest: retry_after,
+            latest: if request.patience.is_zero() { RETRY_BOUNDS.1 } else { left },
+            random: (self.next_random() >> 11) as f64 / (1_u64 << 53) as f64,
+        };
+        let n_hosts = self.n_hosts(now);
+        let invitations = self.invitations.entry(request.service).or_default();
+        invitations.observe_hosts(now, n_hosts);
+        let advice = invitations.book(now, &booking);
+        let (retry_after, invited) = (advice.time(), advice.invited());
+        Placement::Refuse { reason, retry_after, estimate, share_ratio, room, invited }
     }
 
-    /// Chooses one of the candidates for a request.
+    /// Records the room that a request found at a service's engines.
+    fn observe_room(&mut self, now: Duration, request: &PlacementRequest, room: &EngineRoom) {
+        if !self.options.capacity_shares.is_on() || request.engine.is_none() {
+            return;
+        }
+        let model = self.latency_models.get(&request.service);
+        let speed = model.cloned().unwrap_or_default().tokens_per_ms() * 1000.0;
+        let invitations = self.invitations.entry(request.service).or_default();
+        invitations.observe(now, room, speed * f64::from(room.n_engines));
+    }
+
+    /// Chooses one of the candidates for a request; returns the room at them too.
     fn place_within(
         &self,
         now: Duration,
@@ -177,7 +252,7 @@
         prefixes: &[PromptPrefix],
         Terms { status, tie_break, unseen }: Terms,
         candidates: &[Candidate],
-    ) -> Placement {
+    ) -> (Placement, EngineRoom) {
         let default_model = LatencyModel::default();
         let is_open = |id: &u32| !self.upstreams.get(*id).is_some_and(|it| it.is_unavailable(now));
         let costs = CostModel {
@@ -196,26 +271,33 @@
         };
         let scored = || candidates.iter().map(|it| costs.score(request, prefixes, it));
         let is_sendable = |it: &ScoredUpstream| !it.is_blocked;
-        let Some(best) = min_by_key(scored().filter(is_sendable), |it| it.cost) else {
-            return refuse_blocked(now, scored());
+        let mut meter = RoomMeter::default();
+        let measured = scored().filter(is_sendable).inspect(|it| meter.add(request.objective, it));
+        let Some(best) = min_by_key(measured, |it| it.cost) else {
+            return (refuse_blocked(now, scored()), EngineRoom::default());
         };
-        let max_wait = max_wait_ms(request, status, &best);
+        let room = meter.room();
+        let limits = self.options.capacity_shares.is_on().then(|| CapacityLimits {
+            room,
+            reserved_ms: self.kinds.reserved_tokens(request) / costs.latency.tokens_per_ms(),
+        });
+        let max_wait = max_wait_ms(request, status, limits.as_ref(), &best);
         if best.times.wait <= max_wait {
-            return Placement::Send(best.assignment(status));
+            return (Placement::Send(best.assignment(status)), room);
         }
         // Reading shared parts again costs all workspaces capacity, so this is only for starved
         // ones.
         if matches!(status, ShareStatus::Starved(_))
             && let Some(fastest) =
                 min_by_key(scored().filter(is_sendable), |it| it.times.wait + it.times.processing)
-            && fastest.times.wait <= max_wait_ms(request, status, &fastest)
+            && fastest.times.wait <= max_wait_ms(request, status, limits.as_ref(), &fastest)
         {
-            return Placement::Send(fastest.assignment(status));
+            return (Placement::Send(fastest.assignment(status)), room);
         }
         if let Some(spare) =
             spare_engine(candidates.len(), || scored().filter(is_sendable), time_left_ms(request))
         {
-            return Placement::Send(spare.assignment(status));
+            return (Placement::Send(spare.assignment(status)), room);
         }
         let reason = if matches!(status, ShareStatus::Served(it) if 1.0 < it) {
             Refusal::Share
@@ -224,12 +306,15 @@
         };
         let retry_after =
             from_millis(best.times.wait - max_wait).clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1);
-        Placement::Refuse {
+        let refusal = Placement::Refuse {
             reason,
             retry_after,
             estimate: best.estimate(),
             share_ratio: status.share_ratio(),
-        }
+            room,
+            invited: None,
+        };
+        (refusal, room)
     }
 
     /// Returns the mean time of a request of the same service in milliseconds, if it is known.
@@ -354,6 +439,7 @@
             run.fetch = self.start_fetch(request, engine, assignment, &prefixes);
             let taken = request.token_cost();
             self.shares.record_local(now, request.workspace, Usage { asked: taken, taken });
+            self.record_kind_usage(now, request, taken);
         }
         self.runs.insert(self.n_runs, run);
         self.n_runs
@@ -539,5 +625,12 @@
         Refusal::Backoff => wait,
         _ => wait.min(RETRY_BOUNDS.1),
     };
-    Placement::Refuse { reason, retry_after, estimate: retry_after, share_ratio: 0.0 }
+    Placement::Refuse {
+        reason,
+        retry_after,
+        estimate: retry_after,
+        share_ratio: 0.0,
+        room: EngineRoom::default(),
+        invited: None,
+    }
 }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -8,6 +8,9 @@
 //! - `admission`: how long a request may wait there
 //! - `cache_transfer`: where its upstream fetches cached prompt parts from
 //! - `unseen_load`: requests of other hosts that this host has not heard of
+//! - `capacity`: what engines can still take
+//! - `invitations`: when a refused caller is to come back
+//! - `kinds`: requests of one route
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
@@ -19,7 +22,10 @@
 mod admission;
 mod balancer;
 mod cache_transfer;
+mod capacity;
 mod ingress_balance;
+mod invitations;
+mod kinds;
 mod load_shedder;
 mod options;
 mod placement;
@@ -33,9 +39,11 @@
 
 pub use balancer::Balancer;
 pub use cache_transfer::{FetchOutcome, FetchReport};
+pub use capacity::EngineRoom;
 pub use ingress_balance::{
     ConnectionUse, IngressBalance, LocalHosts, OwnLoad, PeerSummary, Rotation,
 };
+pub use invitations::RetryAdvice;
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
