--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -147,7 +147,8 @@
         for window in windows(candidates, tie_break) {
             let room;
             (res, room) = self.place_within(now, request, &prefixes, status, tie_break, &window);
-            self.observe_room(now, request, &room);
+            let n_per_scored = candidates.len() as f64 / window.len().max(1) as f64;
+            self.observe_room(now, request, &room, n_per_scored);
             if matches!(res, Placement::Send(_)) {
                 return res;
             }
@@ -206,15 +207,22 @@
         Placement::Refuse { reason, retry_after, estimate, share_ratio, room, invited }
     }
 
-    /// Records the room that a request found at a service's engines.
-    fn observe_room(&mut self, now: Duration, request: &PlacementRequest, room: &EngineRoom) {
+    /// Records the room that a request found at a service's engines, of which there are
+    /// `n_per_scored` for each one that was scored.
+    fn observe_room(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        room: &EngineRoom,
+        n_per_scored: f64,
+    ) {
         if !self.options.capacity_shares.is_on() || request.engine.is_none() {
             return;
         }
         let model = self.latency_models.get(&request.service);
         let speed = model.cloned().unwrap_or_default().tokens_per_ms() * 1000.0;
         let invitations = self.invitations.entry(request.service).or_default();
-        invitations.observe(now, room, speed * f64::from(room.n_engines));
+        invitations.observe(now, room, speed * f64::from(room.n_engines) * n_per_scored);
     }
 
     /// Chooses one of the candidates for a request; returns the room at them too.
--- a/crates/portfield/src/balance/invitations.rs
+++ b/crates/portfield/src/balance/invitations.rs
@@ -33,7 +33,7 @@
 
 /// What a refused caller is told.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum RetryAdvice {
+pub(super) enum RetryAdvice {
     /// There will be room at this time from now, which is booked.
     Invited(Duration),
     /// There will be no room while a retry is worthwhile; the estimated time.
@@ -44,25 +44,14 @@
 
 impl RetryAdvice {
     /// Returns the time after which the caller is to retry.
-    pub fn time(self) -> Duration {
+    pub(super) fn time(self) -> Duration {
         match self {
             Self::Invited(it) | Self::Estimated(it) | Self::Unbooked(it) => it,
         }
     }
 
     /// Returns the time for which the caller was invited.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use portfield::balance::RetryAdvice;
-    /// use std::time::Duration;
-    ///
-    /// let time = Duration::from_millis(700);
-    /// assert_eq!(RetryAdvice::Invited(time).invited(), Some(time));
-    /// assert_eq!(RetryAdvice::Estimated(time).invited(), None);
-    /// ```
-    pub fn invited(self) -> Option<Duration> {
+    pub(super) fn invited(self) -> Option<Duration> {
         match self {
             Self::Invited(it) => Some(it),
             Self::Estimated(_) | Self::Unbooked(_) => None,
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -31,7 +31,6 @@
 
 pub use balancer::Balancer;
 pub use capacity::EngineRoom;
-pub use invitations::RetryAdvice;
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
