--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -43,7 +43,6 @@
 pub use ingress_balance::{
     ConnectionUse, IngressBalance, LocalHosts, OwnLoad, PeerSummary, Rotation,
 };
-pub use invitations::RetryAdvice;
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
