feat: speed of each engine, learned and shared in digests

All engines of a service had one speed. Requests sent to an engine in a slow period (2.5 times slower for 600 ms), or to one that is slow for good, were late, and their times raised the estimates for all other engines.

With `engine_speed` on, hosts estimate the prefill and decode speed of each engine from times to first events and from gaps between events, tell each other in digests and summaries, and place by them. The latency model and the bias learn first events as at an engine of the service's speed. The relay reports a stream's gaps once per second at most. Off by default; decisions are the same then.

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::{
-    quarantine,
+    engine_speeds, quarantine,
     state::{Host, hash_name},
 };
 
@@ -129,6 +129,7 @@
         ("least_part", least_part),
         ("late_ms", host.load_shedder().lateness()),
         ("active", host.n_active() as f64),
+        ("engines_slow", engine_speeds::n_slow(host) as f64),
         ("quarantine_suspects", n_suspects as f64),
         ("quarantine_refused", n_refused as f64),
     ];
--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -96,6 +96,11 @@
         self.host.balancer().record_first_event(clock::now(), self.id);
     }
 
+    /// Records a mean gap between events of the stream.
+    pub(crate) fn record_gap(&self, gap: Duration) {
+        self.host.balancer().record_gap(clock::now(), self.id, gap);
+    }
+
     /// Records how the run ended; only the first call counts.
     pub(crate) fn end(&mut self, completion: Completion) {
         if !self.is_finished {
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -8,6 +8,7 @@
     balance::{Assignment, ShareSnapshot, Stage},
     catalog::{RouteKind, Upstream},
     quarantine::QuarantineEntry,
+    upstream::GapMeter,
 };
 use portfield_net::clock;
 
@@ -214,6 +215,11 @@
         self.host.metrics.record_time("total", total);
     }
 
+    /// Returns a meter for the gaps between the events of the stream.
+    pub(crate) fn gap_meter(&self) -> GapMeter {
+        GapMeter::new(self.host.balancer().expected_gap(self.call.placement.service))
+    }
+
     /// Records that the caller received the beginning of the stream.
     pub(crate) fn mark_begun(&mut self) {
         self.call.placement.stage = Stage::Streaming;
--- a/crates/portfield-host/src/lifecycle.rs
+++ b/crates/portfield-host/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use portfield_wire::peers_server::PeersServer;
 
 use crate::{
-    admin, peers, server,
+    admin, engine_speeds, peers, server,
     settings::Settings,
     state::{Host, STREAM_ACCEPT_TIME},
     store_watch,
@@ -89,6 +89,7 @@
 async fn monitor_load(host: Arc<Host>) {
     let mut was_busy = false;
     let mut last_logged = clock::now();
+    let mut speeds_logged = last_logged;
     loop {
         let due = clock::now() + LOAD_PERIOD;
         clock::sleep(LOAD_PERIOD).await;
@@ -110,6 +111,7 @@
             last_logged = now;
             log_ingress(&host, late, is_busy);
         }
+        engine_speeds::log_slow(&host, &mut speeds_logged);
     }
 }
 
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod call;
 mod cold_start;
+mod engine_speeds;
 mod evacuations;
 mod exchange;
 mod forward;
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use portfield::balance::Completion;
+use portfield::{balance::Completion, upstream::GapMeter};
 use portfield_net::{clock, sse::EventBuffer};
 
 use crate::{
@@ -34,11 +34,13 @@
 ) -> Result<Response<Body>, Exchange> {
     let mut parts = response.parts.clone();
     portfield_platform::request::remove_hop_by_hop(&mut parts.headers);
+    let gaps = exchange.gap_meter();
     let mut relay = Relay {
         exchange,
         response: Some(response),
         events: EventBuffer::default(),
         first_event: None,
+        gaps,
         timeout: None,
     };
     let first = match relay.next().await {
@@ -68,6 +70,7 @@
     response: Option<Box<UpstreamResponse>>,
     events: EventBuffer,
     first_event: Option<Duration>,
+    gaps: GapMeter,
     /// Timeout of the current read.
     timeout: Option<clock::Deadline>,
 }
@@ -85,6 +88,7 @@
             let (Some(response), Some(timeout)) = (&mut self.response, &mut self.timeout) else {
                 return Ok(None);
             };
+            let waiting = clock::now();
             let cause = match clock::timeout_at(timeout, response.body.frame()).await {
                 Some(None) if !self.events.has_partial() => {
                     self.finish();
@@ -93,11 +97,13 @@
                 Some(None) => "the stream ended within an event".to_owned(),
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    let n_before = self.events.count();
                     let whole = self.events.push(&data);
                     if whole.is_empty() {
                         continue;
                     }
                     self.record_events();
+                    self.record_gap(waiting, self.events.count() - n_before);
                     return Ok(Some(whole));
                 }
                 Some(Some(Err(err))) => error_chain(&err),
@@ -144,6 +150,14 @@
         }
     }
 
+    /// Records how long the relay waited for new events, which shows the engine's speed.
+    fn record_gap(&mut self, waiting: Duration, n_events: u64) {
+        let gap = self.gaps.record(waiting, clock::now(), n_events);
+        if let (Some(gap), Some(it)) = (gap, &self.response) {
+            it.run.record_gap(gap);
+        }
+    }
+
     /// Records the complete end of the stream and returns its connection to the pool.
     fn finish(&mut self) {
         let Some(response) = self.response.take() else { return };
@@ -183,6 +197,7 @@
         );
         self.exchange.host.metrics.count("streams_resumed");
         self.response = Some(response);
+        self.gaps = self.exchange.gap_meter();
         self.timeout = None;
         Ok(())
     }
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,6 +6,7 @@
 
 use super::{
     admission::{max_wait_ms, time_left_ms},
+    engine_speed::FirstEvent,
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -16,7 +17,7 @@
     digest_scope::FULL_DIGEST_EVERY,
     fast_map::FastMap,
     ids::RunId,
-    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, UpstreamTable},
+    upstream::{Bias, EngineSpeeds, LatencyModel, Prompt, PromptPrefix, UpstreamTable},
     wire,
 };
 
@@ -36,39 +37,45 @@
 const SMOOTHING: f64 = 0.05;
 
 #[derive(Debug)]
-struct Run {
-    upstream: u32,
+pub(super) struct Run {
+    pub(super) upstream: u32,
     /// Tokens to read before the first event; zero once it has arrived.
     pending: f64,
     /// Tokens read before the first event, including those queued ahead, for the latency model.
     tokens_to_first: f64,
-    started: Duration,
+    pub(super) started: Duration,
     /// Estimated time to the first event, without the bias.
-    expected: Duration,
+    pub(super) expected: Duration,
+    /// Prefill time of the engine on which the estimate is based, as a multiple of the service's.
+    pub(super) slowness: f64,
+    /// Tokens of other hosts' requests without a first event: as known at its start, and the most that
+    /// were heard of since.
+    pub(super) peers_ahead: (f64, f64),
     /// When the first event, or the response of a plain service, is overdue.
     due: Duration,
     /// The first event, or the response, has arrived.
-    has_begun: bool,
-    is_engine: bool,
-    service: u32,
+    pub(super) has_begun: bool,
+    pub(super) is_engine: bool,
+    pub(super) service: u32,
 }
 
 /// Places requests on upstreams.
 #[derive(Debug)]
 pub struct Balancer {
     pub(super) upstreams: UpstreamTable,
+    pub(super) speeds: EngineSpeeds,
     shares: Shares,
-    latency_models: FastMap<u32, LatencyModel>,
+    pub(super) latency_models: FastMap<u32, LatencyModel>,
     /// Recent underestimates by service.
     biases: FastMap<u32, Bias>,
     /// Mean time of a request in milliseconds, by service.
     mean_times: FastMap<u32, f64>,
-    runs: FastMap<RunId, Run>,
+    pub(super) runs: FastMap<RunId, Run>,
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
     /// State of the pseudo-random sequence.
     rng_state: u64,
-    options: BalancerOptions,
+    pub(super) options: BalancerOptions,
 }
 
 impl Balancer {
@@ -76,6 +83,7 @@
     pub fn new(window: Duration) -> Self {
         Self {
             upstreams: UpstreamTable::default(),
+            speeds: EngineSpeeds::default(),
             shares: Shares::new(window),
             latency_models: FastMap::default(),
             biases: FastMap::default(),
@@ -96,6 +104,7 @@
     /// Sets which optional decisions are made.
     pub fn set_options(&mut self, options: BalancerOptions) {
         self.options = options;
+        self.reset_disabled_speeds();
     }
 
     /// Sets the capacity of all engines together in tokens per second; zero if unknown.
@@ -113,6 +122,7 @@
     pub fn retain_upstreams(&mut self, is_known: impl Fn(u32) -> bool) {
         self.upstreams.retain(&is_known);
         self.engine_memory.retain(|id, _| is_known(*id));
+        self.speeds.retain(&is_known);
     }
 
     /// Chooses an upstream for a request, or refuses it; more than 512 candidates must be sorted by
@@ -127,6 +137,7 @@
             Some(_) => self.shares.status(now, request.workspace),
             None => ShareStatus::Uncontended,
         };
+        self.update_speeds(now);
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
         let tie_break = TieBreak::new(&prefixes, self.next_random());
         let mut res = refuse_blocked(now, std::iter::empty());
@@ -157,6 +168,7 @@
         let costs = CostModel {
             now,
             upstreams: &self.upstreams,
+            speeds: &self.speeds,
             latency: self.latency_models.get(&request.service).unwrap_or(&default_model),
             mean_time: self.mean_times.get(&request.service).copied(),
             bias: self.biases.get(&request.service).map_or(0.0, |it| it.shortfall(now)),
@@ -267,18 +279,21 @@
     ) -> RunId {
         self.n_runs += 1;
         let pending = f64::from(assignment.uncached_tokens);
-        let run = Run {
+        let mut run = Run {
             upstream: assignment.upstream,
             pending,
             tokens_to_first: f64::from(assignment.queued_tokens) + pending,
             started: now,
             expected: assignment.estimate.saturating_sub(assignment.bias),
+            slowness: self.speeds.slowness(assignment.upstream).prefill,
+            peers_ahead: (0.0, 0.0),
             due: now + assignment.estimate * 2 + OVERDUE_SLACK,
             has_begun: false,
             is_engine: request.engine.is_some(),
             service: request.service,
         };
         let state = self.upstreams.entry(assignment.upstream);
+        run.peers_ahead = (state.peers.pending, state.peers.pending);
         state.warmup.record_sent(now);
         state.backoff.record_sent(now, self.n_runs);
         state.own.running += 1.0;
@@ -307,10 +322,11 @@
         state.own.pending -= pending;
         state.backoff.record_accepted(id);
         if run.is_engine {
-            let time = now.saturating_sub(run.started);
-            self.latency_models.entry(run.service).or_default().observe(run.tokens_to_first, time);
-            let error = (time.as_secs_f64() - run.expected.as_secs_f64()) * 1000.0;
-            self.biases.entry(run.service).or_default().observe(now, error);
+            let (service, tokens) = (run.service, run.tokens_to_first);
+            let FirstEvent { time, expected } = self.observe_first_event(now, id);
+            self.latency_models.entry(service).or_default().observe(tokens, time);
+            let error = (time.as_secs_f64() - expected.as_secs_f64()) * 1000.0;
+            self.biases.entry(service).or_default().observe(now, error);
         }
     }
 
@@ -345,6 +361,7 @@
         self.upstreams.expire(now);
         self.count_overdue(now);
         (digest.loads, digest.prefixes) = self.upstreams.report();
+        self.report_speeds(now, digest);
         let usage = |(workspace, it): (u32, Usage)| wire::WorkspaceUsage {
             workspace,
             asked: it.asked as u64,
@@ -372,10 +389,12 @@
         digest.loads = sum.loads;
         digest.prefixes = sum.prefixes;
         digest.usage = sum.usage.into_values().collect();
+        self.summarize_speeds(now, digest);
     }
 
     /// Merges the digest of another host, or the summary of a data centre.
     pub fn merge_digest(&mut self, now: Duration, digest: &wire::Digest) {
+        self.merge_speeds(now, digest);
         let engine_memory = &self.engine_memory;
         let memory = |id| engine_memory.get(&id).copied().unwrap_or(u64::MAX);
         for it in self.upstreams.merge_digest(now, digest, memory) {
@@ -398,7 +417,7 @@
     }
 
     /// Returns the next number of the pseudo-random sequence, which differs between hosts.
-    fn next_random(&mut self) -> u64 {
+    pub(super) fn next_random(&mut self) -> u64 {
         self.rng_state = xxh3_64(&self.rng_state.to_le_bytes());
         self.rng_state
     }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -5,6 +5,7 @@
 //! - `placement`: its input and output
 //! - `window`: which upstreams are scored
 //! - `scoring`: estimated cost of a request at each upstream
+//! - `engine_speed`: what the balancer learns of each engine's speed
 //! - `admission`: how long a request may wait there
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
@@ -14,6 +15,7 @@
 
 mod admission;
 mod balancer;
+mod engine_speed;
 mod load_shedder;
 mod options;
 mod placement;
--- a/crates/portfield/src/balance/scoring.rs
+++ b/crates/portfield/src/balance/scoring.rs
@@ -5,12 +5,16 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
+    admission::time_left_ms,
     placement::{Assignment, Candidate, PlacementRequest},
     shares::ShareStatus,
 };
 use crate::{
     catalog::EngineSpec,
-    upstream::{LatencyModel, Load, Prompt, PromptPrefix, UpstreamState, UpstreamTable},
+    upstream::{
+        EngineSpeeds, LatencyModel, Load, Prompt, PromptPrefix, Slowness, UpstreamState,
+        UpstreamTable,
+    },
 };
 
 /// Cost of reading a shared part again, in milliseconds per token, in addition to the reading time.
@@ -34,6 +38,7 @@
 pub(super) struct CostModel<'a> {
     pub now: Duration,
     pub upstreams: &'a UpstreamTable,
+    pub speeds: &'a EngineSpeeds,
     pub latency: &'a LatencyModel,
     /// Mean time of a request, in milliseconds, if any was observed.
     pub mean_time: Option<f64>,
@@ -120,6 +125,30 @@
     pub uncached_tokens: u32,
 }
 
+/// The same parts at an engine of the service's speed.
+#[derive(Debug, Clone, Copy)]
+struct EngineTimes {
+    /// Time to read the prompts of other requests.
+    queue: f64,
+    /// Time until one of them ends, if all slots are taken.
+    slot_wait: f64,
+    processing: f64,
+    bias: f64,
+    uncached_tokens: u32,
+}
+
+impl EngineTimes {
+    /// Returns the times at an engine of another speed.
+    fn at(&self, slowness: Slowness) -> Times {
+        Times {
+            wait: self.queue * slowness.prefill + self.slot_wait * slowness.decode + self.bias,
+            processing: self.processing * slowness.prefill,
+            bias: self.bias,
+            uncached_tokens: self.uncached_tokens,
+        }
+    }
+}
+
 impl ScoredUpstream {
     /// Returns the estimated time to the first event, or to the response of a plain service.
     pub(super) fn estimate(&self) -> Duration {
@@ -150,9 +179,18 @@
     ) -> ScoredUpstream {
         let empty = UpstreamState::default();
         let state = self.upstreams.get(it.upstream).unwrap_or(&empty);
-        let times = match (&request.prompt, request.engine) {
-            (Some(prompt), Some(engine)) => self.engine_times(prompt, prefixes, engine, state),
-            _ => self.plain_times(it.slots, state.total()),
+        let slowness = self.speeds.slowness(it.upstream);
+        let (times, priced) = match (&request.prompt, request.engine) {
+            (Some(prompt), Some(engine)) => {
+                let parts = self.engine_times(prompt, prefixes, engine, state);
+                let times = parts.at(slowness);
+                let is_in_time = || times.wait + times.processing <= time_left_ms(request);
+                (times, parts.at(slowness.price(is_in_time)))
+            }
+            _ => {
+                let times = self.plain_times(it.slots, state.total());
+                (times, times)
+            }
         };
         let last = prefixes.last().map_or(0, |it| it.tokens);
         let token_cost =
@@ -167,7 +205,7 @@
             upstream: it.upstream,
             times,
             queued_tokens: state.total().pending as u32,
-            cost: times.wait + times.processing + reread + failures * objective + remote,
+            cost: priced.wait + priced.processing + reread + failures * objective + remote,
             rank: self.tie_break.rank(it.upstream),
             is_idle: request.engine.is_some_and(|it| is_idle(it, state)),
             is_blocked: state.is_closed(self.now),
@@ -182,7 +220,7 @@
         prefixes: &[PromptPrefix],
         engine: EngineSpec,
         state: &UpstreamState,
-    ) -> Times {
+    ) -> EngineTimes {
         let load = state.total();
         let rate = self.latency.tokens_per_ms();
         let uncached_tokens = prompt
@@ -192,9 +230,9 @@
         let slots = f64::from(engine.slots);
         let excess = (load.running - slots + 1.0).max(0.0);
         let slot_wait = excess * self.mean_time.unwrap_or(0.0) / slots;
-        let wait = load.pending / rate + slot_wait + self.bias;
-        Times {
-            wait,
+        EngineTimes {
+            queue: load.pending / rate,
+            slot_wait,
             processing: self.latency.predict(f64::from(uncached_tokens)),
             bias: self.bias,
             uncached_tokens,
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -5,12 +5,16 @@
 //! - `prefix_cache`: prompt prefixes cached by engines
 //! - `latency_model`: time to the first event, learned from observations
 //! - `bias`: recent error of that estimate
+//! - `engine_speed`: speed of each engine, relative to its service's
+//! - [`GapMeter`]: gaps between the events of a stream
 //! - `health`: upstreams that fail
 //! - `backoff`: upstreams that asked for a backoff
 //! - `warmup`: cold upstreams
 
 mod backoff;
 mod bias;
+mod engine_speed;
+mod gap_meter;
 mod health;
 mod latency_model;
 mod prefix_cache;
@@ -19,6 +23,9 @@
 mod warmup;
 
 pub(crate) use bias::Bias;
+pub use engine_speed::EngineSpeed;
+pub(crate) use engine_speed::{EngineSpeeds, Slowness};
+pub use gap_meter::GapMeter;
 pub(crate) use latency_model::LatencyModel;
 pub(crate) use prompt::PromptPrefix;
 pub use prompt::{Prompt, PromptPart};
--- a/crates/portfield/src/upstream/table.rs
+++ b/crates/portfield/src/upstream/table.rs
@@ -74,6 +74,17 @@
         }
     }
 
+    /// Reports this host's entry in the next digests and summaries, also while it runs nothing.
+    pub(crate) fn renew_report(&mut self) {
+        self.n_reports_left = DIGESTS_PER_UPDATE;
+        self.n_summaries_left = DIGESTS_PER_UPDATE;
+    }
+
+    /// Reports the entry in the next summaries, also while nothing runs there.
+    pub(crate) fn renew_summary(&mut self) {
+        self.n_summaries_left = DIGESTS_PER_UPDATE;
+    }
+
     /// Returns whether no request may be sent to it now.
     pub(crate) fn is_closed(&self, now: Duration) -> bool {
         self.health.is_blocked(now) || self.warmup.is_closed(now) || self.backoff.is_closed(now)
