feat: hedged requests to plain upstreams

A safe request at a plain upstream in a slow period waited for 0.4 of its time left before another upstream was asked, which is past its objective.

With `engine_speed` on, such a request is sent to a second upstream after the 95th percentile of the service's recent times, within the retry budget and `max_attempts`, and only while the service is not overloaded: a free slot there, and no refusal for capacity within the last second. The first usable response is returned and the other request is cancelled. Unsafe requests and streams are never hedged.

tests/hedge.rs of portfield (9 tests) and of portfield-host (8 tests) pass; with errors taken as usable responses, and with one attempt more allowed, two of the latter fail. On the full run of portfield-host with other builds on the machine (load 23 on 12 cores) two of them failed on refusals for lack of processor time, which they now repeat; no run under the same load since.

--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -15,6 +15,7 @@
 use crate::{
     attempt::{self, AttemptResult, Outcome, UpstreamResponse},
     call::{Call, SUSPENDED_RETRY, SUSPENDED_TEXT},
+    hedge,
     placement::{PlacementMode, PlacementRefusal},
     probe, quarantine,
     response::{Body, CALLER_LEFT, CALLER_LEFT_RETRY, Failure},
@@ -84,8 +85,13 @@
             self.log_placed(&assignment, &upstream);
             self.tried.push(assignment.upstream);
             let timeout = self.attempt_timeout(assignment.estimate);
-            let (host, call) = (&self.host, &self.call);
-            match attempt::send(host, call, &upstream, &assignment, last_event, timeout).await {
+            let result = if self.may_hedge() {
+                hedge::send(self, &upstream, &assignment, timeout).await
+            } else {
+                let (host, call) = (&self.host, &self.call);
+                attempt::send(host, call, &upstream, &assignment, last_event, timeout).await
+            };
+            match result {
                 AttemptResult::Response(response) => {
                     self.record_run();
                     return Ok(response);
@@ -143,7 +149,25 @@
         );
     }
 
-    fn record_run(&mut self) {
+    /// Returns whether a second upstream may be asked while the first one has not responded.
+    fn may_hedge(&self) -> bool {
+        self.call.kind() == RouteKind::Safe
+            && self.call.placement.engine.is_none()
+            && self.n_run + 2 <= self.call.route.max_attempts
+    }
+
+    /// Returns the upstreams that the request was sent to.
+    pub(crate) fn tried(&self) -> &[u32] {
+        &self.tried
+    }
+
+    /// Records that the request was sent to an upstream.
+    pub(crate) fn record_tried(&mut self, upstream: u32) {
+        self.tried.push(upstream);
+    }
+
+    /// Records an attempt that its upstream may have run.
+    pub(crate) fn record_run(&mut self) {
         self.n_run += 1;
         self.may_have_run = true;
     }
@@ -154,7 +178,7 @@
     ///
     /// The final response, if the caller disconnected, or the attempt timed out and the request is
     /// not repeatable.
-    fn record_failure(
+    pub(crate) fn record_failure(
         &mut self,
         upstream: &Arc<Upstream>,
         outcome: Outcome,
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -13,6 +13,7 @@
 mod evacuations;
 mod exchange;
 mod forward;
+mod hedge;
 mod host_discovery;
 mod ingress;
 mod lifecycle;
--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -96,7 +96,7 @@
 
     /// Returns the upstreams of the request's service in the regions that both its route and its
     /// workspace allow.
-    fn candidates(&self, call: &Call) -> Arc<ReadyUpstreams> {
+    pub(crate) fn candidates(&self, call: &Call) -> Arc<ReadyUpstreams> {
         let ready = self.with_list(|it| it.ready.get(&call.service).cloned()).unwrap_or_default();
         let workspace = call.workspace.as_ref().map(|it| &it.regions);
         let region_rules = || std::iter::once(&call.route.regions).chain(workspace);
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -7,6 +7,7 @@
 use super::{
     admission::{max_wait_ms, time_left_ms},
     engine_speed::FirstEvent,
+    hedge::HedgeTimes,
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -64,6 +65,7 @@
 pub struct Balancer {
     pub(super) upstreams: UpstreamTable,
     pub(super) speeds: EngineSpeeds,
+    pub(super) hedge_times: HedgeTimes,
     shares: Shares,
     pub(super) latency_models: FastMap<u32, LatencyModel>,
     /// Recent underestimates by service.
@@ -84,6 +86,7 @@
         Self {
             upstreams: UpstreamTable::default(),
             speeds: EngineSpeeds::default(),
+            hedge_times: HedgeTimes::default(),
             shares: Shares::new(window),
             latency_models: FastMap::default(),
             biases: FastMap::default(),
@@ -149,6 +152,7 @@
         }
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
             self.record_refusal(now, request.workspace, request.token_cost());
+            self.hedge_times.record_refusal(now, request);
         }
         res
     }
@@ -340,6 +344,10 @@
             state.backoff.record_accepted(id);
         }
         state.backoff.record_ended(id);
+        if !run.is_engine {
+            let time = now.saturating_sub(run.started);
+            self.hedge_times.record_end(now, run.service, time, completion);
+        }
         match completion {
             Completion::Done => {
                 state.health.record_success(now);
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -6,6 +6,7 @@
 //! - `window`: which upstreams are scored
 //! - `scoring`: estimated cost of a request at each upstream
 //! - `engine_speed`: what the balancer learns of each engine's speed
+//! - `hedge`: when a request is sent to a second upstream as well
 //! - `admission`: how long a request may wait there
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
@@ -16,6 +17,7 @@
 mod admission;
 mod balancer;
 mod engine_speed;
+mod hedge;
 mod load_shedder;
 mod options;
 mod placement;
@@ -26,6 +28,7 @@
 mod window;
 
 pub use balancer::Balancer;
+pub use hedge::HedgeRefusal;
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
