fix: one outlier makes no engine slow that nothing else is known of

A first observation three times as long as expected moved the estimate of a fresh engine above the limit from which it counts as slow: recent and lasting mean both counted it, the latter in full. Both now count at most 0.5 above the estimate.

--- a/crates/portfield/src/upstream/engine_speed.rs
+++ b/crates/portfield/src/upstream/engine_speed.rs
@@ -30,9 +30,10 @@
 /// Weight of the lasting difference among recent observations: one observation alone moves the
 /// estimate by half of what it counts for.
 const RECENT_PRIOR: f64 = 1.0;
-/// Most by which a recent observation counts as slower than the estimate, so that one outlier alone
-/// makes no engine slow ([`SLOW_DIFFERENCE`]); a second one counts for as much again.
-const MAX_RECENT_STEP: f64 = 0.6;
+/// Most by which an observation counts as slower than the estimate, so that one outlier alone makes no
+/// engine slow ([`SLOW_DIFFERENCE`]), not even one that nothing else is known of; a second one counts
+/// for as much again.
+const MAX_STEP: f64 = 0.5;
 /// Weight of the service's speed among the lasting observations.
 const LASTING_PRIOR: f64 = 8.0;
 /// Largest difference that one observation counts for, the logarithm of 3: beyond that the engine is
@@ -193,7 +194,8 @@
 
 impl Estimate {
     fn add(&mut self, difference: f64) {
-        self.recent.add(difference.min(self.difference + MAX_RECENT_STEP));
+        let difference = difference.min(self.difference + MAX_STEP);
+        self.recent.add(difference);
         self.lasting.add(difference);
         self.update();
     }
