--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Records a mean gap between events of the stream.
+    pub(crate) fn record_gap(&self, gap: Duration) {
+        self.host.balancer().record_gap(clock::now(), self.id, gap);
+    }
+
     /// Records how the run ended; only the first call counts.
     pub(crate) fn end(&mut self, completion: Completion) {
         if !self.is_finished {
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -8,12 +8,14 @@
     balance::{ShareSnapshot, Stage},
     catalog::{RouteKind, Upstream},
     quarantine::QuarantineEntry,
+    upstream::GapMeter,
 };
 use portfield_net::clock;
 
 use crate::{
     attempt::{self, AttemptResult, Outcome, UpstreamResponse},
     call::{Call, SUSPENDED_RETRY, SUSPENDED_TEXT},
+    hedge,
     placement::{Placed, PlacementMode, PlacementRefusal},
     probe, quarantine,
     response::{Body, CALLER_LEFT, CALLER_LEFT_RETRY, Failure},
@@ -83,8 +85,12 @@
             self.log_placed(&placed);
             self.tried.push(placed.assignment.upstream);
             let timeout = self.attempt_timeout(placed.assignment.estimate_without_fetch());
-            let (host, call) = (&self.host, &self.call);
-            match attempt::send(host, call, &placed, last_event, timeout).await {
+            let result = if self.may_hedge() {
+                hedge::send(self, &placed, timeout).await
+            } else {
+                attempt::send(&self.host, &self.call, &placed, last_event, timeout).await
+            };
+            match result {
                 AttemptResult::Response(response) => {
                     self.record_run();
                     return Ok(response);
@@ -160,7 +166,25 @@
         }
     }
 
-    fn record_run(&mut self) {
+    /// Returns whether a second upstream may be asked while the first one has not responded.
+    fn may_hedge(&self) -> bool {
+        self.call.kind() == RouteKind::Safe
+            && self.call.placement.engine.is_none()
+            && self.n_run + 2 <= self.call.route.max_attempts
+    }
+
+    /// Returns the upstreams that the request was sent to.
+    pub(crate) fn tried(&self) -> &[u32] {
+        &self.tried
+    }
+
+    /// Records that the request was sent to an upstream.
+    pub(crate) fn record_tried(&mut self, upstream: u32) {
+        self.tried.push(upstream);
+    }
+
+    /// Records an attempt that its upstream may have run.
+    pub(crate) fn record_run(&mut self) {
         self.n_run += 1;
         self.may_have_run = true;
     }
@@ -171,7 +195,7 @@
     ///
     /// The final response, if the caller disconnected, or the attempt timed out and the request is
     /// not repeatable.
-    fn record_failure(
+    pub(crate) fn record_failure(
         &mut self,
         upstream: &Arc<Upstream>,
         outcome: Outcome,
@@ -232,6 +256,11 @@
         self.host.metrics.record_time("total", total);
     }
 
+    /// Returns a meter for the gaps between the events of the stream.
+    pub(crate) fn gap_meter(&self) -> GapMeter {
+        GapMeter::new(self.host.balancer().expected_gap(self.call.placement.service))
+    }
+
     /// Records that the caller received the beginning of the stream.
     pub(crate) fn mark_begun(&mut self) {
         self.call.placement.stage = Stage::Streaming;
--- a/crates/portfield-host/src/lifecycle.rs
+++ b/crates/portfield-host/src/lifecycle.rs
@@ -15,7 +15,7 @@
 use portfield_wire::peers_server::PeersServer;
 
 use crate::{
-    admin, gathering, peers, server,
+    admin, engine_speeds, gathering, peers, server,
     settings::Settings,
     state::{Host, STREAM_ACCEPT_TIME},
     store_watch,
@@ -91,6 +91,7 @@
     let mut was_busy = false;
     let mut processor = ProcessorUse::default();
     let mut last_logged = clock::now();
+    let mut speeds_logged = last_logged;
     loop {
         let due = clock::now() + LOAD_PERIOD;
         clock::sleep(LOAD_PERIOD).await;
@@ -120,6 +121,7 @@
             host.second_timer.advance();
             log_ingress(&host, late, is_busy);
         }
+        engine_speeds::log_slow(&host, &mut speeds_logged);
     }
 }
 
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, StreamBody};
-use portfield::balance::Completion;
+use portfield::{balance::Completion, upstream::GapMeter};
 use portfield_net::{clock, sse::EventBuffer};
 
 use crate::{
@@ -39,6 +39,7 @@
 ) -> Result<Response<Body>, Exchange> {
     let mut parts = response.parts.clone();
     portfield_platform::request::remove_hop_by_hop(&mut parts.headers);
+    let gaps = exchange.gap_meter();
     // Boxed, since it moves into and out of the body with each event.
     let mut relay = Box::new(Relay {
         exchange,
@@ -47,6 +48,7 @@
         first_event: None,
         is_run_begun: false,
         broken: None,
+        gaps,
         timeout: None,
     });
     let first = match relay.next().await {
@@ -80,6 +82,7 @@
     is_run_begun: bool,
     /// Why the response broke, found while its last events were gathered.
     broken: Option<hyper::Error>,
+    gaps: GapMeter,
     /// Timeout of the current read.
     timeout: Option<clock::Deadline>,
 }
@@ -152,6 +155,7 @@
             let (Some(response), Some(timeout)) = (&mut self.response, &mut self.timeout) else {
                 return Ok(None);
             };
+            let waiting = clock::now();
             let frame = match self.broken.take() {
                 Some(err) => Some(Some(Err(err))),
                 None => clock::timeout_at(timeout, response.body.frame()).await,
@@ -164,11 +168,13 @@
                 Some(None) => "the stream ended within an event".to_owned(),
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    let n_before = self.events.count();
                     let whole = self.events.push_bytes(data);
                     if whole.is_empty() {
                         continue;
                     }
                     self.record_events();
+                    self.record_gap(waiting, self.events.count() - n_before);
                     return Ok(Some(whole));
                 }
                 Some(Some(Err(err))) => error_chain(&err),
@@ -227,6 +233,14 @@
         }
     }
 
+    /// Records how long the relay waited for new events, which shows the engine's speed.
+    fn record_gap(&mut self, waiting: Duration, n_events: u64) {
+        let gap = self.gaps.record(waiting, clock::now(), n_events);
+        if let (Some(gap), Some(it)) = (gap, &self.response) {
+            it.run.record_gap(gap);
+        }
+    }
+
     /// Records the complete end of the stream and returns its connection to the pool.
     fn finish(&mut self) {
         let Some(response) = self.response.take() else { return };
@@ -268,6 +282,7 @@
         self.exchange.host.metrics.count("streams_resumed");
         self.response = Some(response);
         self.is_run_begun = false;
+        self.gaps = self.exchange.gap_meter();
         self.timeout = None;
         Ok(())
     }
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -8,6 +8,8 @@
     admission::{CapacityLimits, max_wait_ms, time_left_ms},
     cache_transfer::{FetchOutcome, FetchReport, FetchWatch, PausedSources},
     capacity::{EngineRoom, RoomMeter},
+    engine_speed::FirstEvent,
+    hedge::HedgeTimes,
     invitations::{Booking, Claim, Invitations},
     kinds::Kinds,
     options::BalancerOptions,
@@ -21,7 +23,10 @@
     digest_scope::FULL_DIGEST_EVERY,
     fast_map::FastMap,
     ids::RunId,
-    upstream::{Bias, LatencyModel, Prompt, PromptPrefix, RecentUses, ServiceTime, UpstreamTable},
+    upstream::{
+        Bias, EngineSpeeds, LatencyModel, Prompt, PromptPrefix, RecentUses, ServiceTime,
+        UpstreamTable,
+    },
     wire,
 };
 
@@ -43,21 +48,26 @@
 const SMOOTHING: f64 = 0.05;
 
 #[derive(Debug)]
-struct Run {
-    upstream: u32,
+pub(super) struct Run {
+    pub(super) upstream: u32,
     /// Tokens to read before the first event; zero once it has arrived.
     pending: f64,
     /// Tokens read before the first event, including those queued ahead, for the latency model.
     tokens_to_first: f64,
-    started: Duration,
+    pub(super) started: Duration,
     /// Estimated time to the first event, without the bias.
-    expected: Duration,
+    pub(super) expected: Duration,
+    /// Prefill time of the engine on which the estimate is based, as a multiple of the service's.
+    pub(super) slowness: f64,
+    /// Tokens of other hosts' requests without a first event: as known at its start, and the most that
+    /// were heard of since.
+    pub(super) peers_ahead: (f64, f64),
     /// When the first event, or the response of a plain service, is overdue.
     due: Duration,
     /// The first event, or the response, has arrived.
-    has_begun: bool,
-    is_engine: bool,
-    service: u32,
+    pub(super) has_begun: bool,
+    pub(super) is_engine: bool,
+    pub(super) service: u32,
     /// What the first event is to show of cached parts, if engines fetch them from each other.
     fetch: Option<FetchWatch>,
 }
@@ -74,6 +84,8 @@
 #[derive(Debug)]
 pub struct Balancer {
     pub(super) upstreams: UpstreamTable,
+    pub(super) speeds: EngineSpeeds,
+    pub(super) hedge_times: HedgeTimes,
     shares: Shares,
     pub(super) latency_models: FastMap<u32, LatencyModel>,
     /// Recent underestimates by service.
@@ -82,7 +94,7 @@
     mean_times: FastMap<u32, f64>,
     /// The same for engines, if requests are spread over them.
     service_times: FastMap<u32, ServiceTime>,
-    runs: FastMap<RunId, Run>,
+    pub(super) runs: FastMap<RunId, Run>,
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
     /// Retries that this host has invited, by service.
@@ -102,6 +114,8 @@
     pub fn new(window: Duration) -> Self {
         Self {
             upstreams: UpstreamTable::default(),
+            speeds: EngineSpeeds::default(),
+            hedge_times: HedgeTimes::default(),
             shares: Shares::new(window),
             latency_models: FastMap::default(),
             biases: FastMap::default(),
@@ -128,6 +142,7 @@
     /// Sets which optional decisions are made.
     pub fn set_options(&mut self, options: BalancerOptions) {
         self.options = options;
+        self.reset_disabled_speeds();
     }
 
     /// Sets the capacity of all engines together in tokens per second; zero if unknown.
@@ -145,6 +160,7 @@
     pub fn retain_upstreams(&mut self, is_known: impl Fn(u32) -> bool) {
         self.upstreams.retain(&is_known);
         self.engine_memory.retain(|id, _| is_known(*id));
+        self.speeds.retain(&is_known);
     }
 
     /// Chooses an upstream for a request, or refuses it; more than 512 candidates must be sorted by
@@ -159,6 +175,7 @@
             Some(_) => self.shares.status(now, request.workspace),
             None => ShareStatus::Uncontended,
         };
+        self.update_speeds(now);
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
         if self.options.capacity_shares.is_on() && request.engine.is_some() {
             self.kinds.observe(request);
@@ -183,6 +200,7 @@
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
             self.record_refusal(now, request.workspace, request.token_cost());
             self.record_kind_usage(now, request, 0.0);
+            self.hedge_times.record_refusal(now, request);
         }
         self.advise_retry(now, request, res)
     }
@@ -266,6 +284,7 @@
         let costs = CostModel {
             now,
             upstreams: &self.upstreams,
+            speeds: &self.speeds,
             latency: self.latency_models.get(&request.service).unwrap_or(&default_model),
             mean_time: self.mean_time(now, request),
             bias: self.biases.get(&request.service).map_or(0.0, |it| it.shortfall(now)),
@@ -425,6 +444,8 @@
             tokens_to_first: f64::from(assignment.queued_tokens) + pending,
             started: now,
             expected: assignment.estimate.saturating_sub(assignment.bias),
+            slowness: self.speeds.slowness(assignment.upstream).prefill,
+            peers_ahead: (0.0, 0.0),
             due: now + assignment.estimate_without_fetch() * 2 + OVERDUE_SLACK,
             has_begun: false,
             is_engine: request.engine.is_some(),
@@ -435,6 +456,7 @@
             self.service_times.entry(request.service).or_default().record_start(now);
         }
         let state = self.upstreams.entry(assignment.upstream);
+        run.peers_ahead = (state.peers.pending, state.peers.pending);
         state.warmup.record_sent(now);
         state.backoff.record_sent(now, self.n_runs);
         state.own.running += 1.0;
@@ -466,14 +488,15 @@
         state.own.pending -= pending;
         state.backoff.record_accepted(id);
         if run.is_engine {
+            let (service, tokens) = (run.service, run.tokens_to_first);
             // How many tokens were read is uncertain after a fetch: none of it may say how fast.
-            if outcome.is_none() {
-                let model = self.latency_models.entry(run.service).or_default();
-                model.observe(run.tokens_to_first, time);
-            }
             if outcome.is_none_or(|it| it == FetchOutcome::Brought) {
-                let error = (time.as_secs_f64() - run.expected.as_secs_f64()) * 1000.0;
-                self.biases.entry(run.service).or_default().observe(now, error);
+                let FirstEvent { time, expected } = self.observe_first_event(now, id);
+                if outcome.is_none() {
+                    self.latency_models.entry(service).or_default().observe(tokens, time);
+                }
+                let error = (time.as_secs_f64() - expected.as_secs_f64()) * 1000.0;
+                self.biases.entry(service).or_default().observe(now, error);
             }
         }
         watch.and_then(|it| self.finish_fetch(now, upstream, it, time))
@@ -513,6 +536,10 @@
             state.backoff.record_accepted(id);
         }
         state.backoff.record_ended(id);
+        if !run.is_engine {
+            let time = now.saturating_sub(run.started);
+            self.hedge_times.record_end(now, run.service, time, completion);
+        }
         match completion {
             Completion::Done => {
                 state.health.record_success(now);
@@ -534,6 +561,7 @@
         self.upstreams.expire(now);
         self.count_overdue(now);
         (digest.loads, digest.prefixes) = self.upstreams.report();
+        self.report_speeds(now, digest);
         let usage = |(workspace, it): (u32, Usage)| wire::WorkspaceUsage {
             workspace,
             asked: it.asked as u64,
@@ -564,10 +592,12 @@
         digest.loads = sum.loads;
         digest.prefixes = sum.prefixes;
         digest.usage = sum.usage.into_values().collect();
+        self.summarize_speeds(now, digest);
     }
 
     /// Merges the digest of another host, or the summary of a data centre.
     pub fn merge_digest(&mut self, now: Duration, digest: &wire::Digest) {
+        self.merge_speeds(now, digest);
         let engine_memory = &self.engine_memory;
         let memory = |id| engine_memory.get(&id).copied().unwrap_or(u64::MAX);
         for it in self.upstreams.merge_digest(now, digest, memory) {
@@ -590,7 +620,7 @@
     }
 
     /// Returns the next number of the pseudo-random sequence, which differs between hosts.
-    fn next_random(&mut self) -> u64 {
+    pub(super) fn next_random(&mut self) -> u64 {
         self.rng_state = xxh3_64(&self.rng_state.to_le_bytes());
         self.rng_state
     }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -5,6 +5,8 @@
 //! - `placement`: its input and output
 //! - `window`: which upstreams are scored
 //! - `scoring`: estimated cost of a request at each upstream
+//! - `engine_speed`: what the balancer learns of each engine's speed
+//! - `hedge`: when a request is sent to a second upstream as well
 //! - `admission`: how long a request may wait there
 //! - `cache_transfer`: where its upstream fetches cached prompt parts from
 //! - `unseen_load`: requests of other hosts that this host has not heard of
@@ -23,6 +25,8 @@
 mod balancer;
 mod cache_transfer;
 mod capacity;
+mod engine_speed;
+mod hedge;
 mod ingress_balance;
 mod invitations;
 mod kinds;
@@ -40,6 +44,7 @@
 pub use balancer::Balancer;
 pub use cache_transfer::{FetchOutcome, FetchReport};
 pub use capacity::EngineRoom;
+pub use hedge::HedgeRefusal;
 pub use ingress_balance::{
     ConnectionUse, IngressBalance, LocalHosts, OwnLoad, PeerSummary, Rotation,
 };
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -6,6 +6,8 @@
 //! - `recent_uses`: those that this host used, for hosts that have just started
 //! - `latency_model`: time to the first event, learned from observations
 //! - `bias`: recent error of that estimate
+//! - `engine_speed`: speed of each engine, relative to its service's
+//! - [`GapMeter`]: gaps between the events of a stream
 //! - `health`: upstreams that fail
 //! - `backoff`: upstreams that asked for a backoff
 //! - `service_time`: mean time that a request occupies a slot
@@ -13,6 +15,8 @@
 
 mod backoff;
 mod bias;
+mod engine_speed;
+mod gap_meter;
 mod health;
 mod latency_model;
 mod prefix_cache;
@@ -23,6 +27,9 @@
 mod warmup;
 
 pub(crate) use bias::Bias;
+pub use engine_speed::EngineSpeed;
+pub(crate) use engine_speed::{EngineSpeeds, Slowness};
+pub use gap_meter::GapMeter;
 pub(crate) use latency_model::LatencyModel;
 pub(crate) use prefix_cache::{CachedParts, PrefixState};
 pub(crate) use prompt::PromptPrefix;
