--- a/crates/portfield/src/balance/upstream_signals.rs
+++ b/crates/portfield/src/balance/upstream_signals.rs
@@ -31,6 +31,7 @@
     ///     waited: Duration::ZERO,
     ///     stage: Stage::New,
     ///     engine: None,
+    ///     ..PlacementRequest::default()
     /// };
     /// let candidate = Candidate { upstream: 7, slots: 4, is_local: true };
     /// balancer.start_backoff(second, 7, second * 3);
@@ -109,6 +110,7 @@
     ///     waited: Duration::ZERO,
     ///     stage: Stage::New,
     ///     engine: None,
+    ///     ..PlacementRequest::default()
     /// };
     /// let candidate = Candidate { upstream: 7, slots: 4, is_local: true };
     /// balancer.mark_cold(7, second * 3, 0);
