feat(balance): limit the memory of running requests at each engine

Cause: an engine crashes if the requests that it holds exceed its KV memory. Hosts counted slots and pending prefill, but no memory.

Change: with memory_limits on, each host counts prompt and expected output of all running requests over all hosts (UpstreamLoad.memory) against kv_capacity. The output is learned by route from completed requests and told in Digest.outputs. Near the limit an engine is considered with a probability that falls with what other hosts may have sent there unseen. A request of over a quarter of the memory reserves an engine (UpstreamLoad.reserved, field 10) for a bounded time. Off, no decision and no digest changes.

The time of a placement was not measured.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -96,6 +96,13 @@
         self.host.balancer().record_first_event(clock::now(), self.id);
     }
 
+    /// Records that complete events of a stream arrived; `n_events` counts them from its start.
+    pub(crate) fn record_events(&self, n_events: u64) {
+        let mut balancer = self.host.balancer();
+        balancer.record_first_event(clock::now(), self.id);
+        balancer.record_output(self.id, n_events);
+    }
+
     /// Records how the run ended; only the first call counts.
     pub(crate) fn end(&mut self, completion: Completion) {
         if !self.is_finished {
--- a/crates/portfield-host/src/lifecycle.rs
+++ b/crates/portfield-host/src/lifecycle.rs
@@ -10,6 +10,7 @@
 use async_signal::{Signal, Signals};
 use eyre::WrapErr;
 use futures_lite::StreamExt;
+use portfield::balance::MemoryCounts;
 use portfield_net::{clock, http1, logs, rpc, rt::Runtime};
 use portfield_wire::peers_server::PeersServer;
 
@@ -109,6 +110,7 @@
         if last_logged + INGRESS_PERIOD <= now {
             last_logged = now;
             log_ingress(&host, late, is_busy);
+            log_engine_memory(&host);
         }
     }
 }
@@ -133,6 +135,20 @@
     );
 }
 
+/// Logs and counts the decisions of the last interval on the engines' memory, if there were any.
+fn log_engine_memory(host: &Host) {
+    let counts = host.balancer().take_memory_counts();
+    if counts == MemoryCounts::default() {
+        return;
+    }
+    host.metrics.add("engines_reserved", counts.reserved);
+    host.metrics.add("outputs_underestimated", counts.overruns);
+    log::info!(
+        refused = counts.refused, oversized = counts.oversized, reserved = counts.reserved,
+        overruns = counts.overruns; "short of engine memory"
+    );
+}
+
 /// Time for the last log lines to be written.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(20).saturating_add(logs::BATCH_PERIOD);
 
--- a/crates/portfield-host/src/metrics.rs
+++ b/crates/portfield-host/src/metrics.rs
@@ -28,6 +28,14 @@
         count(&mut counters, name);
     }
 
+    /// Adds a number to a counter.
+    pub(crate) fn add(&self, name: &str, n: u64) {
+        if 0 < n {
+            let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+            *counters.entry(name.to_owned()).or_default() += n;
+        }
+    }
+
     /// Records a duration in a histogram.
     pub(crate) fn record_time(&self, name: &str, time: Duration) {
         let mut times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -140,7 +140,7 @@
             self.exchange.mark_begun();
         }
         if let Some(it) = &self.response {
-            it.run.record_first();
+            it.run.record_events(self.events.count());
         }
     }
 
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -6,6 +6,7 @@
 
 use super::{
     admission::{max_wait_ms, time_left_ms},
+    memory_limits::{Demand, MemoryCounts, MemoryLimits},
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -53,6 +54,14 @@
     service: u32,
 }
 
+/// Upstreams to choose from.
+#[derive(Debug, Clone, Copy)]
+struct Choice<'a> {
+    all: &'a [Candidate],
+    /// Those with memory left for the request.
+    fitting: &'a [Candidate],
+}
+
 /// Places requests on upstreams.
 #[derive(Debug)]
 pub struct Balancer {
@@ -69,6 +78,7 @@
     /// State of the pseudo-random sequence.
     rng_state: u64,
     options: BalancerOptions,
+    memory: MemoryLimits,
 }
 
 impl Balancer {
@@ -85,6 +95,7 @@
             engine_memory: FastMap::default(),
             rng_state: 0,
             options: BalancerOptions::default(),
+            memory: MemoryLimits::default(),
         }
     }
 
@@ -128,14 +139,33 @@
             None => ShareStatus::Uncontended,
         };
         let prefixes = request.prompt.as_ref().map(Prompt::prefixes).unwrap_or_default();
-        let tie_break = TieBreak::new(&prefixes, self.next_random());
+        let random = self.next_random();
+        let tie_break = TieBreak::new(&prefixes, random);
+        let room = if self.options.memory_limits.is_on() {
+            let mean_time = self.mean_times.get(&request.service).copied();
+            let (asked, window) = self.shares.asked();
+            let demand = Demand { asked, window, mean_time, random };
+            self.memory.room(now, request, &self.upstreams, demand, candidates)
+        } else {
+            None
+        };
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
-            res = self.place_within(now, request, &prefixes, status, tie_break, &window);
+            let fitting = room.map(|it| it.fitting(now, &self.upstreams, &window));
+            let fitting = fitting.as_deref().unwrap_or(&window);
+            if let Some(room) = room.filter(|_| fitting.is_empty() && !window.is_empty()) {
+                res = room.refuse(now, &self.upstreams, &window);
+                continue;
+            }
+            let choice = Choice { all: &window, fitting };
+            res = self.place_within(now, request, &prefixes, status, tie_break, choice);
             if matches!(res, Placement::Send(_)) {
                 return res;
             }
         }
+        if let (Some(room), Placement::Refuse { reason: Refusal::Memory, .. }) = (&room, &res) {
+            self.memory.record_refusal(now, room, &mut self.upstreams, candidates);
+        }
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
             self.record_refusal(now, request.workspace, request.token_cost());
         }
@@ -150,7 +180,7 @@
         prefixes: &[PromptPrefix],
         status: ShareStatus,
         tie_break: TieBreak,
-        candidates: &[Candidate],
+        Choice { all: candidates, fitting }: Choice<'_>,
     ) -> Placement {
         let default_model = LatencyModel::default();
         let is_open = |id: &u32| !self.upstreams.get(*id).is_some_and(|it| it.is_unavailable(now));
@@ -167,7 +197,7 @@
             tie_break,
             shared_tokens: prefixes.iter().rev().skip(1).map(|it| it.tokens).sum(),
         };
-        let scored = || candidates.iter().map(|it| costs.score(request, prefixes, it));
+        let scored = || fitting.iter().map(|it| costs.score(request, prefixes, it));
         let is_sendable = |it: &ScoredUpstream| !it.is_blocked;
         let Some(best) = min_by_key(scored().filter(is_sendable), |it| it.cost) else {
             return refuse_blocked(now, scored());
@@ -295,6 +325,9 @@
             self.shares.record_local(now, request.workspace, Usage { asked: taken, taken });
         }
         self.runs.insert(self.n_runs, run);
+        if self.options.memory_limits.is_on() {
+            self.memory.record_start(self.n_runs, request, assignment, &mut self.upstreams);
+        }
         self.n_runs
     }
 
@@ -314,9 +347,30 @@
         }
     }
 
+    /// Records how many events of a stream have arrived, from all upstreams that served it.
+    pub fn record_output(&mut self, id: RunId, n_events: u64) {
+        self.memory.record_output(id, n_events, &mut self.upstreams);
+    }
+
+    /// Takes the number of decisions on the engines' memory since the last call.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{Balancer, MemoryCounts};
+    /// use std::time::Duration;
+    ///
+    /// let mut balancer = Balancer::new(Duration::from_secs(4));
+    /// assert_eq!(balancer.take_memory_counts(), MemoryCounts::default());
+    /// ```
+    pub fn take_memory_counts(&mut self) -> MemoryCounts {
+        self.memory.take_counts()
+    }
+
     /// Records the end of a request at its upstream.
     pub fn record_end(&mut self, now: Duration, id: RunId, completion: Completion) {
         let Some(run) = self.runs.remove(&id) else { return };
+        self.memory.record_end(id, completion, &mut self.upstreams);
         let state = self.upstreams.entry(run.upstream);
         state.own.running -= 1.0;
         state.own.pending -= run.pending;
@@ -344,6 +398,8 @@
     pub fn fill_digest(&mut self, now: Duration, digest: &mut wire::Digest) {
         self.upstreams.expire(now);
         self.count_overdue(now);
+        self.memory.expire_reservation(now, &mut self.upstreams);
+        self.memory.fill_digest(digest);
         (digest.loads, digest.prefixes) = self.upstreams.report();
         let usage = |(workspace, it): (u32, Usage)| wire::WorkspaceUsage {
             workspace,
@@ -368,6 +424,7 @@
             usage.asked += it.asked as u64;
             usage.taken += it.taken as u64;
         }
+        self.memory.fill_summary(digest);
         digest.n_summed = sum.n_hosts;
         digest.loads = sum.loads;
         digest.prefixes = sum.prefixes;
@@ -378,7 +435,11 @@
     pub fn merge_digest(&mut self, now: Duration, digest: &wire::Digest) {
         let engine_memory = &self.engine_memory;
         let memory = |id| engine_memory.get(&id).copied().unwrap_or(u64::MAX);
-        for it in self.upstreams.merge_digest(now, digest, memory) {
+        let merged = self.upstreams.merge_digest(now, digest, memory);
+        if self.options.memory_limits.is_on() {
+            self.memory.merge_digest(digest);
+        }
+        for it in merged {
             let usage = Usage { asked: it.asked as f64, taken: it.taken as f64 };
             self.shares.add_to_window(now, it.workspace, usage);
         }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -6,6 +6,7 @@
 //! - `window`: which upstreams are scored
 //! - `scoring`: estimated cost of a request at each upstream
 //! - `admission`: how long a request may wait there
+//! - `memory_limits`: which engines have memory left for a request
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
@@ -15,6 +16,7 @@
 mod admission;
 mod balancer;
 mod load_shedder;
+mod memory_limits;
 mod options;
 mod placement;
 mod retry_budget;
@@ -25,6 +27,7 @@
 
 pub use balancer::Balancer;
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
+pub use memory_limits::MemoryCounts;
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
     Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
--- a/crates/portfield/src/balance/placement.rs
+++ b/crates/portfield/src/balance/placement.rs
@@ -111,6 +111,8 @@
     Busy,
     /// The workspace has used its share, and there is no spare capacity.
     Share,
+    /// No engine has memory left for the request.
+    Memory,
     /// The remaining upstreams asked this host to back off.
     Backoff,
 }
--- a/crates/portfield/src/balance/shares.rs
+++ b/crates/portfield/src/balance/shares.rs
@@ -158,6 +158,11 @@
         self.windows.entry(workspace).or_default().add(bucket, usage);
     }
 
+    /// Returns the tokens that all workspaces asked for within the window, and its length.
+    pub(crate) fn asked(&self) -> (f64, Duration) {
+        (self.windows.values().map(|it| it.sum().asked).sum(), self.window)
+    }
+
     /// Returns the usage by this host's requests since its start, by workspace.
     pub(crate) fn totals(&self) -> impl Iterator<Item = (u32, Usage)> {
         self.totals.iter().map(|(id, it)| (*id, *it))
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -4,6 +4,8 @@
 //! - [`prompt`](Prompt): cost of a prompt
 //! - `prefix_cache`: prompt prefixes cached by engines
 //! - `latency_model`: time to the first event, learned from observations
+//! - `memory`: KV memory of the running requests
+//! - `output_length`: expected output of a request, learned from completed ones
 //! - `bias`: recent error of that estimate
 //! - `health`: upstreams that fail
 //! - `backoff`: upstreams that asked for a backoff
@@ -13,6 +15,8 @@
 mod bias;
 mod health;
 mod latency_model;
+mod memory;
+mod output_length;
 mod prefix_cache;
 mod prompt;
 mod table;
@@ -20,6 +24,7 @@
 
 pub(crate) use bias::Bias;
 pub(crate) use latency_model::LatencyModel;
+pub(crate) use output_length::{RouteOutputs, announced as announced_output};
 pub(crate) use prompt::PromptPrefix;
 pub use prompt::{Prompt, PromptPart};
 pub(crate) use table::{Load, UpstreamState, UpstreamTable};
--- a/crates/portfield/src/upstream/table.rs
+++ b/crates/portfield/src/upstream/table.rs
@@ -3,7 +3,9 @@
 
 use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
-use super::{backoff::Backoff, health::Health, prefix_cache::PrefixCache, warmup::Warmup};
+use super::{
+    backoff::Backoff, health::Health, memory::MemoryUse, prefix_cache::PrefixCache, warmup::Warmup,
+};
 use crate::{
     digest_scope::DIGESTS_PER_UPDATE,
     fast_map::FastMap,
@@ -16,6 +18,12 @@
 /// Uses of prefixes that it names at most, of some 20 bytes each.
 const MAX_SUMMARY_PREFIXES: usize = 600;
 
+/// Time for which the memory of other hosts' requests still counts while none of them is heard.
+///
+/// They go on sending to the engines. Longer than requests run, so that afterwards the count says
+/// nothing anyway.
+const CUT_OFF_MEMORY: Duration = Duration::from_secs(10);
+
 /// Who reported a load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LoadSource {
@@ -32,6 +40,8 @@
     pub running: f64,
     /// Tokens that the upstream has yet to read before the first events of these requests.
     pub pending: f64,
+    /// KV memory of these requests; zero unless it is limited.
+    pub memory: MemoryUse,
 }
 
 /// What this host knows of one upstream.
@@ -95,13 +105,15 @@
 
     /// Returns this host's entry for a digest.
     fn report(&self, upstream: u32) -> wire::UpstreamLoad {
-        wire::UpstreamLoad {
+        let mut res = wire::UpstreamLoad {
             upstream,
             running: self.own.running as u32,
             pending: self.own.pending.max(0.0) as u32,
             read: self.tokens_read as u64,
             ..Default::default()
-        }
+        };
+        self.own.memory.write(&mut res);
+        res
     }
 
     /// Returns the load from all hosts.
@@ -109,6 +121,7 @@
         Load {
             running: self.own.running + self.peers.running,
             pending: (self.own.pending + self.peers.pending).max(0.0),
+            memory: self.own.memory.plus(self.peers.memory),
         }
     }
 }
@@ -149,6 +162,11 @@
         self.digest_period = period;
     }
 
+    /// Returns the time between two digests of a host of this data centre.
+    pub(crate) fn digest_period(&self) -> Duration {
+        self.digest_period
+    }
+
     /// Returns the state of an upstream, inserting it if needed.
     pub(crate) fn entry(&mut self, upstream: u32) -> &mut UpstreamState {
         self.upstreams.entry(upstream).or_default()
@@ -192,8 +210,10 @@
     pub(crate) fn report(&mut self) -> (Vec<wire::UpstreamLoad>, Vec<wire::PrefixUse>) {
         // Idle upstreams whose totals were already reported are left out, which keeps digests
         // short.
-        let is_reported =
-            |it: &(&u32, &UpstreamState)| 0.0 < it.1.own.running || 0 < it.1.n_reports_left;
+        let is_reported = |it: &(&u32, &UpstreamState)| {
+            let own = &it.1.own;
+            0.0 < own.running || 0.0 < own.memory.reserved || 0 < it.1.n_reports_left
+        };
         let loads =
             self.upstreams.iter().filter(is_reported).map(|(id, it)| it.report(*id)).collect();
         self.upstreams
@@ -216,6 +236,7 @@
             let sum = running.entry(it.upstream).or_default();
             sum.running += f64::from(it.running);
             sum.pending += f64::from(it.pending);
+            sum.memory.add(it, 1.0);
         }
         let mut usage: FastMap<u32, wire::WorkspaceUsage> = FastMap::default();
         for it in members().flat_map(PeerState::observed_usage) {
@@ -240,14 +261,16 @@
     fn summarize_loads(&mut self, members: &FastMap<u32, Load>) -> Vec<wire::UpstreamLoad> {
         let summed = |(id, it): (&u32, &UpstreamState)| {
             let others = members.get(id).copied().unwrap_or_default();
-            let load = wire::UpstreamLoad {
+            let mut load = wire::UpstreamLoad {
                 upstream: *id,
                 running: (it.own.running + others.running) as u32,
                 pending: (it.own.pending + others.pending).max(0.0) as u32,
                 read: it.tokens_read as u64 + it.peers_read,
                 ..Default::default()
             };
-            (0 < load.running || 0 < it.n_summaries_left).then_some(load)
+            it.own.memory.plus(others.memory).write(&mut load);
+            let is_used = 0 < load.running || 0 < load.reserved;
+            (is_used || 0 < it.n_summaries_left).then_some(load)
         };
         let mut res: Vec<wire::UpstreamLoad> = self.upstreams.iter().filter_map(summed).collect();
         res.sort_unstable_by_key(|it| Reverse((it.running, it.upstream)));
@@ -306,13 +329,31 @@
     /// Drops the load of peers that have been silent too long, and backoffs that ended long ago.
     pub(crate) fn expire(&mut self, now: Duration) {
         self.upstreams.values_mut().for_each(|it| it.backoff.expire(now));
-        for peer in self.peers.values_mut() {
-            if !peer.is_alive(now, self.digest_period) {
+        // With no other host heard, this one is cut off, rather than all others dead.
+        let is_cut_off = !self.peers.values().any(|it| it.is_alive(now, self.digest_period));
+        for peer in self.peers.values_mut().filter(|it| !it.is_alive(now, self.digest_period)) {
+            if is_cut_off && now < peer.last_heard + CUT_OFF_MEMORY {
+                keep_memory(peer, &mut self.upstreams);
+            } else {
                 remove_load(peer, &mut self.upstreams);
             }
         }
     }
 
+    /// Returns the mean time since the last digests of the other hosts; `None` if there are none.
+    pub(crate) fn mean_digest_age(&self, now: Duration) -> Option<Duration> {
+        let is_alive = |it: &&PeerState| it.is_alive(now, self.digest_period);
+        let is_recent = |it: &&PeerState| now < it.last_heard + CUT_OFF_MEMORY;
+        let mean = |peers: &mut dyn Iterator<Item = &PeerState>| {
+            let (n, sum) = peers.fold((0, Duration::ZERO), |(n, sum), it| {
+                (n + 1, sum + now.saturating_sub(it.last_heard))
+            });
+            sum.checked_div(n)
+        };
+        mean(&mut self.peers.values().filter(is_alive))
+            .or_else(|| mean(&mut self.peers.values().filter(is_recent)))
+    }
+
     /// Returns the number of other hosts heard recently, directly or in a summary.
     pub(crate) fn n_peers(&self, now: Duration) -> usize {
         let alive = self.peers.values().filter(|it| it.is_alive(now, self.digest_period));
@@ -341,4 +382,16 @@
     let load = &mut upstreams.entry(it.upstream).or_default().peers;
     load.running = (load.running + sign * f64::from(it.running)).max(0.0);
     load.pending = (load.pending + sign * f64::from(it.pending)).max(0.0);
+    load.memory.add(it, sign);
+}
+
+/// Removes a peer's requests from the upstreams except for the memory that they need.
+fn keep_memory(peer: &mut PeerState, upstreams: &mut FastMap<u32, UpstreamState>) {
+    peer.loads.retain_mut(|it| {
+        let kept = wire::UpstreamLoad { running: 0, pending: 0, ..*it };
+        apply_load(upstreams, it, -1.0);
+        apply_load(upstreams, &kept, 1.0);
+        *it = kept;
+        0 < it.memory
+    });
 }
