perf(catalog): find a route in logarithmic time

Cause: a request was compared with each route of its host name, 10,000 in the largest configuration.

Change: the routes of a host name are sorted by prefix; the entry before the path is the longest match or extends it, and each entry knows the longest one that it extends. Of equal prefixes the first route counts, as before.

--- a/crates/portfield/src/catalog/routes.rs
+++ b/crates/portfield/src/catalog/routes.rs
@@ -196,6 +196,54 @@
     pub token_rate: f64,
 }
 
+/// The routes of one host name, indexed by path prefix.
+///
+/// A configuration has up to 10,000 routes of one host name, and each request is looked up. In the
+/// order of their prefixes, all prefixes of a path come before the path, and each of them is a prefix of
+/// every entry between it and the path. So the entry just before the path is the longest match, or
+/// extends it.
+#[derive(Debug)]
+struct PrefixIndex {
+    /// Sorted by prefix, each prefix once.
+    entries: Vec<PrefixEntry>,
+}
+
+#[derive(Debug)]
+struct PrefixEntry {
+    route: Arc<Route>,
+    /// Index of the entry with the longest prefix that this one extends.
+    parent: Option<u32>,
+}
+
+impl PrefixIndex {
+    /// Builds the index; of routes with the same prefix, the first one counts.
+    fn new(mut routes: Vec<Arc<Route>>) -> Self {
+        routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+        routes.dedup_by(|later, first| later.prefix == first.prefix);
+        let mut entries: Vec<PrefixEntry> = Vec::with_capacity(routes.len());
+        for route in routes {
+            let last = entries.len().checked_sub(1).map(|it| it as u32);
+            let parent = longest_match(&entries, last, &route.prefix);
+            entries.push(PrefixEntry { route, parent });
+        }
+        Self { entries }
+    }
+
+    /// Finds the route with the longest prefix of a path.
+    fn find(&self, path: &str) -> Option<&Arc<Route>> {
+        let n = self.entries.partition_point(|it| it.route.prefix.as_str() <= path);
+        let last = n.checked_sub(1).map(|it| it as u32);
+        longest_match(&self.entries, last, path).map(|it| &self.entries[it as usize].route)
+    }
+}
+
+/// Returns the longest prefix of a path among an entry and those that it extends.
+fn longest_match(entries: &[PrefixEntry], from: Option<u32>, path: &str) -> Option<u32> {
+    let extended = std::iter::successors(from, |it| entries[*it as usize].parent);
+    let is_match = |it: &u32| path.starts_with(&entries[*it as usize].route.prefix);
+    extended.into_iter().find(is_match)
+}
+
 /// One version of the configuration, indexed for lookups.
 ///
 /// # Examples
@@ -222,7 +270,7 @@
 pub struct Catalog {
     version: u64,
     limits: Limits,
-    routes: HashMap<String, Vec<Arc<Route>>>,
+    routes: HashMap<String, PrefixIndex>,
     services: HashMap<String, Arc<Service>>,
     workspaces: HashMap<String, Arc<Workspace>>,
     n_workspaces: usize,
@@ -241,16 +289,15 @@
         for it in routes {
             by_host.entry(it.host.to_ascii_lowercase()).or_default().push(Arc::new(it));
         }
-        for list in by_host.values_mut() {
-            list.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
-        }
+        let routes =
+            by_host.into_iter().map(|(host, list)| (host, PrefixIndex::new(list))).collect();
         let n_workspaces = workspaces.len();
         let mut by_key = HashMap::new();
         for it in workspaces.into_iter().map(Arc::new) {
             by_key.extend(it.api_keys.iter().map(|key| (key.clone(), it.clone())));
         }
         let services = services.into_iter().map(|it| (it.name.clone(), Arc::new(it))).collect();
-        Self { version, limits, routes: by_host, services, workspaces: by_key, n_workspaces }
+        Self { version, limits, routes, services, workspaces: by_key, n_workspaces }
     }
 
     /// Returns the version; a later configuration has a larger one.
@@ -276,7 +323,7 @@
     /// Finds the route with the longest matching path prefix among those of a host name.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |it| it.0).to_ascii_lowercase();
-        self.routes.get(&host)?.iter().find(|it| path.starts_with(&it.prefix))
+        self.routes.get(&host)?.find(path)
     }
 
     /// Finds a service by name.
