feat(host): bound the memory held for callers and upstreams

Cause: plain responses of any size were read whole before their callers got them, and nothing bounded what a host holds for callers that do not read. An upstream's own 408, 429 or 503 was passed on also where it does not state that the request has not run.

Change: each request has an account of what is held for it; the sum is bounded by 0.4 of memory_mb (0: no bound). A response of up to 256 KB is read whole first; a longer one is read ahead by a task, up to 4 MB for one connection, while its caller takes parts. Above 0.7 of the bound no more is read ahead; above 0.9 callers that have read nothing for a second are ended, most bytes times time first, whole responses never, and then requests are refused with Retry-After before their bodies are read. Kernel buffers are set to 64 KB where memory_mb is set. An event may have 1 MB. Unmarked 408, 429 and 503 of upstreams become 502.

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -129,6 +129,8 @@
         ("least_part", least_part),
         ("late_ms", host.load_shedder().lateness()),
         ("active", host.n_active() as f64),
+        ("held_bytes", host.held_memory.total() as f64),
+        ("held_peak_bytes", host.held_memory.peak() as f64),
         ("quarantine_suspects", n_suspects as f64),
         ("quarantine_refused", n_refused as f64),
     ];
--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -3,9 +3,10 @@
 use std::{net::TcpStream, sync::Arc, time::Duration};
 
 use async_io::Async;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Limited};
+use http_body::Body as _;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use portfield::{
     balance::{Overload, PlacementRequest, Stage},
@@ -17,6 +18,7 @@
 use portfield_platform::request;
 
 use crate::{
+    held_memory::{self, Held},
     response::Failure,
     state::{Host, hash_name},
 };
@@ -53,6 +55,8 @@
     pub placement: PlacementRequest,
     /// Fingerprint of the request, the same for every attempt.
     pub fingerprint: Fingerprint,
+    /// Memory held for the request and its response.
+    pub held: Arc<Held>,
     _active: Arc<()>,
 }
 
@@ -98,7 +102,10 @@
             return Err(Failure::overloaded(host.load_shedder().retry_after(fastrand::f64())));
         }
         let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
-        let body_read = read_body(body, catalog.limits().body_bytes);
+        let body_limit = catalog.limits().body_bytes;
+        let body_bytes = body.size_hint().lower().min(body_limit as u64);
+        let held = Arc::new(admit(host, caller, body_bytes, &head)?);
+        let body_read = read_body(body, body_limit, &held);
         let timed_out =
             || Err(Failure::rejected(StatusCode::REQUEST_TIMEOUT, "body", "send it in time"));
         let body = clock::timeout(timeout, body_read).await.unwrap_or_else(timed_out)?;
@@ -135,6 +142,7 @@
             config_version: catalog.version(),
             placement,
             fingerprint,
+            held,
             _active: host.track_request(),
         })
     }
@@ -228,13 +236,60 @@
     Ok(found)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    match Limited::new(body, limit).collect().await {
-        Ok(it) => Ok(it.to_bytes()),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
-            let text = format!("send at most {limit} bytes");
-            Err(Failure::rejected(StatusCode::PAYLOAD_TOO_LARGE, "body", text))
+/// Opens the account of a request; ends stalled connections where memory is short.
+///
+/// # Errors
+///
+/// The refusal, if there is no room for the request.
+fn admit(
+    host: &Host,
+    caller: &Arc<Async<TcpStream>>,
+    body_bytes: u64,
+    head: &request::RequestHead,
+) -> Result<Held, Failure> {
+    let memory = host.settings().memory_mb << 20;
+    let (held, ended) = host.held_memory.admit(caller, body_bytes, memory);
+    for it in ended {
+        log::warn!(
+            held_bytes = it.bytes, stalled_ms = it.stalled.as_millis() as u64,
+            total_bytes = host.held_memory.total(); "stalled caller ended"
+        );
+        host.metrics.count("stalled_callers_ended");
+    }
+    held.ok_or_else(|| refuse_for_memory(host, head))
+}
+
+fn refuse_for_memory(host: &Host, head: &request::RequestHead) -> Failure {
+    host.metrics.count("refused{reason=\"HeldMemory\"}");
+    log::info!(
+        request = head.attempt_id, total_bytes = host.held_memory.total(); "short of memory"
+    );
+    Failure::unavailable("this host is short of memory", held_memory::RETRY)
+}
+
+/// Reads a body of up to `limit` bytes; `held` has room for the length that the caller announced.
+async fn read_body(mut body: Incoming, limit: usize, held: &Held) -> Result<Bytes, Failure> {
+    let announced = body.size_hint().lower().min(limit as u64) as usize;
+    let too_long = || {
+        let text = format!("send at most {limit} bytes");
+        Err(Failure::rejected(StatusCode::PAYLOAD_TOO_LARGE, "body", text))
+    };
+    if (limit as u64) < body.size_hint().lower() {
+        return too_long();
+    }
+    let mut res = BytesMut::with_capacity(announced);
+    while let Some(frame) = body.frame().await {
+        let frame = frame
+            .map_err(|it| Failure::rejected(StatusCode::BAD_REQUEST, "body", it.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if limit < res.len() + data.len() {
+            return too_long();
+        }
+        let n_unannounced = (res.len() + data.len()).saturating_sub(announced.max(res.len()));
+        if !held.grow_request(n_unannounced as u64) {
+            return Err(Failure::unavailable("this host is short of memory", held_memory::RETRY));
         }
-        Err(err) => Err(Failure::rejected(StatusCode::BAD_REQUEST, "body", err.to_string())),
+        res.extend_from_slice(&data);
     }
+    Ok(res.freeze())
 }
--- a/crates/portfield-host/src/forward.rs
+++ b/crates/portfield-host/src/forward.rs
@@ -2,16 +2,23 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use portfield::balance::Completion;
-use portfield_net::clock;
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use portfield::{balance::Completion, catalog::Upstream};
+use portfield_net::{clock, panics};
+use portfield_platform::response::ResponseHead;
 
 use crate::{
-    attempt::{self, UpstreamResponse},
+    attempt::{self, RunGuard, UpstreamResponse},
     call::Call,
     exchange::Exchange,
-    quarantine, relay,
+    pool::Connection,
+    quarantine,
+    read_ahead::PartWriter,
+    relay,
     response::{Body, Failure},
     state::Host,
 };
@@ -28,7 +35,7 @@
         let res = if exchange.call.kind().is_stream() && response.parts.status.is_success() {
             relay::relay_stream(exchange, response).await
         } else {
-            buffer_response(exchange, response).await
+            relay_plain(exchange, response).await
         };
         match res {
             Ok(it) => return it,
@@ -37,50 +44,185 @@
     }
 }
 
-/// Reads a response to its end before passing it on, so that a broken one never looks complete.
+/// Bytes up to which a plain response is read to its end before its caller gets any of it: a safe
+/// request whose response breaks by then is repeated.
+const MAX_WHOLE_BYTES: u64 = 256 << 10;
+
+/// A plain response that is being read.
+#[derive(Debug)]
+struct PlainResponse {
+    exchange: Exchange,
+    body: Incoming,
+    head: ResponseHead,
+    connection: Connection,
+    run: RunGuard,
+    upstream: Arc<Upstream>,
+    is_error: bool,
+}
+
+impl PlainResponse {
+    /// Returns the next part of the body, `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Why the response broke.
+    async fn next(&mut self) -> Result<Option<Bytes>, String> {
+        loop {
+            let remaining = self.exchange.call.remaining();
+            match clock::timeout(remaining, self.body.frame()).await {
+                Some(None) => return Ok(None),
+                Some(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Some(Err(err))) => return Err(attempt::error_chain(&err)),
+                None => return Err("the answer did not end in time".to_owned()),
+            }
+        }
+    }
+
+    /// Records the complete response and returns its connection to the pool.
+    fn finish(self) -> Exchange {
+        let Self { exchange, head, connection, mut run, upstream, is_error, .. } = self;
+        run.record_first();
+        run.end(if is_error { Completion::Error } else { Completion::Done });
+        if head.keep_alive {
+            exchange.host.pool.put(upstream.wire_id(), connection, head.idle_timeout);
+        }
+        exchange
+    }
+
+    /// Records that the response broke.
+    fn record_broken(&mut self, cause: &str) {
+        self.run.end(Completion::Broken);
+        self.exchange.record_broken_response(&self.upstream, cause);
+    }
+
+    /// Reads the rest of a response of which the caller gets parts meanwhile; `part` was read already.
+    async fn stream(mut self, mut part: Bytes, parts: PartWriter, status: StatusCode) {
+        self.run.record_first();
+        let first = clock::now();
+        let mut was_blocked = false;
+        let cause = loop {
+            if !parts.try_push(&part) {
+                was_blocked = true;
+                parts.push(&part).await;
+            }
+            match self.next().await {
+                Ok(Some(it)) => part = it,
+                Ok(None) => {
+                    let mut exchange = self.finish();
+                    if status.is_success() {
+                        quarantine::record_success(&exchange.host, &exchange.call);
+                    }
+                    exchange.record_answered(status, first, 0);
+                    parts.finish(Ok(()));
+                    return;
+                }
+                Err(cause) => break cause,
+            }
+        };
+        if was_blocked {
+            // The upstream, or the time of the request, ended while the caller did not read.
+            self.run.end(Completion::Cancelled);
+            self.exchange.host.metrics.count("answers_left_unread");
+            log::info!(request = self.exchange.call.id, cause; "answer left unread");
+        } else {
+            self.record_broken(&cause);
+        }
+        parts.finish(Err(cause));
+    }
+}
+
+/// Passes a plain response on. One of up to [`MAX_WHOLE_BYTES`] is read to its end first, as far as
+/// memory allows. The connection of a caller who already got a part of a response that breaks is
+/// broken off, so that it never looks complete.
 ///
 /// # Errors
 ///
 /// The exchange, if the response broke or is a server error, and the request may be sent again.
-async fn buffer_response(
-    mut exchange: Exchange,
+async fn relay_plain(
+    exchange: Exchange,
     response: Box<UpstreamResponse>,
 ) -> Result<Response<Body>, Exchange> {
-    let UpstreamResponse { mut parts, body, head, connection, mut run, upstream } = *response;
-    let bytes = match clock::timeout(exchange.call.remaining(), body.collect()).await {
-        Some(Ok(it)) => it.to_bytes(),
-        broken => {
-            let cause = match broken {
-                Some(Err(err)) => attempt::error_chain(&err),
-                _ => "the answer did not end in time".to_owned(),
-            };
-            run.end(Completion::Broken);
-            exchange.record_broken_response(&upstream, &cause);
-            if exchange.may_retry() {
-                return Err(exchange);
+    let UpstreamResponse { mut parts, body, head, connection, run, upstream } = *response;
+    let status = parts.status;
+    let is_error = status.is_server_error();
+    let mut length = body.size_hint().exact();
+    let (writer, reader) = PartWriter::new(exchange.call.held.clone());
+    let mut plain = PlainResponse { exchange, body, head, connection, run, upstream, is_error };
+    if states_not_run(status) {
+        // The upstream does not state that it did not run the request, so this host must not.
+        plain.run.end(Completion::Error);
+        let cause = format!("the upstream answered {} and may have run it", status.as_u16());
+        let exchange = plain.exchange;
+        return if exchange.may_retry() { Err(exchange) } else { Ok(fail(exchange, cause)) };
+    }
+    let mut n_read = 0;
+    let rest = loop {
+        match plain.next().await {
+            Ok(None) => break None,
+            Ok(Some(part)) => {
+                n_read += part.len() as u64;
+                if MAX_WHOLE_BYTES < n_read || !writer.try_push(&part) {
+                    break Some(part);
+                }
+            }
+            Err(cause) => {
+                plain.record_broken(&cause);
+                let exchange = plain.exchange;
+                return if exchange.may_retry() {
+                    Err(exchange)
+                } else {
+                    Ok(fail(exchange, cause))
+                };
             }
-            return Ok(exchange
-                .into_failure_response(Failure::outcome_unknown(StatusCode::BAD_GATEWAY, cause)));
         }
     };
-    let first = clock::now();
-    run.record_first();
-    let is_error = parts.status.is_server_error();
-    run.end(if is_error { Completion::Error } else { Completion::Done });
-    if head.keep_alive {
-        exchange.host.pool.put(upstream.wire_id(), connection, head.idle_timeout);
-    }
     portfield_platform::request::remove_hop_by_hop(&mut parts.headers);
-    let body = Full::new(bytes).map_err(|it| match it {}).boxed_unsync();
-    let status = parts.status;
-    let res = Response::from_parts(parts, body);
-    if is_error && exchange.may_retry() {
-        exchange.store_error(res);
-        return Err(exchange);
-    }
-    if status.is_success() {
-        quarantine::record_success(&exchange.host, &exchange.call);
+    let host = plain.exchange.host.clone();
+    let Some(part) = rest else {
+        let mut exchange = plain.finish();
+        let first = clock::now();
+        writer.finish(Ok(()));
+        length = length.or(Some(n_read));
+        let res = Response::from_parts(parts, reader.with_length(length).boxed_unsync());
+        if is_error && exchange.may_retry() {
+            exchange.store_error(res);
+            return Err(exchange);
+        }
+        if status.is_success() {
+            quarantine::record_success(&exchange.host, &exchange.call);
+        }
+        exchange.record_answered(status, first, 0);
+        return Ok(res);
+    };
+    if is_error && plain.exchange.may_retry() {
+        plain.run.end(Completion::Error);
+        return Err(plain.exchange);
     }
-    exchange.record_answered(status, first, 0);
-    Ok(res)
+    host.metrics.count("answers_streamed");
+    let task = host.rt.spawn_cancellable(async move {
+        panics::catch_async("answer", plain.stream(part, writer, status)).await;
+    });
+    let body = reader.with_length(length).with_task(task);
+    Ok(Response::from_parts(parts, body.boxed_unsync()))
+}
+
+/// Returns whether a status tells the caller that its request did not run and will not.
+fn states_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Returns the final response to a request that may have run.
+fn fail(exchange: Exchange, cause: String) -> Response<Body> {
+    let failure = Failure::outcome_unknown(StatusCode::BAD_GATEWAY, cause);
+    exchange.into_failure_response(failure)
 }
--- a/crates/portfield-host/src/pool.rs
+++ b/crates/portfield-host/src/pool.rs
@@ -57,13 +57,15 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     rt: Runtime,
+    /// Bytes of a response that the kernel receives before they are read; `None` for its default.
+    receive_buffer: Option<usize>,
     idle: Mutex<HashMap<u32, Vec<Idle>>>,
 }
 
 impl Pool {
     /// Creates an empty pool.
-    pub(crate) fn new(rt: Runtime) -> Self {
-        Self { rt, idle: Mutex::default() }
+    pub(crate) fn new(rt: Runtime, receive_buffer: Option<usize>) -> Self {
+        Self { rt, receive_buffer, idle: Mutex::default() }
     }
 
     /// Takes the most recently used open connection to an upstream.
@@ -120,6 +122,9 @@
         let stream = clock::timeout(CONNECT_TIMEOUT, connect).await.unwrap_or_else(timed_out)?;
         let socket = SockRef::from(&stream);
         socket.set_tcp_nodelay(true)?;
+        if let Some(it) = self.receive_buffer {
+            socket.set_recv_buffer_size(it)?;
+        }
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
         socket.set_tcp_keepalive(&keepalive)?;
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -20,6 +20,8 @@
 /// Multiple of the gap between events that the route allows: after this silence, a resumable stream
 /// moves to another upstream.
 const SILENCE_FACTOR: u32 = 3;
+/// Bytes of one event at most: an upstream that never ends an event must not fill this host's memory.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 /// That silence for routes that set no gap.
 const DEFAULT_MAX_SILENCE: Duration = Duration::from_secs(2);
 
@@ -94,11 +96,14 @@
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let whole = self.events.push(&data);
-                    if whole.is_empty() {
+                    if !whole.is_empty() {
+                        self.record_events();
+                        return Ok(Some(whole));
+                    }
+                    if self.events.partial_len() <= MAX_EVENT_BYTES {
                         continue;
                     }
-                    self.record_events();
-                    return Ok(Some(whole));
+                    "an event is too long".to_owned()
                 }
                 Some(Some(Err(err))) => error_chain(&err),
                 None if self.exchange.call.remaining().is_zero() => {
--- a/crates/portfield-host/src/server.rs
+++ b/crates/portfield-host/src/server.rs
@@ -21,10 +21,11 @@
     rpc::HyperTimer,
     socket::{self, Socket},
 };
+use socket2::SockRef;
 
 use crate::{
     call::Call,
-    forward,
+    forward, held_memory, read_ahead,
     response::{Body, CALLER_LEFT, CALLER_LEFT_RETRY, Failure},
     state::Host,
 };
@@ -79,6 +80,11 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!(err:%; "TCP_NODELAY not set");
     }
+    if let Some(it) = held_memory::socket_buffer(host.settings().memory_mb)
+        && let Err(err) = SockRef::from(&stream).set_send_buffer_size(it)
+    {
+        log::debug!(err:%; "send buffer not bounded");
+    }
     let idle = host.active_config().map_or(DEFAULT_IDLE, |it| it.catalog.limits().idle_timeout);
     let stream = Arc::<Async<std::net::TcpStream>>::from(stream);
     let sent_close = AtomicBool::new(false);
@@ -125,7 +131,11 @@
     let id = request.headers().get(portfield_platform::request::ATTEMPT_ID);
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
     let (mut res, answer_kind) = match read_request(&host, caller, request).await {
-        Ok(call) => (forward::serve_request(host.clone(), call).await, AnswerKind::Served),
+        Ok(call) => {
+            let held = call.held.clone();
+            let res = forward::serve_request(host.clone(), call).await;
+            (res.map(|it| read_ahead::account(held, it)), AnswerKind::Served)
+        }
         Err(it) => {
             log::info!(
                 request = id, status = it.status.as_u16(), field = it.field, reason = it.reason,
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -26,9 +26,16 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    active_probes::ActiveProbes, atomic_instant::AtomicInstant, ingress::IngressStats,
-    metrics::Metrics, newer_copy::NewerCopy, pool::Pool, settings::Settings,
-    store_watch::OUTAGE_THRESHOLD, upstream_list::UpstreamList,
+    active_probes::ActiveProbes,
+    atomic_instant::AtomicInstant,
+    held_memory::{self, HeldMemory},
+    ingress::IngressStats,
+    metrics::Metrics,
+    newer_copy::NewerCopy,
+    pool::Pool,
+    settings::Settings,
+    store_watch::OUTAGE_THRESHOLD,
+    upstream_list::UpstreamList,
 };
 
 /// Time without readiness after a failed accept: the platform checks readiness once per second, and
@@ -57,6 +64,8 @@
     pub settings: RwLock<Arc<Settings>>,
     pub metrics: Metrics,
     pub ingress: IngressStats,
+    /// Memory held for callers and upstreams.
+    pub held_memory: Arc<HeldMemory>,
     pub pool: Pool,
     pub probes: ActiveProbes,
     pub incarnation: u64,
@@ -116,11 +125,12 @@
         let seeds = settings.seeds.iter().copied().filter(|it| *it != settings.peers);
         let (pending_writes, receiver) = async_channel::bounded(MAX_PENDING_WRITES);
         let res = Arc::new(Self {
-            pool: Pool::new(rt.clone()),
+            pool: Pool::new(rt.clone(), held_memory::socket_buffer(settings.memory_mb)),
             probes: ActiveProbes::default(),
             rt,
             metrics: Metrics::default(),
             ingress: IngressStats::default(),
+            held_memory: Arc::default(),
             incarnation,
             active_config: RwLock::new(None),
             newer_config: NewerCopy::default(),
--- a/crates/portfield-net/src/sse.rs
+++ b/crates/portfield-net/src/sse.rs
@@ -49,6 +49,11 @@
         self.n_events
     }
 
+    /// Returns the number of bytes of the incomplete event.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the buffer holds the beginning of an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
