--- a/crates/portfield-host/tests/cost.rs
+++ b/crates/portfield-host/tests/cost.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use fleet::{Fleet, Host, connect, read_response, request, wait_until};
+use fleet::{Fleet, Host, config, connect, read_response, request, wait_until};
 use portfield_platform_standins::UpstreamFault;
 
 /// Number of callers, each with its own keep-alive connection.
@@ -158,3 +158,53 @@
     )
     .unwrap();
 }
+
+/// Number of routes of a large configuration.
+const N_ROUTES: usize = 10_000;
+
+/// Returns the memory that a host's process has resident, in megabytes.
+fn resident_mb(host: &Host) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{}/status", host.pid())).unwrap();
+    let line = text.lines().find_map(|it| it.strip_prefix("VmRSS:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() / 1024.0
+}
+
+/// Guards against a configuration that takes longer to apply than the two seconds in which it must be
+/// in force, at an eighth of a core, or that takes much of a host's 160 MB.
+#[test]
+#[ignore = "a measurement, not a check"]
+fn cost_of_many_routes() {
+    let mut fleet = Fleet::new(1, 1);
+    let host = fleet.start_host();
+    let per_request = |host: &Host| {
+        let before = cpu_time(host);
+        let mut caller = connect(host.listen).unwrap();
+        for n in 0..2_000 {
+            caller.write_all(request("order", &format!("{n:08x}")).as_bytes()).unwrap();
+            let response = read_response(&mut caller).unwrap();
+            assert_eq!(response.status, 200, "request {n}: {}", response.text());
+        }
+        (cpu_time(host) - before) / 2_000
+    };
+    let few = per_request(&host);
+    for version in 2..6 {
+        let mut config = config(version);
+        let routes = config["routes"].as_array_mut().unwrap();
+        let template = routes[0].clone();
+        routes.extend((0..N_ROUTES).map(|it| {
+            let mut route = template.clone();
+            route["name"] = format!("r-{it}").into();
+            route["prefix"] = format!("/group-{}/r-{it}/", it % 50).into();
+            route
+        }));
+        let (before, memory, start) = (cpu_time(&host), resident_mb(&host), Instant::now());
+        fleet.store.put("op", "config", &config);
+        wait_until("it is in force", || host.metric("portfield_config_version ") == version as f64);
+        let (cpu, time) = (cpu_time(&host) - before, start.elapsed());
+        let grown = resident_mb(&host) - memory;
+        writeln!(io::stdout(), "version {version}: {cpu:?} of CPU, {time:?}, {grown:.1} MB more")
+            .unwrap();
+    }
+    let many = per_request(&host);
+    writeln!(io::stdout(), "{few:?} per request with 5 routes, {many:?} with {N_ROUTES}").unwrap();
+}
