--- a/crates/portfield/tests/memory.rs
+++ b/crates/portfield/tests/memory.rs
@@ -3,14 +3,20 @@
 mod event_queue;
 mod memory_simulation;
 
-use std::time::Duration;
+use std::{
+    io::{self, Write},
+    time::{Duration, Instant},
+};
 
 use memory_simulation::{
     CAPACITY, EVENT_TOKENS, LARGE, Load, Outcome, ROUTE, Served, engines, limited_balancer,
     request, simulate,
 };
 use portfield::{
-    balance::{Assignment, Balancer, Completion, Placement, PlacementRequest, Refusal, Stage},
+    balance::{
+        Assignment, Balancer, BalancerOptions, Completion, Placement, PlacementRequest, Refusal,
+        Stage, Switch,
+    },
     ids::RunId,
     wire::{Digest, UpstreamLoad},
 };
@@ -368,3 +374,41 @@
     let streaming = PlacementRequest { stage: Stage::Streaming, ..request(1_000, 100, None) };
     assert!(matches!(it.place(NOW, &streaming, &engines(1)), Placement::Send(_)));
 }
+
+/// Guards against limits that make a placement among 325 upstreams take longer than 25 us in a release
+/// build, measured by hand: `cargo test --release -p portfield --test memory -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement, not a check"]
+fn time_of_a_placement() {
+    const N_ENGINES: usize = 325;
+    const N_REQUESTS: u32 = 20_000;
+    for (name, memory_limits, n_per_engine) in [
+        ("off", Switch::Off, 1),
+        ("ample", Switch::On, 1),
+        ("short", Switch::On, 44),
+        ("full", Switch::On, 48),
+    ] {
+        let mut it = limited_balancer(1);
+        it.set_options(BalancerOptions { memory_limits, ..BalancerOptions::default() });
+        let candidates = engines(N_ENGINES);
+        for host in 0..n_per_engine {
+            let load = |upstream| UpstreamLoad {
+                upstream,
+                running: 1,
+                memory: 4_000,
+                ..UpstreamLoad::default()
+            };
+            let loads = (1..=N_ENGINES as u32).map(load).collect();
+            let digest = Digest { host: host + 2, incarnation: 1, loads, ..Digest::default() };
+            it.merge_digest(NOW, &digest);
+        }
+        let asked = request(3_000, 400, None);
+        let start = Instant::now();
+        let mut n_sent = 0;
+        for _ in 0..N_REQUESTS {
+            n_sent += u32::from(matches!(it.place(NOW, &asked, &candidates), Placement::Send(_)));
+        }
+        let time = start.elapsed() / N_REQUESTS;
+        writeln!(io::stdout(), "{name}: {time:?}, {n_sent} of {N_REQUESTS} placed").unwrap();
+    }
+}
