--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -133,6 +133,8 @@
         ("gather_ms", host.gathering.wait_time().as_millis() as f64),
         ("active", host.n_active() as f64),
         ("engines_slow", engine_speeds::n_slow(host) as f64),
+        ("held_bytes", host.held_memory.total() as f64),
+        ("held_peak_bytes", host.held_memory.peak() as f64),
         ("quarantine_suspects", n_suspects as f64),
         ("quarantine_refused", n_refused as f64),
     ];
--- a/crates/portfield-host/src/metrics.rs
+++ b/crates/portfield-host/src/metrics.rs
@@ -30,8 +30,10 @@
 
     /// Adds `n` to a counter.
     pub(crate) fn add(&self, name: &str, n: u64) {
-        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
-        add(&mut counters, name, n);
+        if 0 < n {
+            let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+            add(&mut counters, name, n);
+        }
     }
 
     /// Records a duration in a histogram.
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -20,6 +20,8 @@
 /// Multiple of the gap between events that the route allows: after this silence, a resumable stream
 /// moves to another upstream.
 const SILENCE_FACTOR: u32 = 3;
+/// Bytes of one event at most: an upstream that never ends an event must not fill this host's memory.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 /// That silence for routes that set no gap.
 const DEFAULT_MAX_SILENCE: Duration = Duration::from_secs(2);
 
@@ -170,12 +172,15 @@
                     let Ok(data) = frame.into_data() else { continue };
                     let n_before = self.events.count();
                     let whole = self.events.push_bytes(data);
-                    if whole.is_empty() {
+                    if !whole.is_empty() {
+                        self.record_events();
+                        self.record_gap(waiting, self.events.count() - n_before);
+                        return Ok(Some(whole));
+                    }
+                    if self.events.partial_len() <= MAX_EVENT_BYTES {
                         continue;
                     }
-                    self.record_events();
-                    self.record_gap(waiting, self.events.count() - n_before);
-                    return Ok(Some(whole));
+                    "an event is too long".to_owned()
                 }
                 Some(Some(Err(err))) => error_chain(&err),
                 None if self.exchange.call.remaining().is_zero() => {
--- a/crates/portfield-host/src/server.rs
+++ b/crates/portfield-host/src/server.rs
@@ -26,8 +26,9 @@
 
 use crate::{
     call::Call,
-    forward,
+    forward, held_memory,
     lifecycle::INGRESS_PERIOD,
+    read_ahead,
     response::{Body, CALLER_LEFT, CALLER_LEFT_RETRY, Failure},
     state::Host,
 };
@@ -83,6 +84,11 @@
 }
 
 async fn serve_connection(host: Arc<Host>, stream: TcpStream, stop: Receiver<()>) {
+    if let Some(it) = held_memory::socket_buffer(host.settings().memory_mb)
+        && let Err(err) = SockRef::from(&stream).set_send_buffer_size(it)
+    {
+        log::debug!(err:%; "send buffer not bounded");
+    }
     let idle = host.active_config().map_or(DEFAULT_IDLE, |it| it.catalog.limits().idle_timeout);
     let stream = Arc::<Async<std::net::TcpStream>>::from(stream);
     let sent_close = AtomicBool::new(false);
@@ -133,8 +139,9 @@
         // Boxed, so that the future of a refused request is small.
         Ok(call) => {
             workspace = call.placement.workspace;
+            let held = call.held.clone();
             let served = Box::pin(forward::serve_request(host.clone(), call));
-            (served.await, AnswerKind::Served)
+            (served.await.map(|it| read_ahead::account(held, it)), AnswerKind::Served)
         }
         Err(it) => {
             log::info!(
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -28,9 +28,17 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    active_probes::ActiveProbes, atomic_instant::AtomicInstant, gathering::Gathering,
-    ingress::IngressStats, metrics::Metrics, newer_copy::NewerCopy, pool::Pool, settings::Settings,
-    store_watch::OUTAGE_THRESHOLD, upstream_list::UpstreamList,
+    active_probes::ActiveProbes,
+    atomic_instant::AtomicInstant,
+    gathering::Gathering,
+    held_memory::{self, HeldMemory},
+    ingress::IngressStats,
+    metrics::Metrics,
+    newer_copy::NewerCopy,
+    pool::Pool,
+    settings::Settings,
+    store_watch::OUTAGE_THRESHOLD,
+    upstream_list::UpstreamList,
 };
 
 /// Time without readiness after a failed accept: the platform checks readiness once per second, and
@@ -59,6 +67,8 @@
     pub settings: RwLock<Arc<Settings>>,
     pub metrics: Metrics,
     pub ingress: IngressStats,
+    /// Memory held for callers and upstreams.
+    pub held_memory: Arc<HeldMemory>,
     pub pool: Pool,
     pub gathering: Gathering,
     /// Advances each second, for the idle time of callers' connections.
@@ -122,13 +132,14 @@
         let seeds = settings.seeds.iter().copied().filter(|it| *it != settings.peers);
         let (pending_writes, receiver) = async_channel::bounded(MAX_PENDING_WRITES);
         let res = Arc::new(Self {
-            pool: Pool::new(rt.clone()),
+            pool: Pool::new(rt.clone(), held_memory::socket_buffer(settings.memory_mb)),
             gathering: Gathering::default(),
             second_timer: Arc::default(),
             probes: ActiveProbes::default(),
             rt,
             metrics: Metrics::default(),
             ingress: IngressStats::default(),
+            held_memory: Arc::default(),
             incarnation,
             active_config: RwLock::new(None),
             newer_config: NewerCopy::default(),
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -12,6 +12,7 @@
     hedge::HedgeTimes,
     invitations::{Booking, Claim, Invitations},
     kinds::Kinds,
+    memory_limits::{Demand, MemoryCounts, MemoryLimits, Room},
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -80,6 +81,14 @@
     unseen: UnseenDraw,
 }
 
+/// Upstreams to choose from.
+#[derive(Debug, Clone, Copy)]
+struct Choice<'a> {
+    all: &'a [Candidate],
+    /// Those with memory left for the request.
+    fitting: &'a [Candidate],
+}
+
 /// Places requests on upstreams.
 #[derive(Debug)]
 pub struct Balancer {
@@ -107,6 +116,7 @@
     pub(super) recent_uses: RecentUses,
     /// Requests that this host has not heard of, by service.
     unseen: FastMap<u32, UnseenLoad>,
+    memory: MemoryLimits,
 }
 
 impl Balancer {
@@ -131,6 +141,7 @@
             paused_sources: PausedSources::default(),
             recent_uses: RecentUses::default(),
             unseen: FastMap::default(),
+            memory: MemoryLimits::default(),
         }
     }
 
@@ -185,10 +196,18 @@
         let tie_break = TieBreak::new(&prefixes, random);
         let load = self.unseen_load(now, request, candidates);
         let terms = Terms { status, tie_break, unseen: UnseenDraw { load, random } };
+        let memory = self.memory_room(now, request, random, candidates);
         let mut res = refuse_blocked(now, std::iter::empty());
         for window in windows(candidates, tie_break) {
+            let fitting = memory.map(|it| it.fitting(now, &self.upstreams, &window));
+            let fitting = fitting.as_deref().unwrap_or(&window);
+            if let Some(it) = memory.filter(|_| fitting.is_empty() && !window.is_empty()) {
+                res = it.refuse(now, &self.upstreams, &window);
+                continue;
+            }
             let room;
-            (res, room) = self.place_within(now, request, &prefixes, terms, &window);
+            let choice = Choice { all: &window, fitting };
+            (res, room) = self.place_within(now, request, &prefixes, terms, choice);
             let n_per_scored = candidates.len() as f64 / window.len().max(1) as f64;
             self.observe_room(now, request, &room, n_per_scored);
             if let Placement::Send(placed) = res {
@@ -197,6 +216,9 @@
                 );
             }
         }
+        if let (Some(room), Placement::Refuse { reason: Refusal::Memory, .. }) = (&memory, &res) {
+            self.memory.record_refusal(now, room, &mut self.upstreams, candidates);
+        }
         if !matches!(res, Placement::Refuse { reason: Refusal::NoUpstream, .. }) {
             self.record_refusal(now, request.workspace, request.token_cost());
             self.record_kind_usage(now, request, 0.0);
@@ -277,7 +299,7 @@
         request: &PlacementRequest,
         prefixes: &[PromptPrefix],
         Terms { status, tie_break, unseen }: Terms,
-        candidates: &[Candidate],
+        Choice { all: candidates, fitting }: Choice<'_>,
     ) -> (Placement, EngineRoom) {
         let default_model = LatencyModel::default();
         let is_open = |id: &u32| !self.upstreams.get(*id).is_some_and(|it| it.is_unavailable(now));
@@ -296,7 +318,7 @@
             unseen,
             shared_tokens: prefixes.iter().rev().skip(1).map(|it| it.tokens).sum(),
         };
-        let scored = || candidates.iter().map(|it| costs.score(request, prefixes, it));
+        let scored = || fitting.iter().map(|it| costs.score(request, prefixes, it));
         let is_sendable = |it: &ScoredUpstream| !it.is_blocked;
         let mut meter = RoomMeter::default();
         let measured = scored().filter(is_sendable).inspect(|it| meter.add(request.objective, it));
@@ -344,6 +366,23 @@
         (refusal, room)
     }
 
+    /// Returns the room that a request needs in an engine's memory; `None` if memory is not limited.
+    fn memory_room(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        random: u64,
+        candidates: &[Candidate],
+    ) -> Option<Room> {
+        if !self.options.memory_limits.is_on() {
+            return None;
+        }
+        let mean_time = self.mean_time(now, request);
+        let (asked, window) = self.shares.asked();
+        let demand = Demand { asked, window, mean_time, random };
+        self.memory.room(now, request, &self.upstreams, demand, candidates)
+    }
+
     /// Returns the mean time of a request of the same service in milliseconds, if it is known.
     fn mean_time(&self, now: Duration, request: &PlacementRequest) -> Option<f64> {
         if self.options.spread_placement.is_on() && request.engine.is_some() {
@@ -472,6 +511,9 @@
             self.record_kind_usage(now, request, taken);
         }
         self.runs.insert(self.n_runs, run);
+        if self.options.memory_limits.is_on() {
+            self.memory.record_start(self.n_runs, request, assignment, &mut self.upstreams);
+        }
         self.n_runs
     }
 
@@ -515,6 +557,26 @@
         self.release_fetch(upstream, fetch);
     }
 
+    /// Records how many events of a stream have arrived, from all upstreams that served it.
+    pub fn record_output(&mut self, id: RunId, n_events: u64) {
+        self.memory.record_output(id, n_events, &mut self.upstreams);
+    }
+
+    /// Takes the number of decisions on the engines' memory since the last call.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{Balancer, MemoryCounts};
+    /// use std::time::Duration;
+    ///
+    /// let mut balancer = Balancer::new(Duration::from_secs(4));
+    /// assert_eq!(balancer.take_memory_counts(), MemoryCounts::default());
+    /// ```
+    pub fn take_memory_counts(&mut self) -> MemoryCounts {
+        self.memory.take_counts()
+    }
+
     /// Records the end of a request at its upstream.
     pub fn record_end(&mut self, now: Duration, id: RunId, completion: Completion) {
         let Some(run) = self.runs.remove(&id) else { return };
@@ -529,6 +591,7 @@
                 time.record_stop(now);
             }
         }
+        self.memory.record_end(id, completion, &mut self.upstreams);
         let state = self.upstreams.entry(run.upstream);
         state.own.running -= 1.0;
         state.own.pending -= run.pending;
@@ -560,6 +623,8 @@
     pub fn fill_digest(&mut self, now: Duration, digest: &mut wire::Digest) {
         self.upstreams.expire(now);
         self.count_overdue(now);
+        self.memory.expire_reservation(now, &mut self.upstreams);
+        self.memory.fill_digest(digest);
         (digest.loads, digest.prefixes) = self.upstreams.report();
         self.report_speeds(now, digest);
         let usage = |(workspace, it): (u32, Usage)| wire::WorkspaceUsage {
@@ -588,6 +653,7 @@
             usage.asked += it.asked as u64;
             usage.taken += it.taken as u64;
         }
+        self.memory.fill_summary(digest);
         digest.n_summed = sum.n_hosts;
         digest.loads = sum.loads;
         digest.prefixes = sum.prefixes;
@@ -600,7 +666,11 @@
         self.merge_speeds(now, digest);
         let engine_memory = &self.engine_memory;
         let memory = |id| engine_memory.get(&id).copied().unwrap_or(u64::MAX);
-        for it in self.upstreams.merge_digest(now, digest, memory) {
+        let merged = self.upstreams.merge_digest(now, digest, memory);
+        if self.options.memory_limits.is_on() {
+            self.memory.merge_digest(digest);
+        }
+        for it in merged {
             let usage = Usage { asked: it.asked as f64, taken: it.taken as f64 };
             self.shares.add_to_window(now, it.workspace, usage);
         }
--- a/crates/portfield/src/balance/mod.rs
+++ b/crates/portfield/src/balance/mod.rs
@@ -13,6 +13,7 @@
 //! - `capacity`: what engines can still take
 //! - `invitations`: when a refused caller is to come back
 //! - `kinds`: requests of one route
+//! - `memory_limits`: which engines have memory left for a request
 //! - `shares`: max-min fair shares of the workspaces
 //! - `upstream_signals`: what upstreams report of themselves
 //! - [`BalancerOptions`]: which decisions a deployment asks for
@@ -31,6 +32,7 @@
 mod invitations;
 mod kinds;
 mod load_shedder;
+mod memory_limits;
 mod options;
 mod placement;
 mod processor_use;
@@ -49,6 +51,7 @@
     ConnectionUse, IngressBalance, LocalHosts, OwnLoad, PeerSummary, Rotation,
 };
 pub use load_shedder::{AnswerKind, LoadShedder, Overload};
+pub use memory_limits::MemoryCounts;
 pub use options::{BalancerOptions, Switch};
 pub use placement::{
     Assignment, CacheFetch, Candidate, Completion, Placement, PlacementRequest, Refusal,
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -5,6 +5,8 @@
 //! - `prefix_cache`: prompt prefixes cached by engines
 //! - `recent_uses`: those that this host used, for hosts that have just started
 //! - `latency_model`: time to the first event, learned from observations
+//! - `memory`: KV memory of the running requests
+//! - `output_length`: expected output of a request, learned from completed ones
 //! - `bias`: recent error of that estimate
 //! - `engine_speed`: speed of each engine, relative to its service's
 //! - [`GapMeter`]: gaps between the events of a stream
@@ -19,6 +21,8 @@
 mod gap_meter;
 mod health;
 mod latency_model;
+mod memory;
+mod output_length;
 mod prefix_cache;
 mod prompt;
 mod recent_uses;
@@ -31,6 +35,7 @@
 pub(crate) use engine_speed::{EngineSpeeds, Slowness};
 pub use gap_meter::GapMeter;
 pub(crate) use latency_model::LatencyModel;
+pub(crate) use output_length::{RouteOutputs, announced as announced_output};
 pub(crate) use prefix_cache::{CachedParts, PrefixState};
 pub(crate) use prompt::PromptPrefix;
 pub use prompt::{Prompt, PromptPart};
