--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -106,15 +106,7 @@
         let body_limit = catalog.limits().body_bytes;
         let body_bytes = body.size_hint().lower().min(body_limit as u64);
         let held = Arc::new(admit(host, caller, body_bytes, &head)?);
-        let body_read = read_body(body, body_limit, &held);
-        let timed_out =
-            || Err(Failure::rejected(StatusCode::REQUEST_TIMEOUT, "body", "send it in time"));
-        // Most bodies arrive with their head, and then need no timer.
-        let mut body_read = std::pin::pin!(body_read);
-        let body = match future::poll_once(&mut body_read).await {
-            Some(it) => it?,
-            None => clock::timeout(timeout, body_read).await.unwrap_or_else(timed_out)?,
-        };
+        let body = read_body_in_time(body, body_limit, &held, timeout).await?;
         let placement = PlacementRequest {
             workspace: workspace_hash,
             service: hash_name(&service),
@@ -278,6 +270,23 @@
     Failure::unavailable("this host is short of memory", held_memory::RETRY)
 }
 
+/// Reads a body, at most for `timeout`.
+async fn read_body_in_time(
+    body: Incoming,
+    limit: usize,
+    held: &Held,
+    timeout: Duration,
+) -> Result<Bytes, Failure> {
+    let timed_out =
+        || Err(Failure::rejected(StatusCode::REQUEST_TIMEOUT, "body", "send it in time"));
+    let mut body_read = std::pin::pin!(read_body(body, limit, held));
+    // Most bodies arrive with their head, and then need no timer.
+    match future::poll_once(&mut body_read).await {
+        Some(it) => it,
+        None => clock::timeout(timeout, body_read).await.unwrap_or_else(timed_out),
+    }
+}
+
 /// Reads a body of up to `limit` bytes; `held` has room for the length that the caller announced.
 async fn read_body(mut body: Incoming, limit: usize, held: &Held) -> Result<Bytes, Failure> {
     let announced = body.size_hint().lower().min(limit as u64) as usize;
