fix(host): count the output of streams only where memory is limited

Change: the relay counts output per chunk while memory_limits is on, and takes no lock per event otherwise.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -105,11 +105,9 @@
         self.host.balancer().record_gap(clock::now(), self.id, gap);
     }
 
-    /// Records that complete events of a stream arrived; `n_events` counts them from its start.
-    pub(crate) fn record_events(&self, n_events: u64) {
-        let mut balancer = self.host.balancer();
-        balancer.record_first_event(clock::now(), self.id);
-        balancer.record_output(self.id, n_events);
+    /// Records how many events of a stream have arrived since its start.
+    pub(crate) fn record_output(&self, n_events: u64) {
+        self.host.balancer().record_output(self.id, n_events);
     }
 
     /// Records how the run ended; only the first call counts.
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -7,7 +7,10 @@
 use http::{Response, StatusCode};
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, StreamBody};
-use portfield::{balance::Completion, upstream::GapMeter};
+use portfield::{
+    balance::{Completion, Switch},
+    upstream::GapMeter,
+};
 use portfield_net::{clock, sse::EventBuffer};
 
 use crate::{
@@ -42,6 +45,7 @@
     let mut parts = response.parts.clone();
     portfield_platform::request::remove_hop_by_hop(&mut parts.headers);
     let gaps = exchange.gap_meter();
+    let memory_limits = exchange.host.settings().options.memory_limits;
     // Boxed, since it moves into and out of the body with each event.
     let mut relay = Box::new(Relay {
         exchange,
@@ -51,6 +55,7 @@
         is_run_begun: false,
         broken: None,
         gaps,
+        memory_limits,
         timeout: None,
     });
     let first = match relay.next().await {
@@ -85,6 +90,8 @@
     /// Why the response broke, found while its last events were gathered.
     broken: Option<hyper::Error>,
     gaps: GapMeter,
+    /// Whether the balancer counts the output of streams.
+    memory_limits: Switch,
     /// Timeout of the current read.
     timeout: Option<clock::Deadline>,
 }
@@ -236,6 +243,9 @@
             it.run.record_first();
             self.is_run_begun = true;
         }
+        if let (true, Some(it)) = (self.memory_limits.is_on(), &self.response) {
+            it.run.record_output(self.events.count());
+        }
     }
 
     /// Records how long the relay waited for new events, which shows the engine's speed.
