--- a/crates/portfield-host/tests/ingress_balance.rs
+++ b/crates/portfield-host/tests/ingress_balance.rs
@@ -33,6 +33,8 @@
 fn a_busy_host_leaves_rotation_while_others_have_room_and_returns() {
     let mut fleet = Fleet::new(1, 0);
     let (busy, others) = start(&mut fleet);
+    // A host without callers has nobody to move.
+    let _caller = connect(busy.listen).unwrap();
     wait_until("it leaves rotation", || !busy.log_entries("rotation changed").is_empty());
     let left = Instant::now();
     assert_eq!(busy.log_entries("rotation changed")[0]["rotation"], "Out");
--- a/crates/portfield/tests/engine_simulation/mod.rs
+++ b/crates/portfield/tests/engine_simulation/mod.rs
@@ -508,6 +508,7 @@
     let mut res = Balancer::new(WINDOW);
     res.set_capacity(fleet.capacity);
     res.set_options(fleet.options);
+    res.set_digest_period(DIGEST_PERIOD);
     if fleet.options != BalancerOptions::default() {
         res.set_seed(number as u64 + 1);
     }
