fix(host): faults found in review of the slow-reader and gathering paths

Found by one who did not write them: a write to a caller who does not read had no time limit; a caller who once blocked hid a later crash of the upstream from the quarantine; a body of announced length was refused again while it arrived; a read error after held bytes was lost, so a response that ends with its connection could look complete; a panic left the caller waiting; held events were measured as gaps of the engine. test(net): wait for a read with one registered future. Open from the review: probes through Balancer::place are recorded as refusals; time suspended counts as stalled.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -306,7 +306,8 @@
             return too_long();
         }
         let n_unannounced = (res.len() + data.len()).saturating_sub(announced.max(res.len()));
-        if !held.grow_request(n_unannounced as u64) {
+        // The announced length was reserved at admission.
+        if 0 < n_unannounced && !held.grow_request(n_unannounced as u64) {
             return Err(Failure::unavailable("this host is short of memory", held_memory::RETRY));
         }
         res.extend_from_slice(&data);
--- a/crates/portfield-host/src/forward.rs
+++ b/crates/portfield-host/src/forward.rs
@@ -103,11 +103,14 @@
     async fn stream(mut self, mut part: Bytes, parts: PartWriter, status: StatusCode) {
         self.run.record_first();
         let first = clock::now();
-        let mut was_blocked = false;
+        let mut was_blocked;
         let cause = loop {
-            if !parts.try_push(&part) {
-                was_blocked = true;
-                parts.push(&part).await;
+            was_blocked = !parts.try_push(&part);
+            if was_blocked {
+                let remaining = self.exchange.call.remaining();
+                if clock::timeout(remaining, parts.push(&part)).await.is_none() {
+                    break "the caller did not read the answer in time".to_owned();
+                }
             }
             match self.next().await {
                 Ok(Some(it)) => part = it,
--- a/crates/portfield-host/src/read_ahead.rs
+++ b/crates/portfield-host/src/read_ahead.rs
@@ -105,6 +105,17 @@
     }
 }
 
+impl Drop for PartWriter {
+    fn drop(&mut self) {
+        let mut parts = lock(&self.parts);
+        if parts.end.is_none() {
+            // The task that reads the response has panicked: the caller must not wait for more.
+            parts.end = Some(Err("the answer was given up".to_owned()));
+            wake(&mut parts);
+        }
+    }
+}
+
 impl PartReader {
     /// Sets the exact length of the body, if it is known.
     pub(crate) fn with_length(self, length: Option<u64>) -> Self {
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -53,6 +53,7 @@
         events: EventBuffer::default(),
         first_event: None,
         is_run_begun: false,
+        is_gathering: false,
         broken: None,
         gaps,
         memory_limits,
@@ -87,6 +88,8 @@
     first_event: Option<Duration>,
     /// Whether the balancer knows that the current response has begun.
     is_run_begun: bool,
+    /// Whether events wait for each other.
+    is_gathering: bool,
     /// Why the response broke, found while its last events were gathered.
     broken: Option<hyper::Error>,
     gaps: GapMeter,
@@ -99,7 +102,7 @@
 impl Relay {
     /// Returns the next complete events, `None` at the end of the stream.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
-        let is_gathering = self.start_gathering();
+        self.is_gathering = self.start_gathering();
         let events = match self.read_events().await {
             Ok(Some(it)) => it,
             Ok(None) => return Ok(None),
@@ -110,7 +113,8 @@
                 return Err(err);
             }
         };
-        if is_gathering { Ok(Some(self.add_ready_events(events).await)) } else { Ok(Some(events)) }
+        let events = if self.is_gathering { self.add_ready_events(events).await } else { events };
+        Ok(Some(events))
     }
 
     /// Lets the events that follow wait for each other while this host is short of processor time;
@@ -250,6 +254,10 @@
 
     /// Records how long the relay waited for new events, which shows the engine's speed.
     fn record_gap(&mut self, waiting: Duration, n_events: u64) {
+        if self.is_gathering {
+            // The events waited here, not at their engine.
+            return;
+        }
         let gap = self.gaps.record(waiting, clock::now(), n_events);
         if let (Some(gap), Some(it)) = (gap, &self.response) {
             it.run.record_gap(gap);
--- a/crates/portfield-net/src/socket.rs
+++ b/crates/portfield-net/src/socket.rs
@@ -57,6 +57,8 @@
     read_gate: Option<ReadGate>,
     /// Bytes that were read while [`Self::read_gate`] held them back, and those left over.
     held: Vec<u8>,
+    /// Error of a read that is to be returned after the held bytes: the kernel reports it only once.
+    read_error: Option<io::Error>,
     /// Time after which a write fails if the peer accepts nothing.
     write_timeout: Option<Duration>,
     /// Ends when the current write has waited for [`Self::write_timeout`].
@@ -107,6 +109,9 @@
     /// has ended, or it is too much to hold.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
+            if self.read_error.is_some() {
+                return Poll::Ready(Ok(()));
+            }
             if self.is_drained {
                 ready!(self.stream.poll_readable(cx))?;
                 self.is_drained = false;
@@ -123,8 +128,8 @@
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => self.is_drained = true,
                 Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
                 Err(err) if self.held.is_empty() => return Poll::Ready(Err(err)),
-                // What was received before is passed on first; the next read fails too.
-                Err(_) => return Poll::Ready(Ok(())),
+                // What was received before is passed on first.
+                Err(err) => self.read_error = Some(err),
             }
             if MAX_HELD <= self.held.len() || self.has_message_end() {
                 return Poll::Ready(Ok(()));
@@ -279,6 +284,7 @@
             caller_check: None,
             read_gate: None,
             held: Vec::new(),
+            read_error: None,
             write_timeout: None,
             stall: None,
         }
@@ -329,6 +335,11 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.held.is_empty()
+            && let Some(err) = self.read_error.take()
+        {
+            return Poll::Ready(Err(err));
+        }
         let gate = self.read_gate.as_ref();
         let is_closed = gate.is_some_and(|it| it.poll_open(cx).is_pending());
         if is_closed || !self.held.is_empty() {
--- a/crates/portfield-net/tests/socket.rs
+++ b/crates/portfield-net/tests/socket.rs
@@ -10,9 +10,9 @@
     time::{Duration, Instant},
 };
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use bytes::Bytes;
-use futures_lite::future::{block_on, poll_fn, poll_once};
+use futures_lite::future::{self, block_on, poll_fn, poll_once};
 use http_body_util::Full;
 use hyper::{
     client::conn::http1,
@@ -131,16 +131,20 @@
     block_on(poll_once(read)).map(|it| it.map(|()| buf.filled().to_vec()).unwrap())
 }
 
-/// Polls until something is read; the reactor reports data with a delay.
+/// Waits until something is read.
+///
+/// The future stays registered with the reactor: one that is polled anew each time may be registered
+/// during each turn of the reactor, whose events then count as older than the registration.
 fn read(socket: &mut Socket, max_len: usize) -> Vec<u8> {
-    let end = Instant::now() + Duration::from_secs(20);
-    loop {
-        if let Some(it) = poll_read(socket, max_len) {
-            return it;
-        }
-        assert!(Instant::now() < end, "nothing was read");
-        thread::sleep(Duration::from_millis(1));
-    }
+    let mut bytes = vec![0; max_len];
+    let mut buf = ReadBuf::new(&mut bytes);
+    let read = poll_fn(|cx| Pin::new(&mut *socket).poll_read(cx, buf.unfilled()));
+    let timeout = async {
+        Timer::after(Duration::from_secs(20)).await;
+        panic!("nothing was read");
+    };
+    async_io::block_on(future::or(read, timeout)).unwrap();
+    buf.filled().to_vec()
 }
 
 /// Polls for a time in which nothing may be read.
