--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -10,9 +10,9 @@
     capacity::{EngineRoom, RoomMeter},
     engine_speed::FirstEvent,
     hedge::HedgeTimes,
-    invitations::{Booking, Claim, Invitations},
+    invitations::Invitations,
     kinds::Kinds,
-    memory_limits::{Demand, MemoryCounts, MemoryLimits, Room},
+    memory_limits::MemoryLimits,
     options::BalancerOptions,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal},
     scoring::{CostModel, ScoredUpstream, TieBreak, from_millis, min_by_key, preferred_upstream},
@@ -32,7 +32,8 @@
 };
 
 /// Shortest and longest time after which a refused caller is told to retry.
-const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+pub(super) const RETRY_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(2));
 /// Added to twice the estimate for the time at which a first event is overdue: more than the error
 /// of estimates for a sound engine, less than the time after which a connection to a silent one
 /// breaks.
@@ -43,8 +44,6 @@
 /// With most engines idle, the bottleneck is the queue at the engine that caches a popular part.
 /// With most engines busy, reading parts again costs all workspaces capacity.
 const SPARE_IDLE_RATIO: f64 = 0.5;
-/// Part of the objective within which a refusal must come for the retry to be worthwhile.
-const EARLY_REFUSAL_RATIO: f64 = 0.25;
 /// Weight of a new observation in a moving average.
 const SMOOTHING: f64 = 0.05;
 
@@ -95,28 +94,28 @@
     pub(super) upstreams: UpstreamTable,
     pub(super) speeds: EngineSpeeds,
     pub(super) hedge_times: HedgeTimes,
-    shares: Shares,
+    pub(super) shares: Shares,
     pub(super) latency_models: FastMap<u32, LatencyModel>,
     /// Recent underestimates by service.
     biases: FastMap<u32, Bias>,
     /// Mean time of a request in milliseconds, by service.
-    mean_times: FastMap<u32, f64>,
+    pub(super) mean_times: FastMap<u32, f64>,
     /// The same for engines, if requests are spread over them.
-    service_times: FastMap<u32, ServiceTime>,
+    pub(super) service_times: FastMap<u32, ServiceTime>,
     pub(super) runs: FastMap<RunId, Run>,
     n_runs: RunId,
     engine_memory: FastMap<u32, u64>,
     /// Retries that this host has invited, by service.
-    invitations: FastMap<u32, Invitations>,
-    kinds: Kinds,
+    pub(super) invitations: FastMap<u32, Invitations>,
+    pub(super) kinds: Kinds,
     /// State of the pseudo-random sequence.
     pub(super) rng_state: u64,
     pub(super) options: BalancerOptions,
     pub(super) paused_sources: PausedSources,
     pub(super) recent_uses: RecentUses,
     /// Requests that this host has not heard of, by service.
-    unseen: FastMap<u32, UnseenLoad>,
-    memory: MemoryLimits,
+    pub(super) unseen: FastMap<u32, UnseenLoad>,
+    pub(super) memory: MemoryLimits,
 }
 
 impl Balancer {
@@ -227,71 +226,6 @@
         self.advise_retry(now, request, res)
     }
 
-    /// Records that a request was granted `taken` tokens, for the shares of its workspace's kinds.
-    fn record_kind_usage(&mut self, now: Duration, request: &PlacementRequest, taken: f64) {
-        if self.options.capacity_shares.is_on() && request.engine.is_some() {
-            let usage = Usage { asked: request.token_cost(), taken };
-            self.kinds.record_usage(now, request, usage);
-        }
-    }
-
-    /// Tells a refused caller when there will be room for its retry, where shares follow what
-    /// engines can do.
-    fn advise_retry(
-        &mut self,
-        now: Duration,
-        request: &PlacementRequest,
-        placement: Placement,
-    ) -> Placement {
-        let Placement::Refuse { reason, retry_after, estimate, share_ratio, room, .. } = placement
-        else {
-            return placement;
-        };
-        // Callers retry once, and earn nothing by it if the refusal came late.
-        if !matches!(reason, Refusal::Busy | Refusal::Share)
-            || !self.options.capacity_shares.is_on()
-            || request.engine.is_none()
-            || request.is_returning()
-            || request.objective.mul_f64(EARLY_REFUSAL_RATIO) < request.waited
-        {
-            return placement;
-        }
-        let left = request.patience.saturating_sub(request.waited) / 3;
-        let shares = self.shares.snapshot(now, request.workspace);
-        let is_within = 0.0 < shares.asked && shares.asked <= shares.fair_share;
-        let booking = Booking {
-            claim: if is_within { Claim::WithinShare } else { Claim::BeyondShare },
-            tokens: f64::from(request.own_tokens()),
-            earliest: retry_after,
-            latest: if request.patience.is_zero() { RETRY_BOUNDS.1 } else { left },
-            random: (self.next_random() >> 11) as f64 / (1_u64 << 53) as f64,
-        };
-        let n_hosts = self.n_hosts(now);
-        let invitations = self.invitations.entry(request.service).or_default();
-        invitations.observe_hosts(now, n_hosts);
-        let advice = invitations.book(now, &booking);
-        let (retry_after, invited) = (advice.time(), advice.invited());
-        Placement::Refuse { reason, retry_after, estimate, share_ratio, room, invited }
-    }
-
-    /// Records the room that a request found at a service's engines, of which there are
-    /// `n_per_scored` for each one that was scored.
-    fn observe_room(
-        &mut self,
-        now: Duration,
-        request: &PlacementRequest,
-        room: &EngineRoom,
-        n_per_scored: f64,
-    ) {
-        if !self.options.capacity_shares.is_on() || request.engine.is_none() {
-            return;
-        }
-        let model = self.latency_models.get(&request.service);
-        let speed = model.cloned().unwrap_or_default().tokens_per_ms() * 1000.0;
-        let invitations = self.invitations.entry(request.service).or_default();
-        invitations.observe(now, room, speed * f64::from(room.n_engines) * n_per_scored);
-    }
-
     /// Chooses one of the candidates for a request; returns the room at them too.
     fn place_within(
         &self,
@@ -366,55 +300,6 @@
         (refusal, room)
     }
 
-    /// Returns the room that a request needs in an engine's memory; `None` if memory is not limited.
-    fn memory_room(
-        &mut self,
-        now: Duration,
-        request: &PlacementRequest,
-        random: u64,
-        candidates: &[Candidate],
-    ) -> Option<Room> {
-        if !self.options.memory_limits.is_on() {
-            return None;
-        }
-        let mean_time = self.mean_time(now, request);
-        let (asked, window) = self.shares.asked();
-        let demand = Demand { asked, window, mean_time, random };
-        self.memory.room(now, request, &self.upstreams, demand, candidates)
-    }
-
-    /// Returns the mean time of a request of the same service in milliseconds, if it is known.
-    fn mean_time(&self, now: Duration, request: &PlacementRequest) -> Option<f64> {
-        if self.options.spread_placement.is_on() && request.engine.is_some() {
-            let time = self.service_times.get(&request.service).copied().unwrap_or_default();
-            return Some(time.mean(now));
-        }
-        self.mean_times.get(&request.service).copied()
-    }
-
-    /// Returns the estimate of unseen requests at each engine; none if the option is off.
-    fn unseen_load(
-        &mut self,
-        now: Duration,
-        request: &PlacementRequest,
-        candidates: &[Candidate],
-    ) -> UnseenLoad {
-        if !self.options.spread_placement.is_on() || request.engine.is_none() {
-            return UnseenLoad::default();
-        }
-        let known = self.unseen.get(&request.service).copied().unwrap_or_default();
-        if !known.is_stale(now) {
-            return known;
-        }
-        let running = |it: &Candidate| self.upstreams.get(it.upstream).map(|it| it.total().running);
-        let running = candidates.iter().filter_map(running).sum();
-        let mean_time = self.mean_time(now, request).unwrap_or(f64::INFINITY);
-        let period = self.upstreams.digest_period();
-        let res = UnseenLoad::compute(now, running, candidates.len(), mean_time, period);
-        self.unseen.insert(request.service, res);
-        res
-    }
-
     /// Returns the usable upstream with the fewest running requests: if it crashes, it takes the
     /// fewest requests with it.
     pub fn least_busy(&self, now: Duration, candidates: &[Candidate]) -> Option<Candidate> {
@@ -557,26 +442,6 @@
         self.release_fetch(upstream, fetch);
     }
 
-    /// Records how many events of a stream have arrived, from all upstreams that served it.
-    pub fn record_output(&mut self, id: RunId, n_events: u64) {
-        self.memory.record_output(id, n_events, &mut self.upstreams);
-    }
-
-    /// Takes the number of decisions on the engines' memory since the last call.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use portfield::balance::{Balancer, MemoryCounts};
-    /// use std::time::Duration;
-    ///
-    /// let mut balancer = Balancer::new(Duration::from_secs(4));
-    /// assert_eq!(balancer.take_memory_counts(), MemoryCounts::default());
-    /// ```
-    pub fn take_memory_counts(&mut self) -> MemoryCounts {
-        self.memory.take_counts()
-    }
-
     /// Records the end of a request at its upstream.
     pub fn record_end(&mut self, now: Duration, id: RunId, completion: Completion) {
         let Some(run) = self.runs.remove(&id) else { return };
--- a/crates/portfield/src/balance/invitations.rs
+++ b/crates/portfield/src/balance/invitations.rs
@@ -12,8 +12,15 @@
 
 use std::time::Duration;
 
-use super::capacity::EngineRoom;
+use super::{
+    Balancer,
+    balancer::RETRY_BOUNDS,
+    capacity::EngineRoom,
+    placement::{Placement, PlacementRequest, Refusal},
+};
 
+/// Part of the objective within which a refusal must come for the retry to be worthwhile.
+const EARLY_REFUSAL_RATIO: f64 = 0.25;
 /// Longest time for which retries are booked: a third of the longest deadline, up to which callers
 /// honour the time that they are told.
 const MAX_AHEAD: Duration = Duration::from_secs(4);
@@ -153,3 +160,62 @@
         RetryAdvice::Invited(at)
     }
 }
+
+impl Balancer {
+    /// Tells a refused caller when there will be room for its retry, where shares follow what
+    /// engines can do.
+    pub(super) fn advise_retry(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        placement: Placement,
+    ) -> Placement {
+        let Placement::Refuse { reason, retry_after, estimate, share_ratio, room, .. } = placement
+        else {
+            return placement;
+        };
+        // Callers retry once, and earn nothing by it if the refusal came late.
+        if !matches!(reason, Refusal::Busy | Refusal::Share)
+            || !self.options.capacity_shares.is_on()
+            || request.engine.is_none()
+            || request.is_returning()
+            || request.objective.mul_f64(EARLY_REFUSAL_RATIO) < request.waited
+        {
+            return placement;
+        }
+        let left = request.patience.saturating_sub(request.waited) / 3;
+        let shares = self.shares.snapshot(now, request.workspace);
+        let is_within = 0.0 < shares.asked && shares.asked <= shares.fair_share;
+        let booking = Booking {
+            claim: if is_within { Claim::WithinShare } else { Claim::BeyondShare },
+            tokens: f64::from(request.own_tokens()),
+            earliest: retry_after,
+            latest: if request.patience.is_zero() { RETRY_BOUNDS.1 } else { left },
+            random: (self.next_random() >> 11) as f64 / (1_u64 << 53) as f64,
+        };
+        let n_hosts = self.n_hosts(now);
+        let invitations = self.invitations.entry(request.service).or_default();
+        invitations.observe_hosts(now, n_hosts);
+        let advice = invitations.book(now, &booking);
+        let (retry_after, invited) = (advice.time(), advice.invited());
+        Placement::Refuse { reason, retry_after, estimate, share_ratio, room, invited }
+    }
+
+    /// Records the room that a request found at a service's engines, of which there are
+    /// `n_per_scored` for each one that was scored.
+    pub(super) fn observe_room(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        room: &EngineRoom,
+        n_per_scored: f64,
+    ) {
+        if !self.options.capacity_shares.is_on() || request.engine.is_none() {
+            return;
+        }
+        let model = self.latency_models.get(&request.service);
+        let speed = model.cloned().unwrap_or_default().tokens_per_ms() * 1000.0;
+        let invitations = self.invitations.entry(request.service).or_default();
+        invitations.observe(now, room, speed * f64::from(room.n_engines) * n_per_scored);
+    }
+}
--- a/crates/portfield/src/balance/kinds.rs
+++ b/crates/portfield/src/balance/kinds.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::{
+    Balancer,
     placement::PlacementRequest,
     shares::{ShareStatus, Usage, max_min_share},
 };
@@ -106,3 +107,18 @@
         (sizes.large - f64::from(request.own_tokens())).max(0.0)
     }
 }
+
+impl Balancer {
+    /// Records that a request was granted `taken` tokens, for the shares of its workspace's kinds.
+    pub(super) fn record_kind_usage(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        taken: f64,
+    ) {
+        if self.options.capacity_shares.is_on() && request.engine.is_some() {
+            let usage = Usage { asked: request.token_cost(), taken };
+            self.kinds.record_usage(now, request, usage);
+        }
+    }
+}
--- a/crates/portfield/src/balance/memory_limits.rs
+++ b/crates/portfield/src/balance/memory_limits.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
+    Balancer,
     capacity::EngineRoom,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage},
     scoring::from_millis,
@@ -478,3 +479,42 @@
     let last = prompt.parts.last().map_or(0, |it| it.id);
     xxh3_64_with_seed(&last.to_le_bytes(), upstream.into())
 }
+
+impl Balancer {
+    /// Returns the room that a request needs in an engine's memory; `None` if memory is not limited.
+    pub(super) fn memory_room(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        random: u64,
+        candidates: &[Candidate],
+    ) -> Option<Room> {
+        if !self.options.memory_limits.is_on() {
+            return None;
+        }
+        let mean_time = self.mean_time(now, request);
+        let (asked, window) = self.shares.asked();
+        let demand = Demand { asked, window, mean_time, random };
+        self.memory.room(now, request, &self.upstreams, demand, candidates)
+    }
+
+    /// Records how many events of a stream have arrived, from all upstreams that served it.
+    pub fn record_output(&mut self, id: RunId, n_events: u64) {
+        self.memory.record_output(id, n_events, &mut self.upstreams);
+    }
+
+    /// Takes the number of decisions on the engines' memory since the last call.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{Balancer, MemoryCounts};
+    /// use std::time::Duration;
+    ///
+    /// let mut balancer = Balancer::new(Duration::from_secs(4));
+    /// assert_eq!(balancer.take_memory_counts(), MemoryCounts::default());
+    /// ```
+    pub fn take_memory_counts(&mut self) -> MemoryCounts {
+        self.memory.take_counts()
+    }
+}
--- a/crates/portfield/src/balance/unseen_load.rs
+++ b/crates/portfield/src/balance/unseen_load.rs
@@ -14,6 +14,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::{
+    Balancer,
+    placement::{Candidate, PlacementRequest},
+};
+
 /// Time between two computations of the rate of starts: it changes little within two digests.
 const REFRESH_PERIOD: Duration = Duration::from_millis(100);
 /// Age of a load that another host reports, in digest periods: half of one until it is sent, one at the
@@ -74,3 +79,37 @@
         self.load.largest() * uniform
     }
 }
+
+impl Balancer {
+    /// Returns the mean time of a request of the same service in milliseconds, if it is known.
+    pub(super) fn mean_time(&self, now: Duration, request: &PlacementRequest) -> Option<f64> {
+        if self.options.spread_placement.is_on() && request.engine.is_some() {
+            let time = self.service_times.get(&request.service).copied().unwrap_or_default();
+            return Some(time.mean(now));
+        }
+        self.mean_times.get(&request.service).copied()
+    }
+
+    /// Returns the estimate of unseen requests at each engine; none if the option is off.
+    pub(super) fn unseen_load(
+        &mut self,
+        now: Duration,
+        request: &PlacementRequest,
+        candidates: &[Candidate],
+    ) -> UnseenLoad {
+        if !self.options.spread_placement.is_on() || request.engine.is_none() {
+            return UnseenLoad::default();
+        }
+        let known = self.unseen.get(&request.service).copied().unwrap_or_default();
+        if !known.is_stale(now) {
+            return known;
+        }
+        let running = |it: &Candidate| self.upstreams.get(it.upstream).map(|it| it.total().running);
+        let running = candidates.iter().filter_map(running).sum();
+        let mean_time = self.mean_time(now, request).unwrap_or(f64::INFINITY);
+        let period = self.upstreams.digest_period();
+        let res = UnseenLoad::compute(now, running, candidates.len(), mean_time, period);
+        self.unseen.insert(request.service, res);
+        res
+    }
+}
