--- a/crates/portfield/src/balance/admission.rs
+++ b/crates/portfield/src/balance/admission.rs
@@ -2,9 +2,11 @@
 //!
 //! The case to handle: callers ask for two to five times the capacity, mostly for two or three
 //! workspaces, and retry once refused. Engines serve requests in order of arrival without
-//! priorities, so every request sent delays all that come after it. Hence three rules:
+//! priorities, so every request sent delays all that come after it. Hence four rules:
 //!
 //! - A workspace within its share is served as long as its requests can be in time.
+//! - One beyond its share leaves the slots free that requests of other hosts, which this host has not
+//!   heard of, may take.
 //! - A workspace beyond its share that has had less than another may wait for part of that time.
 //! - Any other workspace beyond its share may hardly wait at all: it uses spare capacity without
 //!   delaying workspaces that are within their share. Where shares follow what engines can do, it
