refactor(balance): one rank, one uniform draw; perf: no lock or hash where nothing can change

The rank of upstreams by a seed was written five times, the uniform draw twice and the test for a large request three times; one function each serves them now. Two things on the path of every request did nothing: a lock of the balancer to cancel a fetch that was never asked for, and a hash per engine for unseen requests where even the most of them add no wait.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -157,7 +157,7 @@
         }
         // The same holds for the upstream that it would fetch from.
         let source = source.as_ref().filter(|it| host.may_send_to(it));
-        if source.is_none() {
+        if placed.assignment.fetch.is_some() && source.is_none() {
             host.balancer().cancel_fetch(run.id);
         }
         let headers = request::UpstreamHeaders {
--- a/crates/portfield/src/balance/cache_transfer.rs
+++ b/crates/portfield/src/balance/cache_transfer.rs
@@ -10,12 +10,10 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::{
     Balancer,
     placement::{Assignment, CacheFetch, Candidate, PlacementRequest, SourceKnowledge},
-    scoring::{TieBreak, from_millis, preferred_upstream},
+    scoring::{TieBreak, from_millis, hash_rank, preferred_upstream},
 };
 use crate::{
     catalog::{EngineSpec, TransferSpec},
@@ -128,8 +126,7 @@
         let holders: Vec<Source> = holders.filter(|it| 0.0 < it.benefit).collect();
         let largest = holders.iter().map(|it| it.benefit).max_by(f64::total_cmp)?;
         let near = holders.iter().filter(|it| largest * NEAR_RATIO <= it.benefit);
-        let rank = |it: u32| xxh3_64_with_seed(&random.to_le_bytes(), u64::from(it));
-        near.min_by_key(|it| Reverse(rank(it.fetch.source))).map(|it| it.fetch)
+        near.min_by_key(|it| Reverse(hash_rank(random, it.fetch.source))).map(|it| it.fetch)
     }
 
     /// Returns the fetch from an upstream that is known to cache enough of the parts.
--- a/crates/portfield/src/balance/invitations.rs
+++ b/crates/portfield/src/balance/invitations.rs
@@ -17,6 +17,7 @@
     balancer::RETRY_BOUNDS,
     capacity::EngineRoom,
     placement::{Placement, PlacementRequest, Refusal},
+    scoring::unit_interval,
 };
 
 /// Part of the objective within which a refusal must come for the retry to be worthwhile.
@@ -191,7 +192,7 @@
             tokens: f64::from(request.own_tokens()),
             earliest: retry_after,
             latest: if request.patience.is_zero() { RETRY_BOUNDS.1 } else { left },
-            random: (self.next_random() >> 11) as f64 / (1_u64 << 53) as f64,
+            random: unit_interval(self.next_random()),
         };
         let n_hosts = self.n_hosts(now);
         let invitations = self.invitations.entry(request.service).or_default();
--- a/crates/portfield/src/balance/memory_limits.rs
+++ b/crates/portfield/src/balance/memory_limits.rs
@@ -17,13 +17,11 @@
 
 use std::{borrow::Cow, time::Duration};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::{
     Balancer,
     capacity::EngineRoom,
     placement::{Assignment, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage},
-    scoring::from_millis,
+    scoring::{from_millis, hash_rank},
 };
 use crate::{
     fast_map::FastMap,
@@ -195,7 +193,7 @@
 
 impl Room {
     fn is_large(&self) -> bool {
-        self.capacity * LARGE_RATIO < self.need
+        is_large(self.need, self.capacity)
     }
 
     /// Returns how many tokens remain free at an upstream besides the room that the request needs;
@@ -226,7 +224,7 @@
         if rush <= spare || self.home.is_some_and(is_own) || self.stage == Stage::Streaming {
             return true;
         }
-        let draw = xxh3_64_with_seed(&self.random.to_le_bytes(), it.upstream.into());
+        let draw = hash_rank(self.random, it.upstream);
         (draw as f64) < u64::MAX as f64 * (spare / rush).powi(2)
     }
 
@@ -305,7 +303,7 @@
         let (prompt, engine) = (request.prompt.as_ref()?, request.engine?);
         let capacity = engine.kv_capacity as f64;
         let need = f64::from(prompt.input_tokens) + self.outputs.expected(request.route, prompt);
-        let is_large = capacity * LARGE_RATIO < need;
+        let is_large = is_large(need, capacity);
         let free = if is_large {
             need
         } else {
@@ -391,8 +389,7 @@
         let input = f64::from(prompt.input_tokens);
         let tokens = input + self.outputs.expected(request.route, prompt);
         upstreams.entry(upstream).own.memory.running += tokens;
-        let is_large = engine.kv_capacity as f64 * LARGE_RATIO < tokens;
-        if is_large
+        if is_large(tokens, engine.kv_capacity as f64)
             && let Some(it) = &mut self.reservation
             && it.upstream == upstream
         {
@@ -469,6 +466,11 @@
     }
 }
 
+/// Returns whether a request needs so much of an engine's memory that room is reserved for it.
+fn is_large(need: f64, capacity: f64) -> bool {
+    capacity * LARGE_RATIO < need
+}
+
 /// Returns the tokens that are reserved at an upstream, by any host.
 fn reserved_at(upstreams: &UpstreamTable, upstream: u32) -> f64 {
     upstreams.get(upstream).map_or(0.0, |it| it.total().memory.reserved)
@@ -477,7 +479,7 @@
 /// Ranks upstreams for a prompt, at all hosts alike; the highest is its home.
 fn home_rank(prompt: &Prompt, upstream: u32) -> u64 {
     let last = prompt.parts.last().map_or(0, |it| it.id);
-    xxh3_64_with_seed(&last.to_le_bytes(), upstream.into())
+    hash_rank(last, upstream)
 }
 
 impl Balancer {
--- a/crates/portfield/src/balance/scoring.rs
+++ b/crates/portfield/src/balance/scoring.rs
@@ -92,7 +92,7 @@
             Self::SharedPart(it) => u64::from(it),
             Self::Random(it) => it,
         };
-        xxh3_64_with_seed(&seed.to_le_bytes(), u64::from(upstream))
+        hash_rank(seed, upstream)
     }
 }
 
@@ -216,18 +216,22 @@
                 |engine| self.slot_wait(running + n, engine) - self.slot_wait(running, engine);
             request.engine.map_or(0.0, wait)
         };
+        let most_unseen = unseen_wait(self.unseen.load.largest());
+        // Most engines are far below their slots, where any number of unseen requests adds nothing.
+        let drawn_unseen =
+            if most_unseen == 0.0 { 0.0 } else { unseen_wait(self.unseen.at(it.upstream)) };
         let objective = request.objective.as_secs_f64() * 1000.0;
         ScoredUpstream {
             upstream: it.upstream,
             times,
             queued_tokens: state.total().pending as u32,
-            unseen_wait: unseen_wait(self.unseen.load.largest()),
+            unseen_wait: most_unseen,
             cost: priced.wait
                 + priced.processing
                 + reread
                 + failures * objective
                 + remote
-                + unseen_wait(self.unseen.at(it.upstream)),
+                + drawn_unseen,
             rank: self.tie_break.rank(it.upstream),
             is_idle: request.engine.is_some_and(|it| is_idle(it, state)),
             free_slots: request.engine.map_or(0.0, |it| free_slots(it, state)),
@@ -301,6 +305,17 @@
     upstreams.min_by(|a, b| f(a).total_cmp(&f(b)).then(b.rank.cmp(&a.rank)))
 }
 
+/// Ranks upstreams for a seed: hosts with the same seed rank them alike, and another seed ranks them
+/// independently.
+pub(super) fn hash_rank(seed: u64, upstream: u32) -> u64 {
+    xxh3_64_with_seed(&seed.to_le_bytes(), u64::from(upstream))
+}
+
+/// Returns the number in 0..1 that the upper bits of a random one stand for.
+pub(super) fn unit_interval(random: u64) -> f64 {
+    (random >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// Returns a duration of `value` milliseconds, zero if that is out of range.
 pub(super) fn from_millis(value: f64) -> Duration {
     Duration::try_from_secs_f64(value / 1000.0).unwrap_or(Duration::ZERO)
--- a/crates/portfield/src/balance/unseen_load.rs
+++ b/crates/portfield/src/balance/unseen_load.rs
@@ -12,11 +12,10 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::{
     Balancer,
     placement::{Candidate, PlacementRequest},
+    scoring::{hash_rank, unit_interval},
 };
 
 /// Time between two computations of the rate of starts: it changes little within two digests.
@@ -74,9 +73,7 @@
 impl UnseenDraw {
     /// Draws the number of unseen requests at an engine.
     pub(super) fn at(&self, upstream: u32) -> f64 {
-        let hash = xxh3_64_with_seed(&self.random.to_le_bytes(), u64::from(upstream));
-        let uniform = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-        self.load.largest() * uniform
+        self.load.largest() * unit_interval(hash_rank(self.random, upstream))
     }
 }
 
