fix(quarantine): a suspected request runs one copy at a time, and crashes are told at once

What callers saw: a request that crashes the upstreams that run it ran ten times where nine are allowed; each execution more ends one more upstream, with all requests on it.

Cause: until the third crash was known, every host sent whatever copy came, so each crash cost as many executions as callers sent copies at once; and news of a crash waited for the next digest (50 ms in a small fleet).

Ruled out: late evidence (0.1 to 3.6 ms), lost digests.

Change: RunningCopies. A request under which an upstream has crashed runs one copy at a time; hosts report the suspects that they run. A crash, and the start of a suspect, are told within 2 ms. Same fault elsewhere: a hedge ran a second copy of a request with one crash. New log line 'request suspected'.

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -114,9 +114,10 @@
         let n_draining = it.directory.draining_unlisted().count();
         (it.directory.version(), it.evacuations.data_centres().count(), n_draining)
     });
-    let (n_suspects, n_refused) = {
-        let quarantine = host.quarantine();
-        (quarantine.n_suspects(), quarantine.entries(clock::now()).len())
+    let (n_suspects, n_refused, n_running) = {
+        let (quarantine, now) = (host.quarantine(), clock::now());
+        let n_running = host.running_copies().n_reported(now);
+        (quarantine.n_suspects(), quarantine.entries(now).len(), n_running)
     };
     let gauges = [
         ("config_version", host.config_version() as f64),
@@ -137,6 +138,7 @@
         ("held_peak_bytes", host.held_memory.peak() as f64),
         ("quarantine_suspects", n_suspects as f64),
         ("quarantine_refused", n_refused as f64),
+        ("quarantine_running_elsewhere", n_running as f64),
     ];
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::PLAIN);
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -17,7 +17,8 @@
     call::{Call, SUSPENDED_RETRY, SUSPENDED_TEXT},
     hedge,
     placement::{Placed, PlacementMode, PlacementRefusal},
-    probe, quarantine,
+    probe,
+    quarantine::{self, CopyGuard},
     response::{Body, CALLER_LEFT, CALLER_LEFT_RETRY, Failure},
     state::Host,
 };
@@ -33,6 +34,12 @@
 /// Interval for checking whether this host's state is fresh again.
 const FRESH_STATE_POLL: Duration = Duration::from_millis(25);
 
+/// Mean interval for checking whether another copy of a suspect still runs; random, so that two
+/// hosts rarely start the next copy together.
+const COPY_POLL: Duration = Duration::from_millis(25);
+/// Longest wait of a new request for another copy.
+const MAX_HOLD: Duration = Duration::from_secs(1);
+
 /// A request that is being served.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -43,6 +50,8 @@
     n_not_run: u32,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
+    /// Registration among the copies of the request, from the first attempt on.
+    copy: Option<CopyGuard>,
     /// Error response of an upstream, returned if no later attempt succeeds.
     error: Option<Response<Body>>,
     /// Whether the end of the response was passed to the caller, or is about to be.
@@ -59,6 +68,7 @@
             n_run: 0,
             n_not_run: 0,
             may_have_run: false,
+            copy: None,
             error: None,
             is_finished: false,
         }
@@ -77,12 +87,16 @@
             self.check_limits()?;
             self.wait_for_fresh_state().await?;
             self.check_quarantine()?;
+            self.wait_for_copies().await?;
             let placed = self.place()?;
             if !self.tried.is_empty() && !self.host.withdraw_retry(self.call.placement.service) {
                 self.host.metrics.count("retry_budget_spent");
                 return Err(self.failure("the retry budget is spent".to_owned(), RETRY));
             }
             self.log_placed(&placed);
+            if self.copy.is_none() {
+                self.copy = Some(CopyGuard::start(&self.host, &self.call));
+            }
             self.tried.push(placed.assignment.upstream);
             let timeout = self.attempt_timeout(placed.assignment.estimate_without_fetch());
             let result = if self.may_hedge() {
@@ -339,6 +353,41 @@
         Err(self.failure(reason, quarantine::whole_seconds(remaining)))
     }
 
+    /// Waits while another copy runs of a request that is suspected of crashing upstreams; mostly
+    /// that copy succeeds, which clears the request.
+    ///
+    /// # Errors
+    ///
+    /// The response to a new request, once it has waited for [`MAX_HOLD`] or half of its time. A
+    /// stream that has begun goes on waiting, since its caller already has a part of the response.
+    async fn wait_for_copies(&mut self) -> Result<(), Failure> {
+        let start = clock::now();
+        while quarantine::is_held_back(&self.host, &self.call, self.copy.as_ref()) {
+            let held = clock::now().saturating_sub(start);
+            let limit = MAX_HOLD.min(self.call.remaining());
+            if self.call.placement.stage == Stage::New && limit <= held {
+                return Err(self.refuse_copy());
+            }
+            clock::sleep(COPY_POLL.mul_f64(0.5 + fastrand::f64())).await;
+            self.check_limits()?;
+            self.check_quarantine()?;
+        }
+        Ok(())
+    }
+
+    fn refuse_copy(&self) -> Failure {
+        let fingerprint = self.call.quarantine_key().fingerprint_hex();
+        log::info!(
+            request = self.call.id, route = self.call.route.name, fingerprint,
+            workspace = self.call.workspace_name(); "another copy of the suspect runs"
+        );
+        self.host.metrics.count("refused{reason=\"SuspectRunning\"}");
+        let text = format!(
+            "an upstream ended while it ran this request ({fingerprint}), and another copy of it runs"
+        );
+        self.failure(text, RETRY)
+    }
+
     fn failure(&self, reason: String, retry: Duration) -> Failure {
         if self.may_have_run {
             return Failure::outcome_unknown(StatusCode::BAD_GATEWAY, reason);
--- a/crates/portfield-host/src/hedge.rs
+++ b/crates/portfield-host/src/hedge.rs
@@ -120,7 +120,7 @@
     // A request that may crash its upstream must not run at two.
     let is_suspect = {
         let (quarantine, key) = (host.quarantine(), call.quarantine_key());
-        quarantine.entry(now, key).is_some() || quarantine.is_one_crash_away(now, key)
+        quarantine.entry(now, key).is_some() || quarantine.is_suspect(now, key)
     };
     if is_suspect {
         return Err("suspect");
--- a/crates/portfield-host/src/peers/receive.rs
+++ b/crates/portfield-host/src/peers/receive.rs
@@ -126,6 +126,7 @@
         if digest.data_centre == host.own_data_centre() {
             host.ingress_balance().record_peer(now, digest.host, digest.busy);
         }
+        quarantine::record_running(host, digest);
         host.record_store_contact(now.saturating_sub(store_age));
         host.record_watcher(WatcherStatus {
             host: digest.host,
--- a/crates/portfield-host/src/peers/send.rs
+++ b/crates/portfield-host/src/peers/send.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_io::Async;
+use futures_lite::future;
 use portfield::gossip::{GossipTopology, Introduction};
 use portfield_net::clock;
 use portfield_wire::Digest;
@@ -14,6 +15,9 @@
 /// Maximum bytes of relayed digests in a datagram: half of the largest datagram, which leaves room
 /// for this host's own digest.
 const MAX_RELAYED_BYTES: usize = 30_000;
+/// Time from urgent news to the digest that carries it, which also has what follows within that
+/// time: a crash breaks several requests.
+const URGENT_DELAY: Duration = Duration::from_millis(2);
 /// Interval of the log line with the number of hosts that joined or returned.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -22,8 +26,14 @@
     let mut sequence = 0;
     let mut last_logged = Duration::ZERO;
     let mut topology = host.refresh_topology();
+    let mut due = host.digest_due.listen();
     loop {
-        clock::sleep(topology.period()).await;
+        let early = async {
+            (&mut due).await;
+            clock::sleep(URGENT_DELAY).await;
+        };
+        future::or(clock::sleep(topology.period()), early).await;
+        due = host.digest_due.listen();
         sequence += 1;
         topology = host.refresh_topology();
         let header = header(&host, sequence);
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -1,14 +1,14 @@
 //! Quarantine of requests that crash upstreams: what this host observes, and what it refuses.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use portfield::{
     catalog::Upstream,
     gossip::GossipTopology,
-    quarantine::{Fingerprint, QuarantineEntry, RequestKey},
+    quarantine::{CopyId, Fingerprint, QuarantineEntry, RequestKey},
 };
 use portfield_net::clock;
-use portfield_wire::{Digest, Suspect};
+use portfield_wire::{Digest, RunningSuspect, Suspect};
 
 use crate::{call::Call, state::Host};
 
@@ -40,6 +40,40 @@
     Store,
 }
 
+/// Registers a running copy of a request until dropped.
+#[derive(Debug)]
+pub(crate) struct CopyGuard {
+    host: Arc<Host>,
+    request: RequestKey,
+    id: CopyId,
+}
+
+impl CopyGuard {
+    /// Registers a copy; if it is a suspect, tells the other hosts at once.
+    pub(crate) fn start(host: &Arc<Host>, call: &Call) -> Self {
+        let (now, request) = (clock::now(), call.quarantine_key());
+        let id = host.running_copies().start(now, request);
+        if host.quarantine().is_suspect(now, request) {
+            host.digest_due.notify(1);
+        }
+        Self { host: host.clone(), request, id }
+    }
+}
+
+impl Drop for CopyGuard {
+    fn drop(&mut self) {
+        self.host.running_copies().end(self.request, self.id);
+    }
+}
+
+/// Returns whether a request is suspected of crashing upstreams and another copy of it runs. `own`
+/// is the copy that is to be sent, `None` if it has not started.
+pub(crate) fn is_held_back(host: &Host, call: &Call, own: Option<&CopyGuard>) -> bool {
+    let (now, request) = (clock::now(), call.quarantine_key());
+    host.quarantine().is_suspect(now, request)
+        && host.running_copies().is_held_back(now, request, own.map(|it| it.id))
+}
+
 /// Records that an attempt of a request broke; returns whether to check that its upstream is still
 /// alive.
 pub(crate) fn record_broken_attempt(host: &Host, call: &Call, upstream: &Upstream) -> bool {
@@ -76,7 +110,11 @@
 
 /// Records that an upstream crashed under some requests.
 fn add_suspects(host: &Host, requests: &[RequestKey], upstream: &Upstream) {
+    let changes = Changes::of(host, requests.iter().copied());
     let entries = host.quarantine().record_crash(clock::now(), requests, upstream.wire_id());
+    if changes.log(host, QuarantineSource::Own) {
+        host.digest_due.notify(1);
+    }
     entries.iter().for_each(|it| record_quarantine(host, it, QuarantineSource::Own));
 }
 
@@ -104,14 +142,34 @@
     if suspects.is_empty() {
         return;
     }
+    let key = |it: &Suspect| RequestKey { workspace: it.workspace, fingerprint: it.fingerprint };
+    let changes = Changes::of(host, suspects.iter().map(key));
     let entries = host.quarantine().merge(clock::now(), suspects);
+    // The leader relays other hosts' digests and tells them to other data centres.
+    if changes.log(host, source) && host.topology().is_leader() {
+        host.digest_due.notify(1);
+    }
     entries.iter().for_each(|it| record_quarantine(host, it, source));
 }
 
+/// Records which suspects another host is running.
+pub(crate) fn record_running(host: &Host, digest: &Digest) {
+    let key =
+        |it: &RunningSuspect| RequestKey { workspace: it.workspace, fingerprint: it.fingerprint };
+    let requests = digest.running.iter().map(key).collect();
+    host.running_copies().record_report(clock::now(), digest.host, requests);
+}
+
 /// Adds this host's suspects to its own digest.
 pub(crate) fn fill_digest(host: &Host, topology: &GossipTopology, digest: &mut Digest) {
-    digest.suspects =
-        host.quarantine().suspects_for_digest(clock::now(), topology, digest.sequence);
+    let now = clock::now();
+    let mut quarantine = host.quarantine();
+    digest.suspects = quarantine.suspects_for_digest(now, topology, digest.sequence);
+    let copies = host.running_copies();
+    let running = quarantine.suspects(|it| copies.is_running(now, it));
+    let to_wire =
+        |it: RequestKey| RunningSuspect { fingerprint: it.fingerprint, workspace: it.workspace };
+    digest.running = running.into_iter().map(to_wire).collect();
 }
 
 /// Adds the suspects known in this data centre to its summary.
@@ -124,6 +182,30 @@
     Duration::from_secs(time.as_secs() + 1)
 }
 
+/// Numbers of crashes known of some requests, compared before and after an update.
+struct Changes(Vec<(RequestKey, usize)>);
+
+impl Changes {
+    fn of(host: &Host, requests: impl Iterator<Item = RequestKey>) -> Self {
+        let quarantine = host.quarantine();
+        Self(requests.map(|it| (it, quarantine.n_crashes(it))).collect())
+    }
+
+    /// Logs the requests of which more crashes are known by now; returns whether there are any.
+    fn log(self, host: &Host, source: QuarantineSource) -> bool {
+        let mut has_news = false;
+        for (request, before) in self.0 {
+            let n_ends = host.quarantine().n_crashes(request);
+            if before < n_ends {
+                has_news = true;
+                let fingerprint = request.fingerprint_hex();
+                log::info!(fingerprint, n_ends, source:?; "request suspected");
+            }
+        }
+        has_news
+    }
+}
+
 fn record_quarantine(host: &Host, it: &QuarantineEntry, source: QuarantineSource) {
     log::warn!(
         fingerprint = it.request.fingerprint_hex(), workspace_hash = it.request.workspace,
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -12,6 +12,7 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
+use event_listener::Event;
 use portfield::{
     balance::{
         AnswerKind, Balancer, ConnectionUse, IngressBalance, LoadShedder, RetryBudget, Rotation,
@@ -21,7 +22,7 @@
         GossipConfig, GossipTopology, PeerTable, StoreAvailability, StoreWatchers, WatcherStatus,
         host_hash,
     },
-    quarantine::{BrokenAttempts, Quarantine, RequestKey},
+    quarantine::{BrokenAttempts, Quarantine, RequestKey, RunningCopies},
     suspend::SuspendDetector,
 };
 use portfield_net::{clock, coarse_timer::CoarseTimer, panics, rt::Runtime};
@@ -93,6 +94,9 @@
     ingress_balance: Mutex<IngressBalance>,
     broken_attempts: Mutex<BrokenAttempts>,
     quarantine: Mutex<Quarantine>,
+    running_copies: Mutex<RunningCopies>,
+    /// Notified when the other hosts should hear from this one at once.
+    pub digest_due: Event,
     suspend_detector: Mutex<SuspendDetector>,
     /// Requests whose quarantine entry is to be written to the store.
     pending_writes: Sender<RequestKey>,
@@ -156,6 +160,8 @@
             ingress_balance: Mutex::new(IngressBalance::new(gossip_config.host)),
             broken_attempts: Mutex::default(),
             quarantine: Mutex::default(),
+            running_copies: Mutex::new(RunningCopies::new(gossip_config.host)),
+            digest_due: Event::new(),
             suspend_detector: Mutex::default(),
             pending_writes,
             quarantine_loaded: AtomicInstant::default(),
@@ -280,6 +286,11 @@
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the running copies of requests.
+    pub(crate) fn running_copies(&self) -> MutexGuard<'_, RunningCopies> {
+        self.running_copies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that readiness need not wait for the quarantine in the store any longer.
     pub(crate) fn mark_quarantine_loaded(&self) {
         self.quarantine_loaded.set_now();
--- a/crates/portfield-host/tests/quarantine.rs
+++ b/crates/portfield-host/tests/quarantine.rs
@@ -265,6 +265,48 @@
     }
 }
 
+/// Guards against several upstreams that crash at once under copies of one request: after the first crash, a second
+/// copy is refused at every host while one runs, and runs once that has ended.
+#[test]
+fn copies_of_a_suspect_run_one_at_a_time() {
+    let mut fleet = Fleet::new(0, 6);
+    let hosts = start_hosts(&mut fleet, 2);
+    let engines = Engines::new(&fleet);
+    hosts[0].send(&poison_request("draft", "first"));
+    wait_until("both hosts suspect the request", || {
+        hosts.iter().all(|it| it.metric("portfield_quarantine_suspects") == 1.0)
+    });
+    for it in &fleet.engines {
+        it.set_fault(UpstreamFault::Hang);
+    }
+    let n_before = engines.n_poison_executed();
+    thread::scope(|scope| {
+        let running = scope.spawn(|| hosts[0].send(&poison_request("draft", "running")));
+        wait_until("a copy runs", || engines.n_poison_executed() == n_before + 1);
+        wait_until("the other host knows of it", || {
+            hosts[1].metric("portfield_quarantine_running_elsewhere") == 1.0
+        });
+        for it in &hosts {
+            let second = poison_request("draft", "second");
+            let response = it.send(&second.replace("deadline-ms: 1200", "deadline-ms: 300"));
+            assert_eq!(response.status, 503, "{}", response.text());
+            assert!(response.header("retry-after").is_some());
+        }
+        assert_eq!(engines.n_poison_executed(), n_before + 1, "two copies ran at once");
+        let other = request("draft", "other").replace("deadline-ms: 1200", "deadline-ms: 300");
+        hosts[1].send(&other);
+        running.join().unwrap();
+    });
+    let n_received = fleet.n_executed();
+    assert_eq!(n_received, n_before + 2, "another request was held back");
+    for it in &fleet.engines {
+        it.set_fault(UpstreamFault::None);
+    }
+    wait_until("the request is served", || {
+        hosts[1].send(&poison_request("draft", "again")).status == 200
+    });
+}
+
 #[test]
 fn operator_can_lift_a_quarantine() {
     let mut fleet = Fleet::new(0, 6);
--- a/crates/portfield/src/quarantine/broken_attempts.rs
+++ b/crates/portfield/src/quarantine/broken_attempts.rs
@@ -16,7 +16,7 @@
 const MAX_CRASHED: usize = 256;
 
 /// Key of a request in messages between hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestKey {
     /// Caller: hash of the workspace's name.
     pub workspace: u32,
--- a/crates/portfield/src/quarantine/registry.rs
+++ b/crates/portfield/src/quarantine/registry.rs
@@ -185,6 +185,25 @@
         Some(self.history(request)?.to_wire(now + START_OFFSET, request))
     }
 
+    /// Returns the number of crashes that count against a request.
+    pub fn n_crashes(&self, request: RequestKey) -> usize {
+        self.history(request).map_or(0, CrashHistory::n_crashes)
+    }
+
+    /// Returns whether an upstream crashed under a request that may run.
+    pub fn is_suspect(&self, now: Duration, request: RequestKey) -> bool {
+        0 < self.n_crashes(request) && self.entry(now, request).is_none()
+    }
+
+    /// Returns the requests under which upstreams crashed, those with most crashes first, as many
+    /// as a digest carries.
+    pub fn suspects(&self, f: impl Fn(RequestKey) -> bool) -> Vec<RequestKey> {
+        let suspects = all(&self.histories).filter(|it| 0 < it.1.n_crashes() && f(it.0));
+        let mut res: Vec<_> = suspects.map(|it| (Reverse(it.1.n_crashes()), it.0)).collect();
+        res.sort();
+        res.into_iter().take(MAX_PER_DIGEST).map(|it| it.1).collect()
+    }
+
     /// Returns the number of requests with crashes.
     pub fn n_suspects(&self) -> usize {
         all(&self.histories).filter(|it| 0 < it.1.n_crashes()).count()
--- a/crates/portfield/tests/quarantine.rs
+++ b/crates/portfield/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use portfield::quarantine::{
     BrokenAttempts, CRASH_THRESHOLD, Quarantine, QuarantineEntry, RETENTION, RequestIdentity,
-    RequestKey,
+    RequestKey, RunningCopies,
 };
 use portfield::{
     gossip::{GossipConfig, GossipTopology},
@@ -396,3 +396,57 @@
     assert_eq!((n_lethal, n_crashes), (120, 360));
     assert!(n_quarantined <= 36, "{n_quarantined} others quarantined");
 }
+
+/// Copies of one request that start together at two hosts must not hold back each other for good.
+#[test]
+fn of_copies_at_two_hosts_one_goes_on() {
+    let (mut here, mut there) = (RunningCopies::new(1), RunningCopies::new(2));
+    let (first, second) = (here.start(NOW, request(1)), there.start(NOW, request(1)));
+    here.record_report(NOW, 2, vec![request(1)]);
+    there.record_report(NOW, 1, vec![request(1)]);
+    assert!(!here.is_held_back(NOW, request(1), Some(first)));
+    assert!(there.is_held_back(NOW, request(1), Some(second)));
+    assert!(here.is_held_back(NOW, request(1), None), "a third copy");
+    assert!(!here.is_held_back(NOW, request(2), None), "another request");
+}
+
+/// A copy that does not crash its upstream, or whose host is gone, must not hold back others for long.
+#[test]
+fn running_copies_hold_back_others_for_a_short_time() {
+    let mut here = RunningCopies::new(1);
+    here.start(NOW, request(1));
+    assert!(here.is_held_back(NOW + SECOND, request(1), None));
+    assert!(!here.is_held_back(NOW + SECOND * 2, request(1), None), "it ran for two seconds");
+    assert!(!here.is_running(NOW + SECOND * 2, request(1)), "and is not reported any more");
+    here.record_report(NOW, 2, vec![request(2)]);
+    assert!(here.is_held_back(NOW + MS * 999, request(2), None));
+    assert!(!here.is_held_back(NOW + SECOND, request(2), None), "its host is silent");
+    here.record_report(NOW + SECOND, 2, vec![request(2)]);
+    here.record_report(NOW + SECOND, 2, Vec::new());
+    assert!(!here.is_held_back(NOW + SECOND, request(2), None), "its host reports its end");
+}
+
+/// Copies that run at one host when their request becomes suspect must not all give up.
+#[test]
+fn the_earliest_copy_at_a_host_goes_on() {
+    let mut here = RunningCopies::new(1);
+    let (first, second) = (here.start(NOW, request(1)), here.start(NOW, request(1)));
+    assert!(!here.is_held_back(NOW, request(1), Some(first)));
+    assert!(here.is_held_back(NOW, request(1), Some(second)));
+    here.end(request(1), first);
+    assert!(!here.is_held_back(NOW, request(1), Some(second)));
+}
+
+/// Requests without a crash are not told to other hosts, and run in any number of copies.
+#[test]
+fn only_requests_with_a_crash_are_suspects() {
+    let mut it = Quarantine::default();
+    assert!(!it.is_suspect(NOW, request(1)));
+    crash(&mut it, request(1), 1, 1);
+    crash(&mut it, request(2), 1, 2);
+    assert!(it.is_suspect(NOW, request(1)));
+    assert_eq!(it.suspects(|_| true), [request(2), request(1)], "most crashes first");
+    assert_eq!(it.suspects(|it| it == request(1)), [request(1)]);
+    it.record_success(NOW + SECOND, request(1));
+    assert!(!it.is_suspect(NOW + SECOND, request(1)));
+}
