fix(suspend): a resumed host serves like its peers while the store is down

What callers saw: 503 'this host stood still, and hears first what has changed' to every request at a host that resumed during an outage of the store, for up to 3 s, while all other hosts served.

Cause: only a host in contact with the store could confirm the cached state of a resumed host, and while the store is down there is none.

Change: hosts without contact to the store agree; after four digest periods in which none of them reported a newer version, the state is usable.

--- a/crates/portfield-host/src/peers/receive.rs
+++ b/crates/portfield-host/src/peers/receive.rs
@@ -9,7 +9,7 @@
 use portfield::{
     catalog::StoreVersion,
     gossip::{Delivery, FetchSize, GossipTopology, WatcherStatus, asks_now},
-    suspend::CachedState,
+    suspend::{CachedState, PeerVersion},
 };
 use portfield_net::{clock, panics};
 use portfield_wire::Digest;
@@ -198,25 +198,36 @@
 impl NewerVersions {
     fn record(&mut self, host: &Host, known: KnownVersions, address: SocketAddr, digest: &Digest) {
         self.n_digests += 1;
-        let has_store_contact = Duration::from_millis(u64::from(digest.store_age))
-            < host.settings().store_timeouts.stale_after;
         let orders = StoreVersion::new(digest.orders_era, digest.orders_version);
-        if known.orders < orders {
+        let has_newer_orders = known.orders < orders;
+        if has_newer_orders {
             self.orders.offer(address);
         }
-        if known.config < digest.config_version {
+        let has_newer_config = known.config < digest.config_version;
+        if has_newer_config {
             self.config.offer(address);
             host.newer_config.record();
-        } else if has_store_contact && orders <= known.orders {
-            host.suspend_detector().confirm_from_peer(CachedState::Config);
         }
         host.update_store_era(digest.list_era, "host");
-        if known.list < StoreVersion::new(digest.list_era, digest.list_version) {
+        let has_newer_list = known.list < StoreVersion::new(digest.list_era, digest.list_version);
+        if has_newer_list {
             self.list.offer(address);
             host.newer_list.record();
-        } else if has_store_contact {
-            host.suspend_detector().confirm_from_peer(CachedState::Upstreams);
         }
+        // A host that was suspended itself knows no more than this one.
+        if digest.outdated {
+            return;
+        }
+        let has_store_contact = Duration::from_millis(u64::from(digest.store_age))
+            < host.settings().store_timeouts.stale_after;
+        let not_newer = if has_store_contact { PeerVersion::Current } else { PeerVersion::Agreed };
+        let now = clock::now();
+        let mut detector = host.suspend_detector();
+        let is_newer = has_newer_config || has_newer_orders;
+        let version = if is_newer { PeerVersion::Newer } else { not_newer };
+        detector.record_peer(now, CachedState::Config, version);
+        let version = if has_newer_list { PeerVersion::Newer } else { not_newer };
+        detector.record_peer(now, CachedState::Upstreams, version);
     }
 
     /// Fetches the newer versions.
--- a/crates/portfield-host/src/peers/send.rs
+++ b/crates/portfield-host/src/peers/send.rs
@@ -124,6 +124,7 @@
         data_centre: host.own_data_centre(),
         store_age: host.store_age().as_millis().min(u128::from(u32::MAX)) as u32,
         address: settings.peers.to_string(),
+        outdated: !host.has_fresh_state(),
         ..Digest::default()
     }
 }
--- a/crates/portfield-host/src/suspension.rs
+++ b/crates/portfield-host/src/suspension.rs
@@ -23,7 +23,8 @@
     /// Returns whether this host's view of the fleet is fresh enough to be used.
     pub(crate) fn has_fresh_state(&self) -> bool {
         self.check_suspension();
-        self.suspend_detector().is_state_usable(clock::now())
+        let period = self.topology().period();
+        self.suspend_detector().is_state_usable(clock::now(), period)
     }
 
     /// Returns when this host last resumed from a suspension, if ever.
--- a/crates/portfield-host/tests/process_suspension.rs
+++ b/crates/portfield-host/tests/process_suspension.rs
@@ -105,3 +105,57 @@
     assert_eq!(host.send(&request("order", "r2")).status, 200);
     assert_eq!(host.log_entries("host was suspended").len(), 1);
 }
+
+/// Guards against a host that, after a suspension during an outage of the store, refuses requests that all other hosts
+/// serve.
+#[test]
+fn resumed_host_serves_like_its_peers_while_the_store_is_down() {
+    let mut fleet = Fleet::new(1, 0);
+    let hosts = [fleet.start_host(), fleet.start_host(), fleet.start_host()];
+    let knows_all = |it: &Host| it.metric("portfield_hosts") == 3.0;
+    wait_until("all hosts know each other", || hosts.iter().all(knows_all));
+    let has_store = |it: &Host| it.metric("portfield_store_age_ms") < 3000.0;
+    wait_until("all hosts reach the store", || hosts.iter().all(has_store));
+    fleet.store.set_fault(StoreFault::Unavailable);
+    let has_lost_store = |it: &Host| 4000.0 < it.metric("portfield_store_age_ms");
+    wait_until("no host reaches the store", || hosts.iter().all(has_lost_store));
+    suspend_host(&hosts[0], &[], || {});
+    let resumed_at = Instant::now();
+    for n in 0.. {
+        assert_eq!(hosts[1].send(&request("order", &format!("other-{n}"))).status, 200);
+        if hosts[0].send(&request("order", &format!("r{n}"))).status == 200 {
+            break;
+        }
+        assert!(resumed_at.elapsed() < Duration::from_secs(2), "refused for two seconds");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Hosts that were suspended together, as after a loss of power in a data centre, must not take each other's word that
+/// nothing changed.
+#[test]
+fn hosts_suspended_together_do_not_confirm_each_other() {
+    let mut fleet = Fleet::new(1, 0);
+    let hosts = [fleet.start_host(), fleet.start_host()];
+    let knows_all = |it: &Host| it.metric("portfield_hosts") == 2.0;
+    wait_until("both hosts know each other", || hosts.iter().all(knows_all));
+    let text = |n: u32| request("order", &format!("r{n}")).replace("key-a", "key-b");
+    assert_eq!(hosts[0].send(&text(0)).status, 200);
+    hosts.iter().for_each(|it| it.signal("-STOP"));
+    fleet.store.put("op", "config", &config_without_key_b(5));
+    fleet.store.set_fault(StoreFault::Unavailable);
+    thread::sleep(SUSPENSION);
+    hosts.iter().for_each(|it| it.signal("-CONT"));
+    let resumed_at = Instant::now();
+    let mut n = 0;
+    while resumed_at.elapsed() < Duration::from_secs(1) {
+        n += 1;
+        let response = hosts[n as usize % 2].send(&text(n));
+        assert_eq!(response.status, 503, "a revoked key was accepted: {}", response.text());
+        thread::sleep(Duration::from_millis(20));
+    }
+    fleet.store.set_fault(StoreFault::None);
+    wait_until("both hosts know the configuration", || {
+        hosts.iter().all(|it| it.send(&text(n + 1)).status == 401)
+    });
+}
--- a/crates/portfield/src/suspend.rs
+++ b/crates/portfield/src/suspend.rs
@@ -14,6 +14,9 @@
 /// Time after which a host that reaches neither the store nor other hosts uses its cached state
 /// anyway: it then serves requests instead of refusing them.
 const ISOLATED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Digest periods for which other hosts without contact to the store must have reported no newer
+/// version. By then a host that knows one, if any can be heard, has reported it several times.
+const AGREEMENT_PERIODS: u32 = 4;
 
 /// Fleet state that a host caches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,10 +40,10 @@
 /// detector.tick(ms(0));
 /// assert_eq!(detector.tick(ms(25)), None);
 /// assert_eq!(detector.tick(ms(9025)), Some(ms(9000)));
-/// assert!(!detector.is_state_usable(ms(9025)));
+/// assert!(!detector.is_state_usable(ms(9025), ms(50)));
 /// detector.confirm_from_store(ms(9030), CachedState::Config);
 /// detector.confirm_from_store(ms(9030), CachedState::Upstreams);
-/// assert!(detector.is_state_usable(ms(9040)));
+/// assert!(detector.is_state_usable(ms(9040), ms(50)));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct SuspendDetector {
@@ -52,10 +55,43 @@
 #[derive(Debug, Clone, Copy)]
 struct Resumed {
     at: Duration,
-    /// The configuration was confirmed since.
-    has_config: bool,
-    /// The list of upstreams was confirmed since.
-    has_upstreams: bool,
+    config: Confirmation,
+    upstreams: Confirmation,
+}
+
+/// What is known since the end of a suspension of one cached state.
+#[derive(Debug, Clone, Copy, Default)]
+struct Confirmation {
+    /// The store, or a host in contact with it, has no newer version.
+    is_current: bool,
+    /// Since when hosts without contact to the store have reported no newer version.
+    agreed_since: Option<Duration>,
+}
+
+impl Confirmation {
+    fn is_usable(&self, now: Duration, agreement_time: Duration) -> bool {
+        self.is_current || self.agreed_since.is_some_and(|it| it + agreement_time <= now)
+    }
+}
+
+impl Resumed {
+    fn confirmation_mut(&mut self, what: CachedState) -> &mut Confirmation {
+        match what {
+            CachedState::Config => &mut self.config,
+            CachedState::Upstreams => &mut self.upstreams,
+        }
+    }
+}
+
+/// Version that another host reports of a cached state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerVersion {
+    /// It is newer than that of this host.
+    Newer,
+    /// It is not newer, and its host is in contact with the store.
+    Current,
+    /// It is not newer, and its host has no contact with the store.
+    Agreed,
 }
 
 impl SuspendDetector {
@@ -68,7 +104,8 @@
         if gap < MIN_SUSPENSION {
             return None;
         }
-        self.resumed = Some(Resumed { at: now, has_config: false, has_upstreams: false });
+        let (config, upstreams) = Default::default();
+        self.resumed = Some(Resumed { at: now, config, upstreams });
         Some(gap)
     }
 
@@ -76,16 +113,23 @@
     /// the suspension are ignored: they may have waited in a socket buffer.
     pub fn confirm_from_store(&mut self, requested_at: Duration, what: CachedState) {
         let Some(it) = self.resumed.as_mut().filter(|it| it.at <= requested_at) else { return };
-        match what {
-            CachedState::Config => it.has_config = true,
-            CachedState::Upstreams => it.has_upstreams = true,
-        }
+        it.confirmation_mut(what).is_current = true;
     }
 
-    /// Records that another host, after the end of the suspension, reported no newer version of
-    /// `what`.
-    pub fn confirm_from_peer(&mut self, what: CachedState) {
-        self.confirm_from_store(Duration::MAX, what);
+    /// Records which version of `what` another host reported.
+    ///
+    /// While the store is down for all, no host can confirm that its version is current. The others
+    /// serve by what they know, and this host knows the same once none of them reports a newer
+    /// version for some time. Reports of hosts that were suspended themselves must not be passed
+    /// here before their own state is usable.
+    pub fn record_peer(&mut self, now: Duration, what: CachedState, version: PeerVersion) {
+        let Some(resumed) = &mut self.resumed else { return };
+        let it = resumed.confirmation_mut(what);
+        match version {
+            PeerVersion::Newer => it.agreed_since = None,
+            PeerVersion::Current => it.is_current = true,
+            PeerVersion::Agreed => _ = it.agreed_since.get_or_insert(now),
+        }
     }
 
     /// Returns when the latest suspension ended, `None` if there was none.
@@ -95,8 +139,13 @@
 
     /// Returns whether the cached state may be used: all of it was confirmed since the latest
     /// suspension, or a timeout has passed since.
-    pub fn is_state_usable(&self, now: Duration) -> bool {
-        self.resumed
-            .is_none_or(|it| (it.has_config && it.has_upstreams) || it.at + ISOLATED_TIMEOUT <= now)
+    ///
+    /// `digest_period` is the time between two digests of a host.
+    pub fn is_state_usable(&self, now: Duration, digest_period: Duration) -> bool {
+        let agreement_time = digest_period * AGREEMENT_PERIODS;
+        self.resumed.is_none_or(|it| {
+            let is_usable = |it: Confirmation| it.is_usable(now, agreement_time);
+            (is_usable(it.config) && is_usable(it.upstreams)) || it.at + ISOLATED_TIMEOUT <= now
+        })
     }
 }
