fix(quarantine): a copy of a suspect starts only after its announcement was heard

Cause: their copies start within 4 ms at three hosts, before any of them hears of the others' (trace of a run with nine executions: 31.5337, 31.5343 and 31.5370 s).

Change: a host announces a suspect's copy and starts it 20 ms later, unless another host with a lower hash announced one meanwhile. Only requests under which an upstream crashed wait.

--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -37,6 +37,9 @@
 /// Mean interval for checking whether another copy of a suspect still runs; random, so that two
 /// hosts rarely start the next copy together.
 const COPY_POLL: Duration = Duration::from_millis(25);
+/// Time between the announcement of a suspect's copy to the other hosts and its start, in which
+/// the announcement of another host's copy arrives.
+const CLAIM_TIME: Duration = Duration::from_millis(20);
 /// Longest wait of a new request for another copy.
 const MAX_HOLD: Duration = Duration::from_secs(1);
 
@@ -94,9 +97,6 @@
                 return Err(self.failure("the retry budget is spent".to_owned(), RETRY));
             }
             self.log_placed(&placed);
-            if self.copy.is_none() {
-                self.copy = Some(CopyGuard::start(&self.host, &self.call));
-            }
             self.tried.push(placed.assignment.upstream);
             let timeout = self.attempt_timeout(placed.assignment.estimate_without_fetch());
             let result = if self.may_hedge() {
@@ -353,8 +353,8 @@
         Err(self.failure(reason, quarantine::whole_seconds(remaining)))
     }
 
-    /// Waits while another copy runs of a request that is suspected of crashing upstreams; mostly
-    /// that copy succeeds, which clears the request.
+    /// Registers this copy of the request. While the request is suspected of crashing upstreams, it
+    /// first waits for the end of another copy, which mostly succeeds and clears the request.
     ///
     /// # Errors
     ///
@@ -362,6 +362,25 @@
     /// stream that has begun goes on waiting, since its caller already has a part of the response.
     async fn wait_for_copies(&mut self) -> Result<(), Failure> {
         let start = clock::now();
+        loop {
+            self.wait_while_held_back(start).await?;
+            if self.copy.is_some() {
+                return Ok(());
+            }
+            let copy = CopyGuard::start(&self.host, &self.call);
+            if quarantine::is_suspect(&self.host, &self.call) {
+                // Other hosts may have announced a copy at the same moment.
+                clock::sleep(CLAIM_TIME).await;
+                if quarantine::is_held_back(&self.host, &self.call, Some(&copy)) {
+                    continue;
+                }
+                self.check_quarantine()?;
+            }
+            self.copy = Some(copy);
+        }
+    }
+
+    async fn wait_while_held_back(&mut self, start: Duration) -> Result<(), Failure> {
         while quarantine::is_held_back(&self.host, &self.call, self.copy.as_ref()) {
             let held = clock::now().saturating_sub(start);
             let limit = MAX_HOLD.min(self.call.remaining());
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -53,7 +53,7 @@
     pub(crate) fn start(host: &Arc<Host>, call: &Call) -> Self {
         let (now, request) = (clock::now(), call.quarantine_key());
         let id = host.running_copies().start(now, request);
-        if host.quarantine().is_suspect(now, request) {
+        if is_suspect(host, call) {
             host.digest_due.notify(1);
         }
         Self { host: host.clone(), request, id }
@@ -66,6 +66,11 @@
     }
 }
 
+/// Returns whether an upstream crashed under a request that may run.
+pub(crate) fn is_suspect(host: &Host, call: &Call) -> bool {
+    host.quarantine().is_suspect(clock::now(), call.quarantine_key())
+}
+
 /// Returns whether a request is suspected of crashing upstreams and another copy of it runs. `own`
 /// is the copy that is to be sent, `None` if it has not started.
 pub(crate) fn is_held_back(host: &Host, call: &Call, own: Option<&CopyGuard>) -> bool {
--- a/crates/portfield/src/quarantine/running_copies.rs
+++ b/crates/portfield/src/quarantine/running_copies.rs
@@ -20,7 +20,8 @@
 /// hosts. Without a limit, as many upstreams crash as copies start before the third crash is known
 /// everywhere. So a request under which an upstream has crashed runs one copy at a time: a new copy
 /// waits while another runs, and of copies that run already the earliest one at the host with
-/// the lowest hash goes on. Two hosts that start a copy before they hear of each other's both run.
+/// the lowest hash goes on. A host announces a copy some time before it starts it; two hosts both run
+/// theirs only if they hear of each other's after that time.
 ///
 /// # Examples
 ///
