fix(host): a suspension is not taken for a lack of processor time

What callers saw: after a suspension a host stayed out of rotation for 1.5 s and more, closed its callers' connections and shed load, although it had processor time.

Cause: check_suspension reports a suspension once, to the task that asks first, mostly a request or a digest. monitor_load then took the suspension for a late timer.

Change: monitor_load compares its timer with the time of the last resumption.

Elsewhere the result of check_suspension is not used.

--- a/crates/portfield-host/src/lifecycle.rs
+++ b/crates/portfield-host/src/lifecycle.rs
@@ -96,7 +96,8 @@
         let due = clock::now() + LOAD_PERIOD;
         clock::sleep(LOAD_PERIOD).await;
         // A suspension delays timers too, but is no load.
-        let was_suspended = host.check_suspension().is_some();
+        // A task that ran earlier may have noticed it.
+        let was_suspended = host.resumed_at().is_some_and(|it| due <= it);
         let now = clock::now();
         let (is_busy, late, shortage) = {
             let mut shedder = host.load_shedder();
--- a/crates/portfield-host/tests/process_suspension.rs
+++ b/crates/portfield-host/tests/process_suspension.rs
@@ -159,3 +159,24 @@
         hosts.iter().all(|it| it.send(&text(n + 1)).status == 401)
     });
 }
+
+/// Guards against a host that takes its suspension for a lack of processor time, and then refuses callers and stays out
+/// of rotation.
+#[test]
+fn suspension_does_not_count_as_overload() {
+    let mut fleet = Fleet::new(1, 0);
+    let host = fleet.start_host();
+    let requests: Vec<String> = (0..6).map(|n| request("order", &format!("r{n}"))).collect();
+    for _ in 0..2 {
+        suspend_host(&host, &requests, || {});
+        wait_until("the host serves requests again", || {
+            host.send(&request("order", "again")).status == 200
+        });
+    }
+    let lateness = |it: &serde_json::Value| it["late_ms"].as_f64().unwrap();
+    // The suspension alone raises the average by a quarter of its length.
+    let limit = SUSPENSION.as_secs_f64() * 1000.0 / 8.0;
+    for it in host.log_entries("load state changed") {
+        assert!(lateness(&it) < limit, "{it}");
+    }
+}
