test(soak): each host serves in each half second in which an upstream is available

Its whole seconds, and a second of grace after a suspension, left out the refusals.

Change: requests are judged by host, service and half second; a host may refuse for 0.5 s after a suspension and for 1 s after its start.

--- a/crates/portfield-host/tests/availability/mod.rs
+++ b/crates/portfield-host/tests/availability/mod.rs
@@ -1,4 +1,4 @@
-//! Checks that hosts serve requests in every second of a soak test in which an upstream of the service is available.
+//! Checks that hosts serve requests at any time of a soak test in which an upstream of the service is available.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -9,11 +9,13 @@
 /// Time within which a change that the store has acknowledged is in force at all hosts, as the platform requires.
 const IN_FORCE_AFTER: Duration = Duration::from_secs(2);
 /// Length of the time slices in which requests are counted.
-const SLICE: Duration = Duration::from_secs(1);
+const SLICE: Duration = Duration::from_millis(500);
 /// Number of requests from which a slice is judged.
 const MIN_REQUESTS: usize = 8;
-/// Time after a host's start, or the end of its suspension, in which it may refuse requests.
-const HOST_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time after its start in which a host may refuse requests.
+pub const START_TIME: Duration = Duration::from_secs(1);
+/// Time after a suspension in which a host may refuse requests, until it has heard what has changed.
+pub const RESUME_TIME: Duration = Duration::from_millis(500);
 
 /// Request as the check sees it.
 #[derive(Debug, Clone, Copy)]
@@ -170,9 +172,9 @@
         (0..self.conditions.len()).for_each(|it| self.restart_windows(it));
     }
 
-    /// Records that a host may refuse requests from `start` until some time from now.
-    pub fn exempt_host(&mut self, host: SocketAddr, start: Duration) {
-        self.exempt.push((host, Interval { start, end: clock::now() + HOST_SETTLE_TIME }));
+    /// Records that a host may refuse requests from `start` until `time` from now.
+    pub fn exempt_host(&mut self, host: SocketAddr, start: Duration, time: Duration) {
+        self.exempt.push((host, Interval { start, end: clock::now() + time }));
     }
 
     /// Ends the record; no window goes on.
@@ -184,7 +186,7 @@
     }
 
     /// Describes where too few requests were served: a quarter of those sent while an upstream of their service served
-    /// any, and a quarter in each second of each window in which one had to be used.
+    /// any, and a quarter by each host in each slice of each window in which one had to be used.
     pub fn find_violations(&self, attempts: &[Attempt]) -> Vec<String> {
         let mut res = Vec::new();
         let servable: Vec<&Attempt> = attempts.iter().filter(|it| self.may_be_served(it)).collect();
@@ -192,7 +194,7 @@
         if n_served * 4 < servable.len() {
             res.push(format!("only {n_served} of {} requests were served", servable.len()));
         }
-        let mut counts: BTreeMap<(usize, Duration), (usize, usize)> = BTreeMap::new();
+        let mut counts: BTreeMap<(usize, Duration, SocketAddr), (usize, usize)> = BTreeMap::new();
         for it in attempts.iter().filter(|it| !self.is_exempt(it)) {
             for key in self.slices(it) {
                 let (n_served, n) = counts.entry(key).or_default();
@@ -201,10 +203,10 @@
             }
         }
         counts.retain(|_, (n_served, n)| MIN_REQUESTS <= *n && *n_served * 4 < *n);
-        res.extend(counts.into_iter().map(|((index, end), (n_served, n))| {
+        res.extend(counts.into_iter().map(|((index, end, host), (n_served, n))| {
             format!(
-                "only {n_served} of {n} requests to {} were served in the second up to {end:?}, while upstream \
-                 {index} was available",
+                "only {n_served} of {n} requests to {} were served by host {host} in the {SLICE:?} up to {end:?}, \
+                 while upstream {index} was available",
                 self.services[index]
             )
         }));
@@ -224,12 +226,12 @@
         last_end < it.sent || windows.any(|(_, w)| w.start <= it.sent && it.sent <= w.end)
     }
 
-    /// Returns the slices of windows, by the upstream's index and the slice's end, that a request belongs to.
-    fn slices(&self, it: &Attempt) -> Vec<(usize, Duration)> {
+    /// Returns the slices of windows that a request belongs to: the upstream's index, the slice's end and the host.
+    fn slices(&self, it: &Attempt) -> Vec<(usize, Duration, SocketAddr)> {
         let slice_end = |(index, w): (usize, Interval)| {
             let n = it.sent.checked_sub(w.start)?.as_millis() / SLICE.as_millis();
             let end = w.start + SLICE * (n as u32 + 1);
-            (end <= w.end && it.ended <= w.end).then_some((index, end))
+            (end <= w.end && it.ended <= w.end).then_some((index, end, it.host))
         };
         self.windows(&self.must_serve, it.service).filter_map(slice_end).collect()
     }
--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -21,7 +21,7 @@
     time::{Duration, Instant},
 };
 
-use availability::{Attempt, Availability, FaultExtent};
+use availability::{Attempt, Availability, FaultExtent, RESUME_TIME, START_TIME};
 use fleet::{Fleet, Host, Response, config, read_response, request_with_body, wait_until};
 use portfield_net::clock;
 use portfield_platform_standins::{
@@ -181,7 +181,8 @@
                 self.hosts[host].signal("-CONT");
                 let interval = Interval { start, end: clock::now() };
                 self.timeline.suspensions.push((self.hosts[host].listen, interval));
-                self.availability.exempt_host(self.hosts[host].listen, start);
+                let listen = self.hosts[host].listen;
+                self.availability.exempt_host(listen, start, RESUME_TIME);
                 format!("host {host} suspended")
             }
             3 => {
@@ -364,12 +365,12 @@
     /// Stops a host with a signal and starts another one in its place.
     fn restart(&mut self, idx: usize, signal: &str) -> String {
         self.hosts[idx].signal(signal);
-        self.availability.exempt_host(self.hosts[idx].listen, clock::now());
+        self.availability.exempt_host(self.hosts[idx].listen, clock::now(), START_TIME);
         // A host that starts while the store is down gets its state from these peers.
         let seeds = self.fleet.store.values("portfield_hosts");
         let new = self.start_host(idx, &format!("seeds = {seeds:?}"));
         self.addresses.lock().unwrap()[idx] = new.listen;
-        self.availability.exempt_host(new.listen, clock::now());
+        self.availability.exempt_host(new.listen, clock::now(), START_TIME);
         let mut old = std::mem::replace(&mut self.hosts[idx], new);
         self.past_logs.push(old.log_lines());
         if signal == "-TERM" {
