fix(logs): store_age_ms is null where the host never heard the store

Cause: a host that follows the store through others has no time of a response; the age was the largest duration, cut to 64 bits.

Change: the value is null in these lines. Digests and the metric portfield_store_age_ms are as before.

--- a/crates/portfield-host/src/evacuations.rs
+++ b/crates/portfield-host/src/evacuations.rs
@@ -60,7 +60,7 @@
 fn record_changes(host: &Arc<Host>, changes: &[EvacuationChange], source: &str) {
     let orders = host.with_list(|it| it.evacuations.version());
     for EvacuationChange { data_centre, is_lifted } in changes {
-        let store_age_ms = host.store_age().as_millis() as u64;
+        let store_age_ms = host.store_age_ms();
         if *is_lifted {
             log::warn!(data_centre, orders:%, source, store_age_ms; "evacuation ended");
             host.presume_cold_in(data_centre);
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -168,7 +168,7 @@
             tokens = self.call.tokens(), fingerprint = self.call.quarantine_key().fingerprint_hex(),
             config = self.call.config_version,
             list:% = self.host.with_list(|it| it.directory.version()),
-            store_age_ms = self.host.store_age().as_millis() as u64; "placed"
+            store_age_ms = self.host.store_age_ms(); "placed"
         );
         if let (Some(fetch), Some(source)) = (assignment.fetch, source) {
             log::info!(
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -418,6 +418,12 @@
         self.store_response.elapsed().unwrap_or(Duration::MAX)
     }
 
+    /// Returns the time since the store last responded, in milliseconds for log lines; `None` if it
+    /// never did.
+    pub(crate) fn store_age_ms(&self) -> Option<u64> {
+        self.store_response.elapsed().map(|it| it.as_millis() as u64)
+    }
+
     /// Returns whether this host is to take the upstream list from other hosts.
     pub(crate) fn needs_peer_list(&self) -> bool {
         self.settings().store_timeouts.fallback_after < self.store_age() || !self.is_store_watcher()
--- a/crates/portfield-host/src/upstream_signals.rs
+++ b/crates/portfield-host/src/upstream_signals.rs
@@ -144,7 +144,7 @@
     log::info!(
         request = call.id, upstream = asked.entry.id, other, address:% = asked.entry.address,
         list:% = host.with_list(|it| it.directory.version()),
-        store_age_ms = host.store_age().as_millis() as u64; "upstream replaced"
+        store_age_ms = host.store_age_ms(); "upstream replaced"
     );
 }
 
@@ -156,7 +156,7 @@
         request = call.id, upstream = upstream.entry.id, source = "answer",
         status = status.as_u16(), entry_state:? = upstream.entry.state,
         list:% = host.with_list(|it| it.directory.version()),
-        store_age_ms = host.store_age().as_millis() as u64; "upstream draining"
+        store_age_ms = host.store_age_ms(); "upstream draining"
     );
 }
 
