test(soak): new hosts get the addresses of running hosts as seeds

Cause: the test's own. It took the seeds from the table of hosts, which a restore 1.6 s before had emptied; hosts write their rows again within 4 s. The platform gives seeds as settings.

Change: the seeds are the hosts' addresses, that of the replaced one included.

--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -366,8 +366,9 @@
     fn restart(&mut self, idx: usize, signal: &str) -> String {
         self.hosts[idx].signal(signal);
         self.availability.exempt_host(self.hosts[idx].listen, clock::now(), START_TIME);
-        // A host that starts while the store is down gets its state from these peers.
-        let seeds = self.fleet.store.values("portfield_hosts");
+        // A host that starts while the store is down gets its state from these peers. As on the platform, the seeds are
+        // settings and include a host that is gone; the table of hosts may be empty after a restore.
+        let seeds: Vec<String> = self.hosts.iter().map(|it| it.peers.to_string()).collect();
         let new = self.start_host(idx, &format!("seeds = {seeds:?}"));
         self.addresses.lock().unwrap()[idx] = new.listen;
         self.availability.exempt_host(new.listen, clock::now(), START_TIME);
