fix(quarantine): the state is checked after the wait for another copy, not before

What callers could see: a host that was suspended while a suspect waited for another copy would have sent it by its outdated list and keys.

Change: the wait comes first.

No test holds the order: it takes a suspension within the wait of one request.

--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -88,9 +88,10 @@
     ) -> Result<Box<UpstreamResponse>, Failure> {
         loop {
             self.check_limits()?;
+            self.wait_for_copies().await?;
+            // Last, with no wait before the request is sent: the host may have been suspended.
             self.wait_for_fresh_state().await?;
             self.check_quarantine()?;
-            self.wait_for_copies().await?;
             let placed = self.place()?;
             if !self.tried.is_empty() && !self.host.withdraw_retry(self.call.placement.service) {
                 self.host.metrics.count("retry_budget_spent");
@@ -374,7 +375,6 @@
                 if quarantine::is_held_back(&self.host, &self.call, Some(&copy)) {
                     continue;
                 }
-                self.check_quarantine()?;
             }
             self.copy = Some(copy);
         }
--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -11,7 +11,7 @@
 use std::{
     collections::HashMap,
     env, fs,
-    io::Write,
+    io::{self, Write},
     net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
@@ -566,7 +566,8 @@
     violations.extend(soak.availability.find_violations(&attempts));
     let n_served = outcomes.iter().filter(|it| it.is_served()).count();
     let n_judged = soak.availability.n_judged_seconds();
-    println!("seed {seed}: {n_served} of {} served, {n_judged} s judged", outcomes.len());
+    let n = outcomes.len();
+    let _ = writeln!(io::stderr(), "seed {seed}: {n_served} of {n} served, {n_judged} s judged");
     if !violations.is_empty() {
         save_artifacts(seed, &soak, &violations);
     }
