--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -27,6 +27,9 @@
 /// Time that an upstream takes for a plain response, or between two events of a stream.
 const UPSTREAM_LATENCY: Duration = Duration::from_millis(10);
 
+/// Text of a refusal for want of processor time, which a busy machine may cause in any test.
+const OVERLOADED: &str = "this host is overloaded";
+
 /// Number of fleets created by this process, for unique directory names.
 static N_FLEETS: AtomicU32 = AtomicU32::new(0);
 
@@ -93,6 +96,21 @@
         send_request(self.listen, request.as_bytes()).expect("no response from the host")
     }
 
+    /// Sends a request until the host does not refuse it for want of processor time.
+    pub fn send_admitted(&self, request: &str) -> Response {
+        let mut res = None;
+        wait_until("the host is not overloaded", || {
+            res = Some(self.send(request)).filter(|it| !it.text().contains(OVERLOADED));
+            res.is_some()
+        });
+        res.unwrap()
+    }
+
+    /// Returns the number of requests that the host refused for want of processor time.
+    pub fn n_not_admitted(&self) -> usize {
+        self.log_entries("not admitted").len()
+    }
+
     /// Returns the current value of a metric, or 0 if it isn't reported.
     pub fn metric(&self, name: &str) -> f64 {
         let request = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
