feat(logs): the software version of upstreams, and the stream that a caller resumes

The logs of the recorded incident could not tell a host that continues a stream at another version from a caller that resumes one at another host: neither the version nor the attempt that began the stream was logged.

The version of an upstream's entry, so far checked and dropped, is kept in the catalog; 'placed', 'answer broke', 'stream resumed' and 'upstream changed' log it, and 'placed' the last event and first attempt that the caller names. portfield_upstreams counts listed upstreams by service and version. No decision reads any of it.

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -142,6 +142,15 @@
     ];
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::PLAIN);
+    let versions = host.with_list(|it| it.n_by_version());
+    let versions: Vec<(String, f64)> = versions
+        .into_iter()
+        .map(|((service, version), n)| {
+            (format!("upstreams{{service={service:?},software={version:?}}}"), n as f64)
+        })
+        .collect();
+    let versions = versions.iter().map(|it| (it.0.as_str(), it.1));
+    let gauges: Vec<(&str, f64)> = gauges.into_iter().chain(versions).collect();
     res.set_body(host.metrics.render(&gauges));
     res
 }
--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -16,7 +16,7 @@
     upstream::Prompt,
 };
 use portfield_net::{clock, logs};
-use portfield_platform::request;
+use portfield_platform::request::{self, Resumption};
 
 use crate::{
     held_memory::{self, Held},
@@ -54,6 +54,8 @@
     pub workspace: Option<Arc<Workspace>>,
     pub config_version: u64,
     pub placement: PlacementRequest,
+    /// The stream that the caller resumes.
+    pub resumption: Option<Resumption>,
     /// Fingerprint of the request, the same for every attempt.
     pub fingerprint: Fingerprint,
     /// Memory held for the request and its response.
@@ -140,6 +142,7 @@
             workspace,
             config_version: catalog.version(),
             placement,
+            resumption: head.resumption,
             fingerprint,
             held,
             _active: host.track_request(),
@@ -156,6 +159,13 @@
         self.workspace.as_ref().map_or("", |it| it.name.as_str())
     }
 
+    /// Returns the attempt that began the stream which the caller resumes, empty for a new request or
+    /// if the caller does not name it.
+    pub(crate) fn first_attempt(&self) -> &str {
+        let resumption = self.resumption.as_ref();
+        resumption.and_then(|it| it.first_attempt.as_deref()).unwrap_or_default()
+    }
+
     /// Returns the key by which hosts identify the request in the quarantine.
     pub(crate) fn quarantine_key(&self) -> quarantine::RequestKey {
         quarantine::RequestKey {
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -162,6 +162,8 @@
         let Placed { assignment, upstream, source } = placed;
         log::info!(
             request = self.call.id, route = self.call.route.name, upstream = upstream.entry.id,
+            software = upstream.entry.software_version, resumes = self.call.first_attempt(),
+            last_event = self.call.resumption.as_ref().map_or("", |it| it.last_event.as_str()),
             workspace = self.call.workspace_name(),
             estimate_ms = assignment.estimate.as_millis() as u64,
             bias_ms = assignment.bias.as_millis() as u64, unread = assignment.uncached_tokens,
@@ -250,6 +252,7 @@
         self.record_break(upstream);
         log::warn!(
             request = self.call.id, upstream = upstream.entry.id, outcome = "unknown", cause,
+            software = upstream.entry.software_version,
             fingerprint = self.call.quarantine_key().fingerprint_hex(),
             left_ms = self.call.remaining().as_millis() as u64; "answer broke"
         );
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -300,6 +300,7 @@
         }
         log::info!(
             request = self.exchange.call.id, upstream = response.upstream.entry.id,
+            software = response.upstream.entry.software_version,
             last_event = last.as_deref().unwrap_or(""); "stream resumed"
         );
         self.exchange.host.metrics.count("streams_resumed");
--- a/crates/portfield-host/src/table_read.rs
+++ b/crates/portfield-host/src/table_read.rs
@@ -102,7 +102,7 @@
             list.entries.insert(it.id, Bytes::from(bytes));
         }
     }
-    log_changed(&changed, version);
+    log_changed(&list.directory, &changed, version);
     log_draining_conflicts(&list.directory, &changed, version);
     true
 }
@@ -126,7 +126,7 @@
     }
 }
 
-fn log_changed(changed: &[ChangedUpstream], list: StoreVersion) {
+fn log_changed(directory: &Directory, changed: &[ChangedUpstream], list: StoreVersion) {
     if MAX_LOG_LINES < changed.len() {
         let n_gone = changed.iter().filter(|it| it.state.is_none()).count();
         log::info!(n = changed.len(), n_gone, list:%; "upstreams changed");
@@ -134,7 +134,10 @@
     }
     for it in changed {
         match it.state {
-            Some(state) => log::info!(upstream = it.id, state:?, list:%; "upstream changed"),
+            Some(state) => {
+                let software = directory.get(&it.id).map_or("", |it| &it.entry.software_version);
+                log::info!(upstream = it.id, state:?, software, list:%; "upstream changed");
+            }
             None => log::info!(upstream = it.id, list:%; "upstream gone"),
         }
     }
--- a/crates/portfield-host/src/upstream_list.rs
+++ b/crates/portfield-host/src/upstream_list.rs
@@ -1,7 +1,7 @@
 //! The list of known upstreams, indexed for placement.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -98,6 +98,16 @@
         self.accepting.contains(&upstream.hash)
     }
 
+    /// Returns the number of listed upstreams by service and software version.
+    pub(crate) fn n_by_version(&self) -> BTreeMap<(String, String), usize> {
+        let mut res = BTreeMap::new();
+        for it in self.directory.all() {
+            let key = (it.entry.service.clone(), it.entry.software_version.clone());
+            *res.entry(key).or_default() += 1;
+        }
+        res
+    }
+
     /// Forgets the reported cold times, so that all of them are applied again under a new
     /// configuration.
     pub(crate) fn reset_cold(&mut self) {
--- a/crates/portfield/src/catalog/upstream.rs
+++ b/crates/portfield/src/catalog/upstream.rs
@@ -27,6 +27,8 @@
     pub address: SocketAddr,
     /// Data centre that it runs in.
     pub data_centre: String,
+    /// Version of its software, not of an engine's weights.
+    pub software_version: String,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/crates/portfield/tests/entries/mod.rs
+++ b/crates/portfield/tests/entries/mod.rs
@@ -12,6 +12,7 @@
         service: "s".to_owned(),
         address: ([127, 0, 0, 1], 80).into(),
         data_centre: "north".to_owned(),
+        software_version: "v1".to_owned(),
         slots: 6,
         state,
         cold_remaining: Duration::ZERO,
