--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -180,6 +180,14 @@
         res
     }
 
+    /// Sets the software versions of the engines, in their order, and writes their entries.
+    pub fn set_engine_versions(&self, versions: &[&str]) {
+        for (it, version) in self.engines.iter().zip(versions) {
+            it.set_software_version(version);
+            self.store.put("servers", &it.id, &it.entry("model", "ready"));
+        }
+    }
+
     /// Starts a host and waits until it is ready.
     pub fn start_host(&mut self) -> Host {
         let res = self.spawn_host("");
@@ -331,6 +339,13 @@
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
+    /// Returns the software versions that the events in the body name, in their order.
+    pub fn event_versions(&self) -> Vec<String> {
+        let text = self.text();
+        let data = text.lines().filter_map(|it| it.strip_prefix("data: piece "));
+        data.filter_map(|it| Some(it.split_once(" of ")?.1.to_owned())).collect()
+    }
+
     /// Returns the IDs of the server-sent events in the body.
     pub fn event_ids(&self) -> Vec<u32> {
         let text = self.text();
--- /dev/null
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -0,0 +1,158 @@
+//! Streams whose upstreams run several software versions: events of two versions do not fit together.
+
+mod fleet;
+
+use std::{collections::BTreeSet, io::Write, thread, time::Duration};
+
+use fleet::{Fleet, Host, Response, connect, read_response, request, wait_until};
+use portfield_platform_standins::{FakeUpstream, UpstreamFault};
+
+const N_EVENTS: u32 = 8;
+/// Streams of a test: with two of four engines at either version, all go on at the right one by chance
+/// with a probability below one in a thousand.
+const N_STREAMS: usize = 12;
+
+/// Starts engines of the versions and this many hosts that know all of them.
+fn start(versions: &[&str], n_hosts: usize) -> (Fleet, Vec<Host>) {
+    let mut fleet = Fleet::new(0, versions.len());
+    fleet.set_engine_versions(versions);
+    let hosts: Vec<Host> = (0..n_hosts).map(|_| fleet.start_host()).collect();
+    wait_until("the hosts know each other", || {
+        hosts.iter().all(|it| it.metric("portfield_hosts") == n_hosts as f64)
+    });
+    (fleet, hosts)
+}
+
+/// Returns the request that resumes a stream after an event.
+fn resume(id: &str, first_attempt: &str, last_event: u32) -> String {
+    let headers = format!("last-event-id: {last_event}\r\nresumes: {first_attempt}\r\n");
+    request("digest", id).replace("token-count", &format!("{headers}token-count"))
+}
+
+/// Sends a stream to a host, and breaks it off at every engine after some events.
+fn begin_stream(fleet: &Fleet, host: &Host, id: &str) -> Response {
+    fleet.engines.iter().for_each(|it| it.set_fault(UpstreamFault::TruncateBody));
+    let res = host.send_admitted(&request("digest", id));
+    fleet.engines.iter().for_each(|it| it.set_fault(UpstreamFault::None));
+    res
+}
+
+/// Has the engine that began a stream drain, and waits until the hosts know; returns the engine.
+fn drain_first_engine(fleet: &Fleet, hosts: &[Host], first: &Response) -> FakeUpstream {
+    let id = first.header("replica-signature").unwrap();
+    let engine = fleet.engines.iter().find(|it| it.id == id).unwrap();
+    let n_changes = |it: &Host| it.log_entries("upstream changed").len();
+    let before: Vec<usize> = hosts.iter().map(n_changes).collect();
+    fleet.store.put("servers", id, &engine.entry("model", "draining"));
+    wait_until("the hosts know that the engine drains", || {
+        hosts.iter().zip(&before).all(|(it, before)| *before < n_changes(it))
+    });
+    engine.clone()
+}
+
+fn versions(response: &Response) -> BTreeSet<String> {
+    response.event_versions().into_iter().collect()
+}
+
+/// Guards against a stream that the host continues at an upstream of another software version.
+#[test]
+fn stream_continues_only_at_the_version_that_began_it() {
+    let (fleet, hosts) = start(&["v1", "v1", "v2", "v2"], 1);
+    for n in 0..N_STREAMS {
+        fleet.engines.iter().for_each(|it| it.set_fault(UpstreamFault::TruncateBody));
+        let n_before: Vec<usize> = fleet.engines.iter().map(|it| it.n_executed()).collect();
+        let engines = fleet.engines.clone();
+        let recovery = thread::spawn(move || {
+            let has_run = |it: usize| n_before[it] < engines[it].n_executed();
+            wait_until("an engine executes the stream", || (0..4).any(has_run));
+            let others = (0..4).filter(|it| !has_run(*it));
+            others.for_each(|it| engines[it].set_fault(UpstreamFault::None));
+        });
+        let response = hosts[0].send_admitted(&request("digest", &format!("s{n}")));
+        recovery.join().unwrap();
+        assert_eq!(versions(&response).len(), 1, "stream {n}: {}", response.text());
+        assert!(response.is_complete, "an upstream of the version was free for stream {n}");
+        assert_eq!(response.event_ids(), (1..=N_EVENTS).collect::<Vec<_>>());
+    }
+}
+
+/// Guards against a stream that goes on at another version once no upstream of its own is left.
+#[test]
+fn stream_is_broken_off_if_no_upstream_of_its_version_is_left() {
+    let (fleet, hosts) = start(&["v1", "v2", "v3"], 1);
+    let response = begin_stream(&fleet, &hosts[0], "s");
+    assert_eq!(versions(&response).len(), 1, "{}", response.text());
+    assert!(!response.is_complete);
+    let begun = response.event_versions().remove(0);
+    let engine = fleet.engines.iter().position(|it| it.software_version() == begun).unwrap();
+    fleet.store.remove("servers", &fleet.engines[engine].id);
+    wait_until("the engine is gone", || !hosts[0].log_entries("upstream gone").is_empty());
+    let n_executed = fleet.n_executed();
+    let resumed = hosts[0].send_admitted(&resume("t", "s", response.event_ids().len() as u32));
+    assert_eq!(resumed.status, 503);
+    assert_eq!(fleet.n_executed(), n_executed, "a refusal states that nothing ran");
+}
+
+/// Guards against a stream that its caller resumes at another host, which continues it at another version.
+#[test]
+fn stream_is_resumed_at_another_host_at_the_version_that_began_it() {
+    let (fleet, hosts) = start(&["v1", "v1", "v2", "v2"], 3);
+    for n in 0..N_STREAMS {
+        let first = begin_stream(&fleet, &hosts[n % 3], &format!("s{n}"));
+        let n_received = first.event_ids().len() as u32;
+        assert!(!first.is_complete && 0 < n_received);
+        let text = resume(&format!("t{n}"), &format!("s{n}"), n_received);
+        let second = hosts[(n + 1) % 3].send_admitted(&text);
+        assert_eq!((second.status, second.is_complete), (200, true), "{}", second.text());
+        assert_eq!(versions(&first), versions(&second), "stream {n}");
+        assert_eq!(second.event_ids(), (n_received + 1..=N_EVENTS).collect::<Vec<_>>());
+    }
+}
+
+/// Guards against the loss of what only the host that began a stream knew.
+#[test]
+fn stream_of_a_killed_host_is_resumed_at_the_version_that_began_it() {
+    let (mut fleet, mut hosts) = start(&["v1", "v1", "v2", "v2"], 3);
+    for n in 0..N_STREAMS {
+        let long = request("digest", &format!("s{n}")).replace("30,24", "30,300");
+        let mut stream = connect(hosts[0].listen).unwrap();
+        stream.write_all(long.as_bytes()).unwrap();
+        wait_until("an engine executes the stream", || {
+            let received = fleet.engines.iter().flat_map(|it| it.requests());
+            received.filter(|it| it.is_executed).count() == 2 * n + 1
+        });
+        // A few events: each engine sends one every 10 ms.
+        thread::sleep(Duration::from_millis(100));
+        let mut killed = hosts.remove(0);
+        killed.signal("-KILL");
+        killed.wait_for_exit();
+        let first = read_response(&mut stream).unwrap();
+        let n_received = first.event_ids().len() as u32;
+        assert!(!first.is_complete && 0 < n_received, "{}", first.text());
+        let engine = drain_first_engine(&fleet, &hosts, &first);
+        let text = resume(&format!("t{n}"), &format!("s{n}"), n_received);
+        let second = hosts[n % 2].send_admitted(&text.replace("30,24", "30,300"));
+        assert_eq!((second.status, second.is_complete), (200, true), "{}", second.text());
+        assert_eq!(versions(&first), versions(&second), "stream {n}");
+        fleet.store.put("servers", &engine.id, &engine.entry("model", "ready"));
+        hosts.push(fleet.start_host());
+        wait_until("the hosts know each other", || {
+            hosts.iter().all(|it| 3.0 <= it.metric("portfield_hosts"))
+        });
+        // Sends the streams to each host in turn.
+        hosts.rotate_left(1);
+    }
+}
+
+/// Guards against a guess: a stream that no host knows may have begun at any of the versions.
+#[test]
+fn unknown_stream_is_refused_while_several_versions_serve() {
+    let (fleet, hosts) = start(&["v1", "v2"], 2);
+    let unnamed = resume("t1", "", 3);
+    for text in [resume("t0", "unknown", 3), unnamed] {
+        let response = hosts[0].send_admitted(&text);
+        assert_eq!(response.status, 503, "{}", response.text());
+        assert!(response.header("retry-after").is_some());
+    }
+    assert_eq!(fleet.n_executed(), 0, "a refusal states that nothing ran");
+}
