fix(streams): a host continues a stream only at the software version that began it

Cause: the version was checked in an upstream's entry and dropped, and 'of the same service' was taken for 'interchangeable'. Ruled out: a reused address, since requests name their incarnation.

Change: the first event that the caller is about to get fixes service and software version of the stream (StreamOrigin). Host::candidates, from which placement, hedging and the search for an alternative draw, then offers that version only, and the last check before the request is written compares the version of the current entry with the one chosen. Until the first event any version may be tried.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -13,6 +13,7 @@
     balance::{Overload, PlacementRequest, Stage},
     catalog::{Access, Catalog, EngineSpec, Route, RouteKind, Workspace},
     quarantine::{self, Fingerprint, RequestIdentity},
+    streams::StreamOrigin,
     upstream::Prompt,
 };
 use portfield_net::{clock, logs};
@@ -56,6 +57,8 @@
     pub placement: PlacementRequest,
     /// The stream that the caller resumes.
     pub resumption: Option<Resumption>,
+    /// Where the stream began, once its caller has an event; it goes on there only.
+    pub origin: Option<StreamOrigin>,
     /// Fingerprint of the request, the same for every attempt.
     pub fingerprint: Fingerprint,
     /// Memory held for the request and its response.
@@ -143,6 +146,7 @@
             config_version: catalog.version(),
             placement,
             resumption: head.resumption,
+            origin: None,
             fingerprint,
             held,
             _active: host.track_request(),
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -8,6 +8,7 @@
     balance::{ShareSnapshot, Stage},
     catalog::{RouteKind, Upstream},
     quarantine::QuarantineEntry,
+    streams::StreamOrigin,
     upstream::GapMeter,
 };
 use portfield_net::clock;
@@ -279,9 +280,12 @@
         GapMeter::new(self.host.balancer().expected_gap(self.call.placement.service))
     }
 
-    /// Records that the caller received the beginning of the stream.
-    pub(crate) fn mark_begun(&mut self) {
+    /// Records that the caller is about to receive the first event of the stream, from an upstream.
+    pub(crate) fn mark_begun(&mut self, upstream: &Upstream) {
         self.call.placement.stage = Stage::Streaming;
+        let service = self.call.placement.service;
+        let origin = StreamOrigin { service, version: upstream.version_hash() };
+        self.call.origin.get_or_insert(origin);
     }
 
     /// Returns whether another upstream would accept the request now.
--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -108,8 +108,18 @@
     }
 
     /// Returns the upstreams of the request's service in the regions that both its route and its
-    /// workspace allow.
+    /// workspace allow; for a stream that has begun, those at the version that began it.
     pub(crate) fn candidates(&self, call: &Call) -> Arc<ReadyUpstreams> {
+        let ready = self.candidates_in_regions(call);
+        match call.origin {
+            Some(it) if ready.has_other_version(it.version) => {
+                Arc::new(ready.at_version(it.version))
+            }
+            _ => ready,
+        }
+    }
+
+    fn candidates_in_regions(&self, call: &Call) -> Arc<ReadyUpstreams> {
         let ready = self.with_list(|it| it.ready.get(&call.service).cloned()).unwrap_or_default();
         let workspace = call.workspace.as_ref().map(|it| &it.regions);
         let region_rules = || std::iter::once(&call.route.regions).chain(workspace);
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -239,9 +239,9 @@
 
     /// Records that complete events arrived.
     fn record_events(&mut self) {
-        if self.first_event.is_none() {
+        if let (None, Some(it)) = (self.first_event, &self.response) {
             self.first_event = Some(clock::now());
-            self.exchange.mark_begun();
+            self.exchange.mark_begun(&it.upstream);
         }
         if let (false, Some(it)) = (self.is_run_begun, &self.response) {
             it.run.record_first();
--- a/crates/portfield-host/src/upstream_list.rs
+++ b/crates/portfield-host/src/upstream_list.rs
@@ -1,7 +1,7 @@
 //! The list of known upstreams, indexed for placement.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use portfield::{
     balance::Candidate,
-    catalog::{Directory, Evacuations, Restart, TouchedUpstreams, Upstream},
+    catalog::{Directory, Evacuations, Restart, TouchedUpstreams, Upstream, VersionHash},
 };
 
 /// Number of changed upstreams above which all lists are rebuilt: a change of one moves the
@@ -25,8 +25,8 @@
     pub evacuations: Evacuations,
     /// Upstreams that take requests, by service; kept up to date because every request reads it.
     pub ready: HashMap<String, Arc<ReadyUpstreams>>,
-    /// Hashes of all upstreams in `ready`.
-    accepting: HashSet<u64>,
+    /// Software versions of all upstreams in `ready`, by the hash of the upstream.
+    accepting: HashMap<u64, VersionHash>,
     /// Cold times reported by upstreams, by hash; only non-zero ones.
     reported_cold: HashMap<u64, Duration>,
     /// The reported cold times are to be applied again.
@@ -62,8 +62,22 @@
 impl ReadyUpstreams {
     /// Returns the upstreams in the data centres that `is_allowed` accepts.
     pub(crate) fn in_data_centres(&self, is_allowed: impl Fn(&str) -> bool) -> Self {
+        self.filter(|it| is_allowed(&it.entry.data_centre))
+    }
+
+    /// Returns the upstreams at a software version.
+    pub(crate) fn at_version(&self, version: VersionHash) -> Self {
+        self.filter(|it| it.version_hash() == version)
+    }
+
+    /// Returns whether some upstream has another software version.
+    pub(crate) fn has_other_version(&self, version: VersionHash) -> bool {
+        self.upstreams.iter().any(|it| it.version_hash() != version)
+    }
+
+    fn filter(&self, is_kept: impl Fn(&Upstream) -> bool) -> Self {
         let all = self.upstreams.iter().zip(&self.candidates);
-        let some = all.filter(|it| is_allowed(&it.0.entry.data_centre));
+        let some = all.filter(|it| is_kept(it.0));
         let (upstreams, candidates) = some.map(|(it, candidate)| (it.clone(), *candidate)).unzip();
         Self { upstreams, candidates }
     }
@@ -93,9 +107,10 @@
 }
 
 impl UpstreamList {
-    /// Returns whether an upstream may be sent new requests.
+    /// Returns whether an upstream may be sent new requests, and its entry still names the software version
+    /// with which it was chosen.
     pub(crate) fn accepts_requests(&self, upstream: &Upstream) -> bool {
-        self.accepting.contains(&upstream.hash)
+        self.accepting.get(&upstream.hash) == Some(&upstream.version_hash())
     }
 
     /// Returns the number of listed upstreams by service and software version.
@@ -180,7 +195,7 @@
         }
         let current = self.directory.get_ready(touched).filter(|it| self.is_open(it));
         let Some(current) = current.cloned() else { return };
-        self.accepting.insert(current.hash);
+        self.accepting.insert(current.hash, current.version_hash());
         let group = Arc::make_mut(self.ready.entry(current.entry.service.clone()).or_default());
         group.remove(current.wire_id());
         group.insert(current, &self.built_from.own_data_centre);
@@ -191,7 +206,7 @@
         let mut ready: HashMap<String, ReadyUpstreams> = HashMap::new();
         let mut open: Vec<_> = self.directory.ready().filter(|it| self.is_open(it)).collect();
         open.sort_by_key(|it| it.wire_id());
-        self.accepting = open.iter().map(|it| it.hash).collect();
+        self.accepting = open.iter().map(|it| (it.hash, it.version_hash())).collect();
         for it in open {
             if !ready.contains_key(&it.entry.service) {
                 ready.insert(it.entry.service.clone(), ReadyUpstreams::default());
--- a/crates/portfield/src/catalog/mod.rs
+++ b/crates/portfield/src/catalog/mod.rs
@@ -19,5 +19,5 @@
     Access, Catalog, ColdStart, EngineSpec, Limits, Regions, Route, RouteKind, Service,
     TransferSpec, WeightedService, Workspace,
 };
-pub use upstream::{State, Upstream, UpstreamEntry};
+pub use upstream::{State, Upstream, UpstreamEntry, VersionHash};
 pub use version::StoreVersion;
--- a/crates/portfield/src/catalog/upstream.rs
+++ b/crates/portfield/src/catalog/upstream.rs
@@ -4,6 +4,9 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+/// Hash of the name of a software version.
+pub type VersionHash = u64;
+
 /// Whether an upstream accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -53,6 +56,14 @@
     pub fn wire_id(&self) -> u32 {
         self.hash as u32
     }
+
+    /// Returns the hash of the version of its software.
+    ///
+    /// A process keeps its software until it ends, and its entry names the version from the start: the
+    /// version of an entry holds for the incarnation that the entry describes.
+    pub fn version_hash(&self) -> VersionHash {
+        xxh3_64(self.entry.software_version.as_bytes())
+    }
 }
 
 /// Returns the hash of an upstream's incarnation.
--- a/crates/portfield/src/lib.rs
+++ b/crates/portfield/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`balance`]: load balancing, decided by each host on digests that the hosts exchange
 //! - [`upstream`]: what a host knows of each upstream
 //! - [`gossip`]: which hosts exchange digests, and which read the platform's store
+//! - [`streams`]: where a stream that has begun may go on
 //! - [`quarantine`]: requests that crash the upstreams that run them
 //! - [`digest_scope`]: incremental and full digests
 //! - [`suspend`]: detection that this process was suspended, which makes its cached state stale
@@ -36,6 +37,7 @@
 pub mod route;
 pub mod schedule;
 pub mod slo;
+pub mod streams;
 pub mod suspend;
 pub mod timer;
 pub mod upstream;
