fix(cache): engines fetch cached parts only from engines of the same software version

Figures: a_source_of_another_software_version_is_not_named fails without the change (a source of v1 is named to an engine of v2) and passes with it; the other four of cache_transfer.rs pass. Where one version serves nothing changes.

--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -179,9 +179,8 @@
                 });
             }
         };
-        let source = assignment.fetch.and_then(|it| ready.get(it.source)).cloned();
         let chosen = ready.get(assignment.upstream).cloned();
-        chosen.map(|upstream| Placed { assignment, upstream, source }).ok_or(PlacementRefusal {
+        chosen.map(|upstream| place_at(upstream, assignment, &ready)).ok_or(PlacementRefusal {
             reason: Refusal::NoUpstream,
             retry_after: assignment.estimate,
             estimate: assignment.estimate,
@@ -191,3 +190,12 @@
         })
     }
 }
+
+/// Returns a placement with the source of its fetch, which must run the same software version: engines
+/// do not check whether they can read what another version wrote.
+fn place_at(upstream: Arc<Upstream>, assignment: Assignment, ready: &ReadyUpstreams) -> Placed {
+    let source = assignment.fetch.and_then(|it| ready.get(it.source));
+    let source = source.filter(|it| it.version_hash() == upstream.version_hash()).cloned();
+    let assignment = if source.is_some() { assignment } else { assignment.without_fetch() };
+    Placed { assignment, upstream, source }
+}
--- a/crates/portfield-host/tests/cache_transfer.rs
+++ b/crates/portfield-host/tests/cache_transfer.rs
@@ -100,6 +100,21 @@
     assert_eq!((other.requests().len(), named_source(&other)), (1, None));
 }
 
+/// Guards against memory written by one software version and read by another: its format may differ.
+#[test]
+fn a_source_of_another_software_version_is_not_named() {
+    let (fleet, host) = start(2);
+    fleet.set_engine_versions(&["v1", "v2"]);
+    wait_until("the host knows of both versions", || {
+        host.metric("portfield_upstreams{service=\"model\",software=\"v2\"}") == 1.0
+    });
+    let (_, other) = cache_at_one(&fleet, &host);
+    let response = host.send(&prompt("r3"));
+    assert_eq!((response.is_complete, response.event_ids().len()), (true, 8));
+    assert_eq!((other.requests().len(), named_source(&other)), (1, None));
+    assert!(host.log_entries("cache fetch").is_empty());
+}
+
 /// Guards against a stream that breaks and has its whole prompt prefilled where it is resumed,
 /// although a third engine caches the shared part.
 #[test]
--- a/crates/portfield/src/balance/placement.rs
+++ b/crates/portfield/src/balance/placement.rs
@@ -154,6 +154,38 @@
     pub fn estimate_without_fetch(&self) -> Duration {
         self.estimate + self.fetch.map_or(Duration::ZERO, |it| it.saved())
     }
+
+    /// Returns the assignment with the tokens to be read that would have been fetched.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::{Assignment, CacheFetch};
+    /// use std::time::Duration;
+    ///
+    /// let prefill = Duration::from_millis(100);
+    /// let fetch = CacheFetch { tokens: 5_000, expected: 5_000, prefill, ..CacheFetch::default() };
+    /// let assignment = Assignment {
+    ///     upstream: 1,
+    ///     estimate: Duration::from_millis(60),
+    ///     bias: Duration::ZERO,
+    ///     uncached_tokens: 600,
+    ///     queued_tokens: 0,
+    ///     share_ratio: 0.0,
+    ///     fetch: Some(fetch),
+    /// };
+    /// let without = assignment.without_fetch();
+    /// assert_eq!((without.uncached_tokens, without.fetch), (5_600, None));
+    /// assert_eq!(without.estimate, Duration::from_millis(160));
+    /// ```
+    pub fn without_fetch(self) -> Self {
+        Self {
+            estimate: self.estimate_without_fetch(),
+            uncached_tokens: self.uncached_tokens + self.fetch.map_or(0, |it| it.expected),
+            fetch: None,
+            ..self
+        }
+    }
 }
 
 /// A fetch of cached prompt parts from another upstream.
