fix(streams): a stream that its caller resumes goes on at the version that began it

Callers that resumed a stream at another host got events of another software version: the host placed the request like a new one, did not read Resumes, and could not know where the stream began.

Change: the first event that a caller is about to get makes its host record service and version under the workspace and the attempt id, and tell others before the event is passed on: two hosts of the data centre and two of another one, by rendezvous hash of the stream, whatever the size of the fleet; in a large one the remote two pass it on. A host that is asked to resume a stream uses its own record, or asks four hosts of its data centre and two of each other one, for 250 ms at most. Without a record it goes on only where its list, or that of a host that answers, was current for as long as a stream can last and showed a single version; otherwise it refuses at once, not run, with a Retry-After. In that case nothing is told either, until a second version appears; then the running streams are told. A resumed stream of known origin is admitted before new requests (Stage::Resumed). Records are bounded by number, the largest workspace loses its own first; one id with two origins is no knowledge. StreamNews travels in a digest that a host of an earlier release takes for an introduction.

Weighed: told to all (grows with the fleet), asked of the first host only (it mostly has just ended), a hash of the id that fixes the version (breaks where two lists differ), a row in the store (a write for each stream).

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -139,6 +139,7 @@
         ("quarantine_suspects", n_suspects as f64),
         ("quarantine_refused", n_refused as f64),
         ("quarantine_running_elsewhere", n_running as f64),
+        ("streams_known", host.streams().n_known() as f64),
     ];
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::PLAIN);
--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -23,6 +23,7 @@
     held_memory::{self, Held},
     response::Failure,
     state::{Host, hash_name},
+    streams,
 };
 
 /// Retry delay given by a host that has no configuration yet.
@@ -99,6 +100,8 @@
         let n_messages = message_count(head.prompt.as_ref(), engine);
         let random = fastrand::f64();
         let overload = host.load_shedder().shed(arrived, workspace_hash, n_messages, random);
+        // Refused, what the caller has received of its stream would be lost.
+        let overload = overload.filter(|_| !resumes_known(host, &head, workspace_hash));
         if overload.is_some() || host.settings().active_limit < host.n_active() {
             host.metrics.count("refused{reason=\"Overload\"}");
             let tokens = head.prompt.as_ref().map_or(0.0, Prompt::token_cost);
@@ -189,6 +192,12 @@
     }
 }
 
+/// Returns whether a caller resumes a stream of which this host knows where it began.
+fn resumes_known(host: &Host, head: &request::RequestHead, workspace: u32) -> bool {
+    let first = head.resumption.as_ref().and_then(|it| it.first_attempt.as_deref());
+    first.is_some_and(|it| streams::is_known(host, workspace, it))
+}
+
 /// A request refused because this host lacks processor time.
 #[derive(Debug, Clone, Copy)]
 struct Overloaded {
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -22,6 +22,7 @@
     quarantine::{self, CopyGuard},
     response::{Body, CALLER_LEFT, CALLER_LEFT_RETRY, Failure},
     state::Host,
+    streams,
 };
 
 /// Attempts that certainly did not run, allowed in addition to the attempts of the route.
@@ -286,6 +287,7 @@
         let service = self.call.placement.service;
         let origin = StreamOrigin { service, version: upstream.version_hash() };
         self.call.origin.get_or_insert(origin);
+        streams::record_begun(&self.host, &self.call, upstream);
     }
 
     /// Returns whether another upstream would accept the request now.
@@ -332,7 +334,7 @@
     /// caller already has a part of the response.
     async fn wait_for_fresh_state(&mut self) -> Result<(), Failure> {
         while !self.host.has_fresh_state() {
-            if self.call.placement.stage == Stage::New {
+            if self.call.placement.stage != Stage::Streaming {
                 return Err(self.failure(SUSPENDED_TEXT.to_owned(), SUSPENDED_RETRY));
             }
             clock::sleep(FRESH_STATE_POLL).await;
@@ -391,7 +393,7 @@
         while quarantine::is_held_back(&self.host, &self.call, self.copy.as_ref()) {
             let held = clock::now().saturating_sub(start);
             let limit = MAX_HOLD.min(self.call.remaining());
-            if self.call.placement.stage == Stage::New && limit <= held {
+            if self.call.placement.stage != Stage::Streaming && limit <= held {
                 return Err(self.refuse_copy());
             }
             clock::sleep(COPY_POLL.mul_f64(0.5 + fastrand::f64())).await;
--- a/crates/portfield-host/src/forward.rs
+++ b/crates/portfield-host/src/forward.rs
@@ -21,12 +21,17 @@
     relay,
     response::{Body, Failure},
     state::Host,
+    streams,
 };
 
 /// Serves a request until its response is complete or streaming.
-pub(crate) async fn serve_request(host: Arc<Host>, call: Call) -> Response<Body> {
+pub(crate) async fn serve_request(host: Arc<Host>, mut call: Call) -> Response<Body> {
     host.deposit_retry(call.placement.service);
+    let resolved = streams::resolve_origin(&host, &mut call).await;
     let mut exchange = Exchange::new(host, call);
+    if let Err(failure) = resolved {
+        return exchange.into_failure_response(failure);
+    }
     loop {
         let response = match exchange.next_response(None).await {
             Ok(it) => it,
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -35,6 +35,7 @@
 mod settings;
 mod state;
 mod store_watch;
+mod streams;
 mod suspension;
 mod table_read;
 mod upstream_list;
--- a/crates/portfield-host/src/peers/receive.rs
+++ b/crates/portfield-host/src/peers/receive.rs
@@ -23,7 +23,7 @@
 use crate::{
     quarantine::{self, QuarantineSource},
     state::Host,
-    upstream_signals,
+    streams, upstream_signals,
 };
 
 /// Maximum size of a datagram in bytes.
@@ -74,6 +74,11 @@
     mut digest: Digest,
     newer: &mut NewerVersions,
 ) {
+    if let Some(news) = digest.streams.take() {
+        let sender = digest.hosts.first().and_then(|it| it.address.parse().ok()).unwrap_or(from);
+        streams::handle_news(host, sender, news);
+        return;
+    }
     let topology = host.topology();
     if digest.seeks_hosts && topology.is_hierarchical() {
         send::introduce(host, socket, from, &digest);
--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -8,14 +8,14 @@
 
 use portfield::{
     balance::{Assignment, Candidate, EngineRoom, Placement, Refusal},
-    catalog::{Regions, Restart, Upstream},
+    catalog::{Regions, Restart, Upstream, VersionHash},
 };
 use portfield_net::clock;
 
 use crate::{
     call::Call,
     quarantine::{self, EndEvidence},
-    state::Host,
+    state::{Host, hash_name},
     upstream_list::{ListChanges, ReadyUpstreams, UpstreamList},
 };
 
@@ -63,7 +63,8 @@
         let own_data_centre = self.settings().data_centre.clone();
         let mut list = self.upstream_list.write().unwrap_or_else(PoisonError::into_inner);
         let res = f(&mut list);
-        let ListChanges { cold, restarts, n_touched } = list.apply_changes(&own_data_centre);
+        let ListChanges { cold, restarts, n_touched } =
+            list.apply_changes(clock::now(), &own_data_centre);
         drop(list);
         restarts.iter().for_each(|it| self.inherit_backoff(it));
         if 0 < n_touched {
@@ -101,6 +102,49 @@
         f(&self.upstream_list.read().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Observes whether the list of upstreams is current: no upstream can be known elsewhere for long that is
+    /// not known here.
+    pub(crate) fn observe_list(&self) {
+        let now = clock::now();
+        let has_store_contact = self.store_age() < self.settings().store_timeouts.stale_after
+            || self.peers_reached_store(now);
+        // While the store is down, no upstream can register.
+        let hears_all =
+            1 < self.balancer().n_hosts(now) && !self.peers().has_unreachable_centre(now);
+        let is_current = self.has_fresh_state() && (has_store_contact || hears_all);
+        let mut list = self.upstream_list.write().unwrap_or_else(PoisonError::into_inner);
+        let is_current = is_current && !list.directory.is_empty();
+        list.versions.observe(now, is_current);
+    }
+
+    /// Returns the software version at which all streams of a service began that were relayed in the last
+    /// `window`; `None` if there may have been several.
+    pub(crate) fn only_version(&self, service: &str, window: Duration) -> Option<VersionHash> {
+        self.with_list(|it| it.only_version(clock::now(), service, window))
+    }
+
+    /// Returns the same for the hash of the service's name.
+    pub(crate) fn only_version_by_hash(
+        &self,
+        service: u32,
+        window: Duration,
+    ) -> Option<VersionHash> {
+        self.with_list(|it| {
+            let name = it.ready.keys().find(|it| hash_name(it) == service)?;
+            it.only_version(clock::now(), name, window)
+        })
+    }
+
+    /// Returns the name of a software version of a service, empty if none of its upstreams that take requests
+    /// has it.
+    pub(crate) fn software_name(&self, service: &str, version: VersionHash) -> String {
+        self.with_list(|it| {
+            let mut upstreams = it.ready.get(service).into_iter().flat_map(|it| &it.upstreams);
+            let found = upstreams.find(|it| it.version_hash() == version);
+            found.map_or(String::new(), |it| it.entry.software_version.clone())
+        })
+    }
+
     /// Returns whether a request that was placed on an upstream may still be sent to it.
     pub(crate) fn may_send_to(&self, upstream: &Upstream) -> bool {
         let backs_off = self.balancer().backoff_until(clock::now(), upstream.wire_id()).is_some();
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     io,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -36,9 +36,11 @@
     ingress::IngressStats,
     metrics::Metrics,
     newer_copy::NewerCopy,
+    peers::PeerSocket,
     pool::Pool,
     settings::Settings,
     store_watch::OUTAGE_THRESHOLD,
+    streams::Streams,
     upstream_list::UpstreamList,
 };
 
@@ -95,6 +97,11 @@
     broken_attempts: Mutex<BrokenAttempts>,
     quarantine: Mutex<Quarantine>,
     running_copies: Mutex<RunningCopies>,
+    streams: Mutex<Streams>,
+    /// Notified when another host answered where a stream began.
+    pub stream_news: Event,
+    /// The socket to the other hosts, once it is open.
+    pub peer_socket: OnceLock<PeerSocket>,
     /// Notified when the other hosts should hear from this one at once.
     pub digest_due: Event,
     suspend_detector: Mutex<SuspendDetector>,
@@ -161,6 +168,9 @@
             broken_attempts: Mutex::default(),
             quarantine: Mutex::default(),
             running_copies: Mutex::new(RunningCopies::new(gossip_config.host)),
+            streams: Mutex::default(),
+            stream_news: Event::new(),
+            peer_socket: OnceLock::new(),
             digest_due: Event::new(),
             suspend_detector: Mutex::default(),
             pending_writes,
@@ -291,6 +301,11 @@
         self.running_copies.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what is known of streams that may be resumed.
+    pub(crate) fn streams(&self) -> MutexGuard<'_, Streams> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that readiness need not wait for the quarantine in the store any longer.
     pub(crate) fn mark_quarantine_loaded(&self) {
         self.quarantine_loaded.set_now();
--- a/crates/portfield-host/src/upstream_list.rs
+++ b/crates/portfield-host/src/upstream_list.rs
@@ -10,8 +10,11 @@
 use portfield::{
     balance::Candidate,
     catalog::{Directory, Evacuations, Restart, TouchedUpstreams, Upstream, VersionHash},
+    streams::VersionHistory,
 };
 
+use crate::state::hash_name;
+
 /// Number of changed upstreams above which all lists are rebuilt: a change of one moves the
 /// upstreams after it.
 const MAX_PATCHED: usize = 64;
@@ -29,6 +32,8 @@
     accepting: HashMap<u64, VersionHash>,
     /// Cold times reported by upstreams, by hash; only non-zero ones.
     reported_cold: HashMap<u64, Duration>,
+    /// Software versions that were listed lately.
+    pub versions: VersionHistory,
     /// The reported cold times are to be applied again.
     is_cold_reset: bool,
     /// What `ready` was last built from, besides the directory.
@@ -47,6 +52,8 @@
 pub(crate) struct ReadyUpstreams {
     pub upstreams: Vec<Arc<Upstream>>,
     pub candidates: Vec<Candidate>,
+    /// Their software versions, with the number of upstreams at each.
+    versions: Vec<(VersionHash, usize)>,
 }
 
 /// What an update of the list changed.
@@ -72,14 +79,30 @@
 
     /// Returns whether some upstream has another software version.
     pub(crate) fn has_other_version(&self, version: VersionHash) -> bool {
-        self.upstreams.iter().any(|it| it.version_hash() != version)
+        self.versions.iter().any(|it| it.0 != version)
     }
 
     fn filter(&self, is_kept: impl Fn(&Upstream) -> bool) -> Self {
         let all = self.upstreams.iter().zip(&self.candidates);
         let some = all.filter(|it| is_kept(it.0));
-        let (upstreams, candidates) = some.map(|(it, candidate)| (it.clone(), *candidate)).unzip();
-        Self { upstreams, candidates }
+        let mut res = Self::default();
+        some.for_each(|(it, candidate)| res.push(it.clone(), *candidate));
+        res
+    }
+
+    /// Adds an upstream that sorts after all others.
+    fn push(&mut self, upstream: Arc<Upstream>, candidate: Candidate) {
+        self.count_version(&upstream);
+        self.upstreams.push(upstream);
+        self.candidates.push(candidate);
+    }
+
+    fn count_version(&mut self, upstream: &Upstream) {
+        let version = upstream.version_hash();
+        match self.versions.iter_mut().find(|it| it.0 == version) {
+            Some(it) => it.1 += 1,
+            None => self.versions.push((version, 1)),
+        }
     }
 
     /// Returns the upstream with a wire id.
@@ -93,14 +116,19 @@
 
     fn remove(&mut self, wire_id: u32) {
         if let Ok(idx) = self.position(wire_id) {
-            self.upstreams.remove(idx);
+            let version = self.upstreams.remove(idx).version_hash();
             self.candidates.remove(idx);
+            if let Some(it) = self.versions.iter_mut().find(|it| it.0 == version) {
+                it.1 -= 1;
+            }
+            self.versions.retain(|it| 0 < it.1);
         }
     }
 
     fn insert(&mut self, upstream: Arc<Upstream>, own_data_centre: &str) {
         let candidate = candidate(&upstream, own_data_centre);
         let (Ok(idx) | Err(idx)) = self.position(candidate.upstream);
+        self.count_version(&upstream);
         self.upstreams.insert(idx, upstream);
         self.candidates.insert(idx, candidate);
     }
@@ -130,14 +158,34 @@
         self.is_cold_reset = true;
     }
 
+    /// Returns the software version at which all streams of a service began that were relayed in the last
+    /// `window`; `None` if there may have been several.
+    pub(crate) fn only_version(
+        &self,
+        now: Duration,
+        service: &str,
+        window: Duration,
+    ) -> Option<VersionHash> {
+        let versions = self.ready.get(service).into_iter().flat_map(|it| &it.versions);
+        let versions = versions.map(|it| it.0);
+        self.versions.only_version(now, hash_name(service), versions, window)
+    }
+
     /// Brings what is derived from the directory and the evacuations up to date; upstreams in
     /// `own_data_centre` are marked as near.
-    pub(crate) fn apply_changes(&mut self, own_data_centre: &str) -> ListChanges {
+    pub(crate) fn apply_changes(&mut self, now: Duration, own_data_centre: &str) -> ListChanges {
         let TouchedUpstreams { touched, restarts } = self.directory.take_touched();
         let inputs = BuildInputs {
             own_data_centre: own_data_centre.to_owned(),
             evacuated: self.evacuations.data_centres().map(str::to_owned).collect(),
         };
+        for it in &touched {
+            let service = hash_name(&it.entry.service);
+            self.versions.record_listed(now, service, it.version_hash());
+        }
+        if self.built_from != inputs {
+            self.record_ready(now);
+        }
         if self.built_from != inputs || MAX_PATCHED < touched.len() {
             self.built_from = inputs;
             self.rebuild_ready();
@@ -183,6 +231,15 @@
         res
     }
 
+    /// Records the versions of all upstreams that have taken requests until now.
+    fn record_ready(&mut self, now: Duration) {
+        for (service, it) in &self.ready {
+            for (version, _) in &it.versions {
+                self.versions.record_listed(now, hash_name(service), *version);
+            }
+        }
+    }
+
     fn is_open(&self, upstream: &Upstream) -> bool {
         !self.evacuations.contains(&upstream.entry.data_centre)
     }
@@ -212,8 +269,7 @@
                 ready.insert(it.entry.service.clone(), ReadyUpstreams::default());
             }
             if let Some(group) = ready.get_mut(&it.entry.service) {
-                group.upstreams.push(it.clone());
-                group.candidates.push(candidate(it, &self.built_from.own_data_centre));
+                group.push(it.clone(), candidate(it, &self.built_from.own_data_centre));
             }
         }
         self.ready = ready.into_iter().map(|(service, it)| (service, Arc::new(it))).collect();
--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -151,6 +151,56 @@
     }
 }
 
+/// Time for which a service must have had a single version: twice the timeout of the route.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// Guards against refusals where nothing can go wrong: with a single version, a caller resumes any stream at any
+/// host, also one that has just started.
+#[test]
+fn unknown_stream_is_resumed_while_a_single_version_serves() {
+    let (mut fleet, mut hosts) = start(&["v1", "v1"], 2);
+    thread::sleep(WINDOW + Duration::from_millis(500));
+    hosts.push(start_host(&mut fleet));
+    wait_until("the hosts know each other", || {
+        hosts.iter().all(|it| it.metric("portfield_hosts") == 3.0)
+    });
+    for (n, host) in hosts.iter().enumerate() {
+        for first_attempt in ["", "unknown"] {
+            let response = host.send_admitted(&resume(&format!("t{n}"), first_attempt, 3));
+            assert_eq!((response.status, response.is_complete), (200, true), "{}", response.text());
+            assert_eq!(response.event_ids(), (4..=N_EVENTS).collect::<Vec<_>>());
+        }
+    }
+}
+
+/// Guards against streams that began while a single version served, and of which no other host was told before
+/// the next version came.
+#[test]
+fn stream_that_began_before_a_release_is_resumed_at_its_version() {
+    let (fleet, mut hosts) = start(&["v1", "v1", "v1"], 3);
+    thread::sleep(WINDOW + Duration::from_millis(500));
+    let long = request("digest", "s").replace("30,24", "30,300");
+    let mut stream = connect(hosts[0].listen).unwrap();
+    stream.write_all(long.as_bytes()).unwrap();
+    wait_until("an engine executes the stream", || fleet.n_executed() == 1);
+    thread::sleep(Duration::from_millis(100));
+    let told = |it: &Host| it.metric("portfield_stream_origins_told ");
+    assert_eq!(told(&hosts[0]), 0.0, "a single version serves");
+    let is_idle = |it: &&FakeUpstream| it.requests().is_empty();
+    let released = fleet.engines.iter().find(is_idle).unwrap();
+    released.set_software_version("v2");
+    fleet.store.put("servers", &released.id, &released.entry("model", "ready"));
+    wait_until("the others are told of the stream", || told(&hosts[0]) == 1.0);
+    hosts.remove(0).signal("-KILL");
+    let first = read_response(&mut stream).unwrap();
+    let n_received = first.event_ids().len() as u32;
+    assert!(!first.is_complete && 0 < n_received, "{}", first.text());
+    let text = resume("t", "s", n_received).replace("30,24", "30,300");
+    let second = hosts[0].send_admitted(&text);
+    assert_eq!((second.status, second.is_complete), (200, true), "{}", second.text());
+    assert_eq!(versions(&second), versions(&first));
+}
+
 /// Guards against a guess: a stream that no host knows may have begun at any of the versions.
 #[test]
 fn unknown_stream_is_refused_while_several_versions_serve() {
--- a/crates/portfield/src/balance/admission.rs
+++ b/crates/portfield/src/balance/admission.rs
@@ -72,7 +72,8 @@
 
 /// Returns the longest wait, in milliseconds, with which a request is still sent.
 ///
-/// A stream that has begun is always sent: its caller already has part of the response. `limits`
+/// A stream that has begun is always sent: its caller already has part of the response. One that its
+/// caller resumes is sent if it can go on in the caller's time. `limits`
 /// are given where shares follow what engines can do.
 pub(super) fn max_wait_ms(
     request: &PlacementRequest,
@@ -80,8 +81,12 @@
     limits: Option<&CapacityLimits>,
     upstream: &ScoredUpstream,
 ) -> f64 {
-    if request.stage == Stage::Streaming {
-        return f64::INFINITY;
+    match request.stage {
+        Stage::Streaming => return f64::INFINITY,
+        Stage::Resumed => {
+            return request.patience.saturating_sub(request.waited).as_secs_f64() * 1000.0;
+        }
+        Stage::New => {}
     }
     if request.engine.is_none() {
         return upstream.times.processing * PLAIN_QUEUE_RATIO;
--- a/crates/portfield/src/balance/memory_limits.rs
+++ b/crates/portfield/src/balance/memory_limits.rs
@@ -200,7 +200,7 @@
     /// negative if it does not fit.
     fn spare(&self, upstream: u32, state: Option<&UpstreamState>) -> f64 {
         let memory = state.map(|it| it.own.memory.plus(it.peers.memory)).unwrap_or_default();
-        if self.stage == Stage::Streaming {
+        if self.stage != Stage::New {
             return self.capacity - memory.running - self.need;
         }
         let is_own = self.home.is_some_and(|it| it.owns(upstream, memory.reserved));
@@ -221,7 +221,7 @@
         let part = (spare / sum.tokens.max(1.0)).max(1.0 / sum.n_open as f64);
         let rush = self.unseen * part * RUSH_FACTOR;
         let is_own = |home: Home| home.owns(it.upstream, reserved_at(upstreams, it.upstream));
-        if rush <= spare || self.home.is_some_and(is_own) || self.stage == Stage::Streaming {
+        if rush <= spare || self.home.is_some_and(is_own) || self.stage != Stage::New {
             return true;
         }
         let draw = hash_rank(self.random, it.upstream);
--- a/crates/portfield/src/balance/placement.rs
+++ b/crates/portfield/src/balance/placement.rs
@@ -28,6 +28,9 @@
     New,
     /// The caller has received part of a stream, which is continued however long it has to wait.
     Streaming,
+    /// The caller has received part of a stream at an earlier attempt, and resumes it. It is continued if that
+    /// is possible in the caller's time, before new requests: refused, what the caller has would be lost.
+    Resumed,
 }
 
 /// A request to be placed.
--- a/crates/portfield/src/gossip/peer_table.rs
+++ b/crates/portfield/src/gossip/peer_table.rs
@@ -6,6 +6,7 @@
 
 use super::{
     first_read::ReaderRank,
+    peer_state::peer_timeout,
     topology::{GossipConfig, GossipTopology, Peer, digest_period},
 };
 use crate::{
@@ -48,6 +49,16 @@
     Relayed,
 }
 
+/// A host that a message may be sent to.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Contact {
+    pub address: SocketAddr,
+    /// Hash of the address.
+    pub host: u64,
+    /// Whether it was heard so lately that it counts as running.
+    pub is_recent: bool,
+}
+
 /// The leader of another data centre.
 #[derive(Debug, Clone, Copy)]
 struct Leader {
@@ -242,6 +253,38 @@
         self.hosts.values().filter(is_in).map(|it| it.host).chain(own).collect()
     }
 
+    /// Returns the data centre of this host.
+    pub(super) fn own_data_centre(&self) -> u32 {
+        self.config.data_centre
+    }
+
+    /// Returns the data centres with another known host.
+    pub(super) fn data_centres(&self) -> Vec<u32> {
+        let known = self.hosts.values().filter_map(|it| it.data_centre);
+        let mut res: Vec<u32> = known.chain(self.leaders.keys().copied()).collect();
+        res.sort_unstable();
+        res.dedup();
+        res
+    }
+
+    /// Returns the known hosts of a data centre, with its leader.
+    pub(super) fn contacts_in(&self, now: Duration, data_centre: u32) -> Vec<Contact> {
+        let period = self.topology.period();
+        let hosts = self.hosts.iter().filter(|it| it.1.data_centre == Some(data_centre));
+        let hosts = hosts.map(|(address, it)| (*address, it.host, it.last_heard, period));
+        let leader =
+            self.leaders.get(&data_centre).filter(|it| !self.hosts.contains_key(&it.address));
+        let leader = leader.map(|it| {
+            (it.address, host_hash(it.address), it.last_heard, digest_period(it.n_hosts))
+        });
+        let contact = |(address, host, last_heard, period): (_, _, Duration, _)| Contact {
+            address,
+            host,
+            is_recent: !last_heard.is_zero() && now < last_heard + peer_timeout(period),
+        };
+        hosts.chain(leader).map(contact).collect()
+    }
+
     /// Adds a host, and its data centre if given; an address already in the table keeps its data
     /// centre.
     pub fn add_host(&mut self, address: SocketAddr, data_centre: Option<u32>) {
@@ -357,10 +400,7 @@
             let leader = self.leader_address().filter(|_| !digest.passed_on);
             return leader.map_or(Introduction::Unknown, Introduction::AskLeader);
         }
-        let known = self.hosts.values().filter_map(|it| it.data_centre);
-        let mut others: Vec<u32> = known.chain(self.leaders.keys().copied()).collect();
-        others.sort_unstable();
-        others.dedup();
+        let mut others = self.data_centres();
         others.retain(|it| *it != digest.data_centre);
         let remote = |it| self.known_hosts(digest, it, MAX_REMOTE_INTRODUCED);
         hosts.extend(others.into_iter().flat_map(remote));
--- a/crates/portfield/src/streams/mod.rs
+++ b/crates/portfield/src/streams/mod.rs
@@ -2,10 +2,20 @@
 //!
 //! What two versions of an upstream's software write does not fit together, and upstreams do not check it: once a
 //! caller has an event of a stream, the stream goes on only at upstreams of the same service and software
-//! version as the one that sent the event.
+//! version as the one that sent the event. A caller may resume a stream at a host that did not begin it, so
+//! hosts tell each other where streams began, and ask.
 //!
 //! - [`StreamOrigin`]: service and software version of the upstream that began a stream
+//! - [`StreamOrigins`]: the streams of which a host knows where they began
+//! - [`VersionHistory`]: which software versions a service had lately, and whether a host would know
+//! - [`OriginQuery`]: what a host learns from the others that it asks
 
 mod origin;
+mod origins;
+mod query;
+mod version_history;
 
-pub use origin::StreamOrigin;
+pub use origin::{StreamKey, StreamOrigin};
+pub use origins::{KnownOrigin, OriginSource, StreamKnowledge, StreamOrigins};
+pub use query::{OriginAnswer, OriginQuery, QueryOutcome};
+pub use version_history::VersionHistory;
