test(soak): engines of several versions come and go while callers resume streams elsewhere

Nothing in the soak had two software versions, and no caller resumed a stream. Beside the fleet of one version, whose seeds and faults stay as they were, the soak now runs one of nine engines at three versions, of which three to nine serve: engines start and leave, hosts are killed, stopped and suspended, the store is lost and restored, and callers break a third of their streams off and resume them, twice at most, at any host. From what callers get it checks that a stream has events of one version, whole and in order over all attempts, and that resumed streams go on at least half as often as new ones begin while two upstreams of their version serve.

The check of the availability counted whole seconds of windows, so that windows of 0.5 to 1 s counted as none. It now counts what it judges, slices of half a second of a host and an upstream, and says so where there were too few. What is judged and the bounds are as before. Why so little is judged: a restore of the store comes every 1.75 s on average and restarts all windows, each with a delay of 2 s.

--- a/crates/portfield-host/tests/availability/mod.rs
+++ b/crates/portfield-host/tests/availability/mod.rs
@@ -194,15 +194,8 @@
         if n_served * 4 < servable.len() {
             res.push(format!("only {n_served} of {} requests were served", servable.len()));
         }
-        let mut counts: BTreeMap<(usize, Duration, SocketAddr), (usize, usize)> = BTreeMap::new();
-        for it in attempts.iter().filter(|it| !self.is_exempt(it)) {
-            for key in self.slices(it) {
-                let (n_served, n) = counts.entry(key).or_default();
-                *n_served += usize::from(it.is_served);
-                *n += 1;
-            }
-        }
-        counts.retain(|_, (n_served, n)| MIN_REQUESTS <= *n && *n_served * 4 < *n);
+        let mut counts = self.slice_counts(attempts);
+        counts.retain(|_, (n_served, n)| *n_served * 4 < *n);
         res.extend(counts.into_iter().map(|((index, end, host), (n_served, n))| {
             format!(
                 "only {n_served} of {n} requests to {} were served by host {host} in the {SLICE:?} up to {end:?}, \
@@ -213,9 +206,32 @@
         res
     }
 
-    /// Returns the number of seconds in which upstreams had to be used, over all of them.
-    pub fn n_judged_seconds(&self) -> u64 {
-        self.must_serve.closed.iter().map(|it| (it.1.end - it.1.start).as_secs()).sum()
+    /// Returns the number of slices that were judged, each of a host and a window of an upstream.
+    pub fn n_judged_slices(&self, attempts: &[Attempt]) -> usize {
+        self.slice_counts(attempts).len()
+    }
+
+    /// Returns whether an upstream was available at a time, and known to be for as long as hosts may take to hear of it.
+    pub fn was_available(&self, index: usize, at: Duration) -> bool {
+        let windows = self.must_serve.closed.iter().filter(|it| it.0 == index);
+        windows.into_iter().any(|it| it.1.start <= at && at <= it.1.end)
+    }
+
+    /// Returns the served and all requests of each slice with enough of them.
+    fn slice_counts(
+        &self,
+        attempts: &[Attempt],
+    ) -> BTreeMap<(usize, Duration, SocketAddr), (usize, usize)> {
+        let mut res: BTreeMap<_, (usize, usize)> = BTreeMap::new();
+        for it in attempts.iter().filter(|it| !self.is_exempt(it)) {
+            for key in self.slices(it) {
+                let (n_served, n) = res.entry(key).or_default();
+                *n_served += usize::from(it.is_served);
+                *n += 1;
+            }
+        }
+        res.retain(|_, (_, n)| MIN_REQUESTS <= *n);
+        res
     }
 
     /// Returns whether an upstream of its service served at least some requests when it was sent, or after the end of
@@ -244,7 +260,8 @@
         windows.closed.iter().copied().filter(move |it| self.services[it.0] == service)
     }
 
-    fn is_exempt(&self, it: &Attempt) -> bool {
+    /// Returns whether the host of a request may refuse it.
+    pub fn is_exempt(&self, it: &Attempt) -> bool {
         let is_in = |at: &Interval| at.start <= it.ended && it.sent <= at.end;
         self.exempt.iter().any(|(host, at)| *host == it.host && is_in(at))
     }
--- a/crates/portfield-host/tests/soak.rs
+++ b/crates/portfield-host/tests/soak.rs
@@ -6,13 +6,14 @@
 
 mod availability;
 mod fleet;
+mod resumptions;
 mod self_reports;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     env, fs,
     io::{self, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -27,6 +28,7 @@
 use portfield_platform_standins::{
     FakeUpstream, FaultProxy, NetworkFault, StoreFault, StoreSnapshot, UpstreamFault,
 };
+use resumptions::{Counts, StreamAttempt};
 use self_reports::{Interval, Timeline};
 use serde_json::{Value, json};
 
@@ -35,6 +37,18 @@
 /// - 7, 8, 11: a restored store returned an upstream's entry of an earlier incarnation, and the self-report of the
 ///   later one was lost.
 const SEEDS: [u64; 6] = [1, 2, 3, 7, 8, 11];
+/// Seeds that CI runs of a fleet whose engines have several software versions.
+const RELEASE_SEEDS: [u64; 3] = [1, 2, 3];
+/// Engines of that fleet, each at one of [`VERSIONS`] in turn, and how many of them serve at the start.
+const N_RELEASE_ENGINES: usize = 9;
+const N_FIRST_ENGINES: usize = 6;
+const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+/// Fewest engines that serve during releases.
+const MIN_ENGINES: usize = 3;
+/// Attempts of a caller to resume a stream.
+const MAX_RESUMPTIONS: u32 = 2;
+/// Half seconds, of a host and an upstream, from which on a run says something about the availability.
+const MIN_JUDGED: usize = 10;
 /// Duration of the fault injection for each seed in CI.
 const CI_DURATION: Duration = Duration::from_secs(6);
 const N_HOSTS: usize = 3;
@@ -48,10 +62,20 @@
 const SHARED_BODY_EVERY: u64 = 8;
 /// Number of events in a stream: 24 tokens, three per event.
 const N_EVENTS: u32 = 8;
+/// The same of resumable streams beside releases, so that many are running when something fails.
+const N_LONG_EVENTS: u32 = 50;
+/// Part of the resumable streams beside releases that their caller breaks off and resumes elsewhere.
+const BREAK_OFF_PART: f64 = 0.3;
 
 /// Request and the response that its caller got.
 struct Outcome {
     id: String,
+    /// Attempt that brought the first event, if the request resumes a stream, and the last event before.
+    resumes: Option<(String, u32)>,
+    /// Attempts to resume the stream so far, this one included.
+    n_resumptions: u32,
+    /// Events of the whole stream.
+    n_events: u32,
     route: &'static str,
     body: String,
     /// Address of the host that it was sent to.
@@ -66,6 +90,24 @@
         self.response.as_ref().is_some_and(|it| it.status == 200)
     }
 
+    /// Returns the attempt as the checks of streams see it, `None` for another route.
+    fn stream_attempt(&self, is_judged: bool) -> Option<StreamAttempt> {
+        let response = self.response.as_ref().filter(|it| it.status == 200);
+        let events = response
+            .map_or(Vec::new(), |it| it.event_ids().into_iter().zip(it.event_versions()).collect());
+        let (first_attempt, last_event) =
+            self.resumes.clone().unwrap_or_else(|| (self.id.clone(), 0));
+        (self.route == "digest").then(|| StreamAttempt {
+            first_attempt,
+            last_event,
+            sent: self.sent,
+            events,
+            is_complete: response.is_some_and(|it| it.is_complete),
+            n_events: self.n_events,
+            is_judged,
+        })
+    }
+
     /// Returns the request as the check of the availability sees it.
     fn attempt(&self) -> Attempt {
         let service = if matches!(self.route, "draft" | "digest") { "model" } else { "desk" };
@@ -79,6 +121,25 @@
     }
 }
 
+/// Fleet that a soak test runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SoakKind {
+    /// All upstreams have the same software version.
+    SingleVersion,
+    /// Engines of several versions come and go.
+    Releases,
+}
+
+impl SoakKind {
+    /// Returns the pause between two faults; beside releases longer, so that versions keep serving in between.
+    fn fault_interval(self) -> Duration {
+        match self {
+            Self::SingleVersion => FAULT_INTERVAL,
+            Self::Releases => FAULT_INTERVAL * 3,
+        }
+    }
+}
+
 /// Listen addresses of the running hosts, updated when a host is replaced.
 type HostAddresses = Arc<Mutex<Vec<SocketAddr>>>;
 
@@ -105,6 +166,10 @@
     data_centres: &'static [&'static str],
     /// IDs and current store entries of the upstreams.
     entries: Vec<(String, Value)>,
+    /// Upstreams without an entry in the store.
+    unlisted: BTreeSet<usize>,
+    /// Draws releases, independently of the other faults.
+    release_rng: fastrand::Rng,
     /// Earlier snapshot of the store, for the next restore.
     snapshot: StoreSnapshot,
     /// Maximum suspension of a host, in milliseconds; every third seed suspends hosts for seconds.
@@ -113,8 +178,19 @@
 
 impl Soak {
     /// Starts a fleet whose upstreams are behind proxies, and hosts that are ready.
-    fn start(seed: u64) -> Self {
-        let fleet = Fleet::new(2, 3);
+    fn start(seed: u64, kind: SoakKind) -> Self {
+        let fleet = match kind {
+            SoakKind::SingleVersion => Fleet::new(2, 3),
+            SoakKind::Releases => Fleet::new(2, N_RELEASE_ENGINES),
+        };
+        let mut unlisted = BTreeSet::new();
+        if kind == SoakKind::Releases {
+            for (n, it) in fleet.engines.iter().enumerate() {
+                it.set_software_version(VERSIONS[n % VERSIONS.len()]);
+            }
+            unlisted.extend(2 + N_FIRST_ENGINES..2 + N_RELEASE_ENGINES);
+            unlisted.iter().for_each(|it| fleet.store.remove("servers", &fleet.engines[it - 2].id));
+        }
         let (mut proxies, mut entries) = (Vec::new(), Vec::new());
         let services = [("desk", &fleet.plain_upstreams), ("model", &fleet.engines)];
         for (service, upstreams) in services {
@@ -122,7 +198,9 @@
                 let proxy = FaultProxy::start(&fleet.rt, it.address());
                 let proxy = futures_lite::future::block_on(proxy).unwrap();
                 let entry = it.entry_at(proxy.address(), service, "ready");
-                fleet.store.put("servers", &it.id, &entry);
+                if !unlisted.contains(&entries.len()) {
+                    fleet.store.put("servers", &it.id, &entry);
+                }
                 entries.push((it.id.clone(), entry));
                 proxies.push(proxy);
             }
@@ -131,6 +209,8 @@
         let mut res = Self {
             fleet,
             entries,
+            unlisted,
+            release_rng: fastrand::Rng::with_seed(seed ^ 0x5eed),
             snapshot,
             hosts: Vec::new(),
             proxies,
@@ -152,7 +232,12 @@
             res.addresses.lock().unwrap().push(host.listen);
             res.hosts.push(host);
         }
-        res.availability = Availability::new(vec!["desk", "desk", "model", "model", "model"]);
+        let n_engines = res.fleet.engines.len();
+        let services = ["desk"; 2].into_iter().chain(std::iter::repeat_n("model", n_engines));
+        res.availability = Availability::new(services.collect());
+        for index in res.unlisted.clone() {
+            res.availability.update(index, |it| it.is_draining = true);
+        }
         res
     }
 
@@ -283,7 +368,9 @@
                 }
                 let entry = &mut self.entries[index].1;
                 entry["state"] = json!("draining");
-                self.fleet.store.put("servers", &upstream.id, entry);
+                if !self.unlisted.contains(&index) {
+                    self.fleet.store.put("servers", &upstream.id, entry);
+                }
                 format!("{} drains, announced in the store too", upstream.id)
             }
             2..=4 => {
@@ -317,6 +404,31 @@
         self.record_action(action);
     }
 
+    /// Starts an engine that is not listed, or has one leave without notice. Each keeps its software version, so that
+    /// the versions that serve change.
+    fn release(&mut self) {
+        let index = 2 + self.release_rng.usize(..N_RELEASE_ENGINES);
+        let id = self.entries[index].0.clone();
+        if self.unlisted.contains(&index) {
+            self.restart_upstream(index);
+            return self.record_action(format!("{id} starts"));
+        }
+        if N_RELEASE_ENGINES - self.unlisted.len() <= MIN_ENGINES {
+            return;
+        }
+        self.unlisted.insert(index);
+        self.availability.update(index, |it| it.is_draining = true);
+        self.fleet.store.remove("servers", &id);
+        self.record_action(format!("{id} leaves"));
+    }
+
+    /// Returns how many engines of a version were available at a time, and known to be.
+    fn n_serving(&self, version: &str, at: Duration) -> usize {
+        let engines = self.fleet.engines.iter().enumerate();
+        let is_serving = |n: usize| self.availability.was_available(2 + n, at);
+        engines.filter(|(n, it)| it.software_version() == version && is_serving(*n)).count()
+    }
+
     /// Restarts an upstream under its ID as a new incarnation; its earlier self-reports no longer apply.
     fn restart_upstream(&mut self, index: usize) {
         let upstream = self.upstreams()[index].clone();
@@ -329,6 +441,7 @@
         self.entries[index].1["state"] = json!("ready");
         // As the platform defines it: hosts compare it with the times of what they were told.
         self.entries[index].1["born"] = json!(clock::unix_millis());
+        self.unlisted.remove(&index);
         let (id, entry) = &self.entries[index];
         self.fleet.store.put("servers", id, entry);
     }
@@ -355,8 +468,12 @@
         self.fleet.store.set_fault(StoreFault::None);
         thread::sleep(Duration::from_millis(self.rng.u64(0..400)));
         self.fleet.store.put("op", "config", &config(self.config_version));
-        for (id, entry) in &self.entries {
-            self.fleet.store.put("servers", id, entry);
+        for (index, (id, entry)) in self.entries.iter().enumerate() {
+            if self.unlisted.contains(&index) {
+                self.fleet.store.remove("servers", id);
+            } else {
+                self.fleet.store.put("servers", id, entry);
+            }
         }
         self.availability.restore_store();
         "store restored from a snapshot".to_owned()
@@ -400,19 +517,30 @@
 fn run_caller(
     addresses: &HostAddresses,
     caller: usize,
+    kind: SoakKind,
     n_sent: &AtomicU64,
     stop: &AtomicBool,
 ) -> Vec<Outcome> {
     let routes = ["check", "order", "draft", "digest"];
     let mut rng = fastrand::Rng::with_seed(caller as u64);
     let mut connection: Option<TcpStream> = None;
-    let mut res = Vec::new();
+    let mut res: Vec<Outcome> = Vec::new();
     while !stop.load(Ordering::Relaxed) {
-        let route = routes[rng.usize(..routes.len())];
         let number = n_sent.fetch_add(1, Ordering::Relaxed);
         let id = format!("c{caller}-{number}");
-        let is_shared = number.is_multiple_of(SHARED_BODY_EVERY);
-        let body = if is_shared { "body".to_owned() } else { id.clone() };
+        let broken = res.last().and_then(broken_stream);
+        let (route, body, resumes) = match broken {
+            Some((body, resumes)) => {
+                // On a new connection, mostly to another host.
+                connection = None;
+                ("digest", body, Some(resumes))
+            }
+            None => {
+                let route = routes[rng.usize(..routes.len())];
+                let is_shared = number.is_multiple_of(SHARED_BODY_EVERY);
+                (route, if is_shared { "body".to_owned() } else { id.clone() }, None)
+            }
+        };
         let address = addresses.lock().unwrap()[rng.usize(..N_HOSTS)];
         let stream = connection.take().or_else(|| TcpStream::connect(address).ok());
         let Some((mut stream, address)) = stream.and_then(|it| {
@@ -422,20 +550,71 @@
             thread::sleep(Duration::from_millis(10));
             continue;
         };
+        let is_long = kind == SoakKind::Releases && route == "digest";
         stream.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
+        if is_long && rng.f64() < BREAK_OFF_PART {
+            break_off_after(&stream, Duration::from_millis(rng.u64(50..400)));
+        }
         let sent_at = clock::now();
-        let sent = stream.write_all(request_with_body(route, &id, &body).as_bytes());
+        let text = request_with_body(route, &id, &body);
+        let text = resumes.as_ref().map_or(text.clone(), |it| resume(&text, it));
+        let n_events = if is_long { N_LONG_EVENTS } else { N_EVENTS };
+        let text = text.replace("30,24", &format!("30,{}", n_events * 3));
+        let sent = stream.write_all(text.as_bytes());
         let response = sent.ok().and_then(|()| read_response(&mut stream));
         if response.as_ref().is_some_and(|it| it.is_complete && it.header("connection").is_none()) {
             connection = Some(stream);
         }
         let ended = clock::now();
-        res.push(Outcome { id, route, body, host: address, response, sent: sent_at, ended });
+        let sent = sent_at;
+        let n_before = res.last().map_or(0, |it| it.n_resumptions);
+        let n_resumptions = if resumes.is_some() { n_before + 1 } else { 0 };
+        let host = address;
+        res.push(Outcome {
+            id,
+            resumes,
+            n_resumptions,
+            n_events,
+            route,
+            body,
+            host,
+            response,
+            sent,
+            ended,
+        });
         thread::sleep(Duration::from_millis(rng.u64(2..20)));
     }
     res
 }
 
+/// Breaks a connection off after a time, as a caller's network does.
+fn break_off_after(stream: &TcpStream, time: Duration) {
+    let stream = stream.try_clone().unwrap();
+    thread::spawn(move || {
+        thread::sleep(time);
+        // The connection may have ended before.
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+}
+
+/// Returns the body of a stream that broke after some event, the attempt that began it and the last event, as long
+/// as its caller resumes it.
+fn broken_stream(it: &Outcome) -> Option<(String, (String, u32))> {
+    let (first, last_event) = it.resumes.clone().unwrap_or_else(|| (it.id.clone(), 0));
+    let response = it.response.as_ref();
+    let events = response.filter(|it| it.status == 200).map(Response::event_ids);
+    let last_event = events.and_then(|it| it.last().copied()).unwrap_or(last_event);
+    let is_broken = response.is_none_or(|it| it.status != 200 || !it.is_complete);
+    let may_resume = it.route == "digest" && is_broken && it.n_resumptions < MAX_RESUMPTIONS;
+    (may_resume && 0 < last_event).then(|| (it.body.clone(), (first, last_event)))
+}
+
+/// Adds to a request the headers that resume a stream.
+fn resume(text: &str, (first_attempt, last_event): &(String, u32)) -> String {
+    let headers = format!("last-event-id: {last_event}\r\nresumes: {first_attempt}\r\n");
+    text.replace("token-count", &format!("{headers}token-count"))
+}
+
 /// Describes the guarantees that were violated, from outcomes and the requests that upstreams received.
 fn find_violations(fleet: &Fleet, outcomes: &[Outcome]) -> Vec<String> {
     let mut violations = Vec::new();
@@ -499,8 +678,9 @@
             .then(|| format!("{id} got the body {:?}", response.text()));
     }
     let events = response.event_ids();
-    let is_in_order = events.iter().copied().eq(1..=events.len() as u32);
-    let has_all_events = events.len() as u32 == N_EVENTS;
+    let before = it.resumes.as_ref().map_or(0, |it| it.1);
+    let is_in_order = events.iter().copied().eq(before + 1..=before + events.len() as u32);
+    let has_all_events = before + events.len() as u32 == it.n_events;
     if !is_in_order || (response.is_complete && !has_all_events) {
         return Some(format!("{id} got the events {events:?}, complete: {}", response.is_complete));
     }
@@ -508,20 +688,23 @@
 }
 
 /// Runs one seed and returns the violations found; saves artifacts if there are any.
-fn soak(seed: u64, time: Duration) -> Vec<String> {
-    let mut soak = Soak::start(seed);
+fn soak(seed: u64, kind: SoakKind, time: Duration) -> Vec<String> {
+    let mut soak = Soak::start(seed, kind);
     let (stop, n_sent) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     let callers: Vec<_> = (0..N_CALLERS)
         .map(|it| {
             let (addresses, n_sent, stop) = (soak.addresses.clone(), n_sent.clone(), stop.clone());
-            thread::spawn(move || run_caller(&addresses, it, &n_sent, &stop))
+            thread::spawn(move || run_caller(&addresses, it, kind, &n_sent, &stop))
         })
         .collect();
     let end = Instant::now() + time;
     while Instant::now() < end {
         soak.inject_fault();
         soak.inject_self_report();
-        thread::sleep(FAULT_INTERVAL);
+        if kind == SoakKind::Releases {
+            soak.release();
+        }
+        thread::sleep(kind.fault_interval());
     }
     soak.availability.finish();
     soak.clear_faults();
@@ -542,6 +725,9 @@
                 outcomes.push(Outcome {
                     body: id.clone(),
                     id,
+                    resumes: None,
+                    n_resumptions: 0,
+                    n_events: N_EVENTS,
                     route,
                     host: address,
                     response,
@@ -564,16 +750,33 @@
     // Requests while no upstream served any do not count: callers that are refused at once count often.
     let attempts: Vec<Attempt> = outcomes.iter().map(Outcome::attempt).collect();
     violations.extend(soak.availability.find_violations(&attempts));
+    let streams: Vec<StreamAttempt> = outcomes
+        .iter()
+        .filter_map(|it| it.stream_attempt(!soak.availability.is_exempt(&it.attempt())))
+        .collect();
+    violations.extend(resumptions::find_violations(&streams));
+    let counts = resumptions::count(&streams, |version, at| soak.n_serving(version, at));
+    violations.extend(resumptions::find_lost(counts));
     let n_served = outcomes.iter().filter(|it| it.is_served()).count();
-    let n_judged = soak.availability.n_judged_seconds();
-    let n = outcomes.len();
-    let _ = writeln!(io::stderr(), "seed {seed}: {n_served} of {n} served, {n_judged} s judged");
+    report(seed, n_served, outcomes.len(), soak.availability.n_judged_slices(&attempts), counts);
     if !violations.is_empty() {
         save_artifacts(seed, &soak, &violations);
     }
     violations
 }
 
+/// Prints what a run has tested.
+fn report(seed: u64, n_served: usize, n: usize, n_judged: usize, counts: Counts) {
+    let hint = if n_judged < MIN_JUDGED { ", too few to judge the availability" } else { "" };
+    let Counts { n_new, n_begun, n_resumed, n_continued, n_all_resumed, n_all_continued } = counts;
+    let _ = writeln!(
+        io::stderr(),
+        "seed {seed}: {n_served} of {n} served, {n_judged} slices of a host and an upstream judged{hint}; \
+         {n_begun} of {n_new} streams begun, {n_all_continued} of {n_all_resumed} continued, {n_continued} of \
+         {n_resumed} with two upstreams of their version"
+    );
+}
+
 /// Saves violations, injected actions and host logs to a temporary directory.
 fn save_artifacts(seed: u64, soak: &Soak, violations: &[String]) {
     let dir = env::temp_dir().join(format!("portfield-soak-{seed}"));
@@ -592,14 +795,29 @@
     env::var(name).ok()?.parse().ok()
 }
 
-#[test]
-fn guarantees_hold_under_random_faults() {
+/// Runs the seeds that the environment names, or these.
+fn run_seeds(seeds: &[u64], kind: SoakKind) {
     let seeds: Vec<u64> = match env_number("SOAK_SEED") {
         Some(first) => (first..first + env_number("SOAK_COUNT").unwrap_or(1)).collect(),
-        None => SEEDS.to_vec(),
+        None => seeds.to_vec(),
     };
     let time = env_number("SOAK_SECONDS").map_or(CI_DURATION, Duration::from_secs);
-    let violations: Vec<(u64, Vec<String>)> =
-        seeds.into_iter().map(|it| (it, soak(it, time))).filter(|it| !it.1.is_empty()).collect();
+    let violations: Vec<(u64, Vec<String>)> = seeds
+        .into_iter()
+        .map(|it| (it, soak(it, kind, time)))
+        .filter(|it| !it.1.is_empty())
+        .collect();
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+#[test]
+fn guarantees_hold_under_random_faults() {
+    run_seeds(&SEEDS, SoakKind::SingleVersion);
+}
+
+/// Guards against streams with events of two versions while releases, host failures and callers' attempts to resume
+/// overlap.
+#[test]
+fn guarantees_hold_while_versions_change() {
+    run_seeds(&RELEASE_SEEDS, SoakKind::Releases);
+}
