--- a/crates/portfield-net/src/logs.rs
+++ b/crates/portfield-net/src/logs.rs
@@ -27,6 +27,9 @@
 pub const BATCH_PERIOD: Duration = Duration::from_millis(50);
 /// Size of a burst that passes the rate limit, as the time in which the rate allows as many lines.
 const BURST_TIME: Duration = Duration::from_secs(2);
+/// Lines of each message per second that are written beyond the rate: frequent messages must not crowd
+/// out the one line on a rare decision.
+const RESERVED_RATE: f64 = 1.0;
 /// Time between two lines that report omitted lines.
 const OMITTED_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -97,11 +100,30 @@
     rate: f64,
     tokens: f64,
     refilled_at: Duration,
+    /// When each message last used its reserve.
+    reserve_used: BTreeMap<String, Duration>,
     /// Number of omitted lines by message.
     omitted: BTreeMap<String, u64>,
     reported_at: Duration,
 }
 
+impl RateLimit {
+    /// Takes a line from the reserve of its message; returns whether there was one. A line without values stands for
+    /// one that is omitted.
+    fn take_reserve(&mut self, now: Duration, record: &Record<'_>) -> bool {
+        if record.key_values().is_empty() {
+            return false;
+        }
+        let period = Duration::from_secs_f64(1.0 / RESERVED_RATE);
+        let message = record.payload().to_string();
+        if self.reserve_used.get(&message).is_some_and(|it| now < *it + period) {
+            return false;
+        }
+        self.reserve_used.insert(message, now);
+        true
+    }
+}
+
 impl RateLimitedAppender {
     /// Creates an appender that sends at most `rate` lines per second to a channel.
     pub fn new(rate: u32, sender: SyncSender<Vec<u8>>) -> Self {
@@ -110,6 +132,7 @@
             rate,
             tokens: rate * BURST_TIME.as_secs_f64(),
             refilled_at: Duration::ZERO,
+            reserve_used: BTreeMap::new(),
             omitted: BTreeMap::new(),
             reported_at: Duration::ZERO,
         };
@@ -138,14 +161,15 @@
         limit.refilled_at = now;
         self.report_omitted(&mut limit, now);
         let mut is_sent = false;
-        if 1.0 <= limit.tokens {
+        let is_within_rate = 1.0 <= limit.tokens;
+        if is_within_rate || limit.take_reserve(now, record) {
             let mut line = self.layout.format(record, diags)?;
             line.push(b'\n');
             is_sent = self.sender.try_send(line).is_ok();
         }
-        if is_sent {
+        if is_sent && is_within_rate {
             limit.tokens -= 1.0;
-        } else {
+        } else if !is_sent {
             let wait = Duration::from_secs_f64((1.0 - limit.tokens).max(0.0) / limit.rate);
             OMITS_UNTIL_MS.store((now + wait).as_millis() as u64, Ordering::Relaxed);
             *limit.omitted.entry(record.payload().to_string()).or_default() += 1;
--- a/crates/portfield-net/tests/logs.rs
+++ b/crates/portfield-net/tests/logs.rs
@@ -5,7 +5,11 @@
     time::{Duration, Instant},
 };
 
-use logforth::{Append, record::Record};
+use logforth::{
+    Append,
+    kv::{Key, Value},
+    record::Record,
+};
 use portfield_net::logs::RateLimitedAppender;
 
 fn append(appender: &RateLimitedAppender, n: usize) {
@@ -24,6 +28,23 @@
     assert_eq!(receiver.try_iter().count(), 4);
 }
 
+/// Guards against a rare decision whose only line is crowded out by frequent ones.
+#[test]
+fn line_of_a_rare_message_is_written_above_the_rate() {
+    let (sender, receiver) = sync_channel(100_000);
+    let appender = RateLimitedAppender::new(10, sender);
+    append(&appender, 5_000);
+    let values = [(Key::new("request"), Value::str("r1"))];
+    for _ in 0..3 {
+        let record = Record::builder().payload(format_args!("not resumed"));
+        let record = record.key_values(values.as_slice()).build();
+        appender.append(&record, &[]).unwrap();
+    }
+    let lines: Vec<String> = receiver.try_iter().map(|it| String::from_utf8(it).unwrap()).collect();
+    let n_rare = lines.iter().filter(|it| it.contains("not resumed")).count();
+    assert_eq!(n_rare, 1, "one line a second of each message");
+}
+
 #[test]
 fn lines_above_the_rate_are_omitted_and_counted_by_message() {
     let (sender, receiver) = sync_channel(100_000);
