--- a/crates/portfieldctl/src/logs.rs
+++ b/crates/portfieldctl/src/logs.rs
@@ -145,6 +145,13 @@
     if let Some(it) = find_last("rejected") {
         return format!("rejected with {}: {}", it.value_text("status"), it.value_text("reason"));
     }
+    if let Some(it) = find_last("not resumed") {
+        return format!(
+            "refused: the stream that attempt {} began cannot be resumed, {}; its caller has to send it anew",
+            it.value_text("resumes"),
+            it.value_text("reason"),
+        );
+    }
     if let Some(it) = find_last("in quarantine") {
         return format!(
             "refused: {} upstreams ended while they ran it (fingerprint {}), quarantined for another {} s; \
--- a/crates/portfieldctl/tests/explain.rs
+++ b/crates/portfieldctl/tests/explain.rs
@@ -21,6 +21,8 @@
 h1 {"timestamp":"2026-03-04T06:24:51.600+00:00","message":"attempt failed","kvs":{"request":"r5","upstream":"i-8","outcome":"not run","cause":"turned away with 503"}}
 h1 {"timestamp":"2026-03-04T06:24:51.601+00:00","message":"not placed","kvs":{"request":"r5","reason":"Backoff","estimate_ms":2400,"retry_ms":900}}
 h1 {"timestamp":"2026-03-04T06:24:51.700+00:00","message":"not placed","kvs":{"request":"r6","reason":"Share","estimate_ms":300,"objective_ms":800,"share":1.6,"hosts":8,"config":2,"list":21,"room":0.04,"free_slots":0.3,"queue_ms":410,"retry_ms":700,"invited_ms":700,"earlier_ms":0}}
+h1 {"timestamp":"2026-03-04T06:24:51.800+00:00","message":"not resumed","kvs":{"request":"r7","resumes":"r2","reason":"it is not known which software version began it"}}
+h1 {"timestamp":"2026-03-04T06:24:51.801+00:00","message":"given up","kvs":{"request":"r7","status":503,"may_have_run":false}}
 h1 {"timestamp":"2026-03-04T06:24:52.000+00:00","message":"lines left out","kvs":{"placed":3}}
 "#;
 
@@ -75,6 +77,18 @@
     );
 }
 
+/// An operator could not tell a stream that is not resumed from one that found no upstream.
+#[test]
+fn refused_resumption_names_the_stream_and_the_reason() {
+    let text = explained("r7");
+    assert!(
+        text.contains(
+            "the stream that attempt r2 began cannot be resumed, it is not known which software version began it"
+        ),
+        "{text}"
+    );
+}
+
 #[test]
 fn quarantine_refusal_shows_how_to_lift_it() {
     let text = explained("r4");
