perf(streams): with no sign of a second version only the data centre is told where a stream began

Who cannot prove a single version but has seen no second one now tells its data centre alone; once a second version appears it tells of its running streams. What is lost with a whole data centre in that time is refused, not continued wrongly.

VersionSpread names the three cases. Also: the word of another host that a service had a single version counts only where this host has seen no other; it may know of a version that has not reached them.

--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -9,6 +9,7 @@
 use portfield::{
     balance::{Assignment, Candidate, EngineRoom, Placement, Refusal},
     catalog::{Regions, Restart, Upstream, VersionHash},
+    streams::{StreamOrigin, VersionSpread},
 };
 use portfield_net::clock;
 
@@ -117,21 +118,32 @@
         list.versions.observe(now, is_current);
     }
 
-    /// Returns the software version at which all streams of a service began that were relayed in the last
-    /// `window`; `None` if there may have been several.
-    pub(crate) fn only_version(&self, service: &str, window: Duration) -> Option<VersionHash> {
-        self.with_list(|it| it.only_version(clock::now(), service, window))
+    /// Returns how many software versions a service had in the last `window`, by the hash of its name.
+    pub(crate) fn version_spread(&self, service: u32, window: Duration) -> VersionSpread {
+        self.with_list(|it| {
+            let name = it.ready.keys().find(|it| hash_name(it) == service);
+            let name = name.map_or("", String::as_str);
+            it.version_spread(clock::now(), name, window)
+        })
     }
 
-    /// Returns the same for the hash of the service's name.
-    pub(crate) fn only_version_by_hash(
-        &self,
-        service: u32,
-        window: Duration,
-    ) -> Option<VersionHash> {
+    /// Returns the only software version that a service had in the last `window`; `None` if there may have been
+    /// several.
+    pub(crate) fn only_version(&self, service: u32, window: Duration) -> Option<VersionHash> {
+        match self.version_spread(service, window) {
+            VersionSpread::One(it) => Some(it),
+            VersionSpread::OneSeen | VersionSpread::Several => None,
+        }
+    }
+
+    /// Returns whether a service had another software version in the last `window`, as far as this host has seen.
+    pub(crate) fn has_seen_other(&self, origin: StreamOrigin, window: Duration) -> bool {
         self.with_list(|it| {
-            let name = it.ready.keys().find(|it| hash_name(it) == service)?;
-            it.only_version(clock::now(), name, window)
+            let name = it.ready.keys().find(|it| hash_name(it) == origin.service);
+            let current = name.map_or(Vec::new(), |name| it.versions_of(name).collect());
+            let versions = current.into_iter().chain([origin.version]);
+            let spread = it.versions.spread(clock::now(), origin.service, versions, window);
+            spread == VersionSpread::Several
         })
     }
 
--- a/crates/portfield-host/src/streams.rs
+++ b/crates/portfield-host/src/streams.rs
@@ -10,10 +10,10 @@
 use portfield::{
     balance::Stage,
     catalog::{RouteKind, Upstream},
-    gossip::{StreamHolder, host_hash},
+    gossip::{Reach, StreamHolder, host_hash},
     streams::{
         KnownOrigin, OriginAnswer, OriginQuery, OriginSource, QueryOutcome, StreamKey,
-        StreamKnowledge, StreamOrigin, StreamOrigins,
+        StreamKnowledge, StreamOrigin, StreamOrigins, VersionSpread,
     },
 };
 use portfield_net::clock;
@@ -51,7 +51,7 @@
 #[derive(Debug)]
 pub(crate) struct Streams {
     origins: StreamOrigins,
-    /// Streams of this host that began while their service had a single version.
+    /// Streams of this host that were not told to the whole fleet.
     untold: VecDeque<Untold>,
     /// Questions to other hosts that wait for answers.
     queries: BTreeMap<QueryId, OriginQuery>,
@@ -60,13 +60,22 @@
     n_evicted: u64,
 }
 
-/// A stream that no other host was told of.
+/// A stream of this host that was not told to the whole fleet.
 #[derive(Debug, Clone, Copy)]
 struct Untold {
+    stream: BegunStream,
+    /// How far it was told.
+    reach: Option<Reach>,
+    expires_at: Duration,
+}
+
+/// A stream that began at this host.
+#[derive(Debug, Clone, Copy)]
+struct BegunStream {
     key: StreamKey,
     origin: StreamOrigin,
+    /// Time for which it may be resumed.
     window: Duration,
-    expires_at: Duration,
 }
 
 impl Default for Streams {
@@ -124,73 +133,82 @@
     matches!(host.streams().origins.get(clock::now(), key), StreamKnowledge::Known(_))
 }
 
+/// Returns how far it has to be told where a stream began; `None` if all hosts can tell from their lists.
+///
+/// While there is no sign of a second version, a stream that no other host knows is merely refused, so
+/// that the data centre is enough.
+fn needed_reach(host: &Host, stream: &BegunStream) -> Option<Reach> {
+    match host.version_spread(stream.origin.service, stream.window) {
+        VersionSpread::One(_) => None,
+        VersionSpread::OneSeen => Some(Reach::DataCentre),
+        VersionSpread::Several => Some(Reach::Fleet),
+    }
+}
+
 /// Records that a caller is about to receive the first event of a call's stream, and tells other hosts
-/// unless they know that the service has a single version.
+/// as far as needed.
 ///
 /// They are told before the caller is: if this host ends right after, they know.
 pub(crate) fn record_begun(host: &Host, call: &Call, upstream: &Upstream) {
     let Some(key) = stream_key(call) else { return };
     let origin = StreamOrigin { service: call.placement.service, version: upstream.version_hash() };
     let (now, window) = (clock::now(), window(call));
-    let needs_telling =
-        1 < call.route.services.len() || host.only_version(&call.service, window).is_none();
+    let stream = BegunStream { key, origin, window };
+    // A route with several services says nothing of where a stream began.
+    let has_one_service = call.route.services.len() == 1;
+    let reach = if has_one_service { needed_reach(host, &stream) } else { Some(Reach::Fleet) };
     let n_evicted = {
         let mut streams = host.streams();
         streams.origins.record(now, key, origin, OriginSource::Own, window);
-        if !needs_telling {
+        if reach != Some(Reach::Fleet) {
             if MAX_UNTOLD <= streams.untold.len() {
                 streams.untold.pop_front();
             }
-            let expires_at = now + window;
-            streams.untold.push_back(Untold { key, origin, window, expires_at });
+            streams.untold.push_back(Untold { stream, reach, expires_at: now + window });
         }
         streams.take_evicted()
     };
     host.metrics.add("stream_origins_evicted", n_evicted);
-    if needs_telling {
-        tell(host, &[(key, origin, window)]);
+    if let Some(reach) = reach {
+        tell(host, &[stream], reach);
     }
 }
 
-/// Tells other hosts of streams that began while their service had a single version, once it has
-/// several.
+/// Tells other hosts of streams that began when they needed to know less: a second version has appeared, or
+/// this host's list is no longer current.
 pub(crate) fn tell_untold(host: &Host) {
     let now = clock::now();
-    let due: Vec<_> = {
+    let mut due: BTreeMap<Reach, Vec<BegunStream>> = BTreeMap::new();
+    {
         let mut streams = host.streams();
         while streams.untold.front().is_some_and(|it| it.expires_at <= now) {
             streams.untold.pop_front();
         }
-        if streams.untold.is_empty() {
-            return;
-        }
-        let mut is_single: HashMap<(u32, Duration), bool> = HashMap::new();
-        let mut due = Vec::new();
-        streams.untold.retain(|it| {
-            let is_kept = *is_single.entry((it.origin.service, it.window)).or_insert_with(|| {
-                host.only_version_by_hash(it.origin.service, it.window).is_some()
-            });
-            if !is_kept {
-                due.push((it.key, it.origin, it.window));
+        let mut needed: HashMap<(u32, Duration), Option<Reach>> = HashMap::new();
+        streams.untold.retain_mut(|it| {
+            let service = (it.stream.origin.service, it.stream.window);
+            let needed = *needed.entry(service).or_insert_with(|| needed_reach(host, &it.stream));
+            if let Some(reach) = needed.filter(|_| it.reach < needed) {
+                it.reach = needed;
+                due.entry(reach).or_default().push(it.stream);
             }
-            is_kept
+            it.reach != Some(Reach::Fleet)
         });
-        due
-    };
-    tell(host, &due);
+    }
+    due.into_iter().for_each(|(reach, streams)| tell(host, &streams, reach));
 }
 
 /// Tells the hosts that are to know them where streams began.
-fn tell(host: &Host, streams: &[(StreamKey, StreamOrigin, Duration)]) {
+fn tell(host: &Host, streams: &[BegunStream], reach: Reach) {
     let now = clock::now();
     let mut by_holder: HashMap<SocketAddr, (StreamHolder, Vec<wire::StreamOrigin>)> =
         HashMap::new();
     {
         let peers = host.peers();
-        for (key, origin, validity) in streams {
-            for it in peers.told_holders(now, *key) {
+        for BegunStream { key, origin, window } in streams {
+            for it in peers.told_holders(now, *key, reach) {
                 let entry = by_holder.entry(it.address).or_insert_with(|| (it, Vec::new()));
-                entry.1.push(origin_to_wire(*key, *origin, *validity));
+                entry.1.push(origin_to_wire(*key, *origin, *window));
             }
         }
     }
@@ -272,7 +290,7 @@
     let window = window(call);
     // A route with several services may have begun the stream at another one.
     let has_one_service = call.route.services.len() == 1;
-    let own = host.only_version(&call.service, window).filter(|_| has_one_service);
+    let own = host.only_version(service, window).filter(|_| has_one_service);
     let holders = host.peers().asked_holders(clock::now(), key);
     let asked = holders.iter().map(|it| host_hash(it.address)).collect();
     let query = PendingQuery::start(host, key, OriginQuery::new(clock::now(), asked, own));
@@ -288,10 +306,13 @@
                 let known = KnownOrigin { origin, source: OriginSource::Asked, since: now };
                 return Some(Resolution::Known(known));
             }
-            QueryOutcome::OnlyVersion(version) if has_one_service => {
-                return Some(Resolution::OnlyVersion(StreamOrigin { service, version }));
+            QueryOutcome::OnlyVersion(version) => {
+                let origin = StreamOrigin { service, version };
+                // The others may not have heard of a version that this host has seen.
+                let is_only = has_one_service && !host.has_seen_other(origin, window);
+                return is_only.then_some(Resolution::OnlyVersion(origin));
             }
-            QueryOutcome::OnlyVersion(_) | QueryOutcome::Unknown => return None,
+            QueryOutcome::Unknown => return None,
         }
         if repeat_at <= now {
             repeat_at = now + REPEAT_INTERVAL;
@@ -406,7 +427,7 @@
         StreamKnowledge::Known(it) => res.origin = Some(origin_to_wire(key, it.origin, window)),
         StreamKnowledge::Conflicting => res.conflicting = true,
         StreamKnowledge::Unknown => {
-            res.only_version = host.only_version_by_hash(query.service, window);
+            res.only_version = host.only_version(query.service, window);
         }
     }
     send(host, reply_to, StreamNews { answers: vec![res], ..StreamNews::default() });
--- a/crates/portfield-host/src/upstream_list.rs
+++ b/crates/portfield-host/src/upstream_list.rs
@@ -10,7 +10,7 @@
 use portfield::{
     balance::Candidate,
     catalog::{Directory, Evacuations, Restart, TouchedUpstreams, Upstream, VersionHash},
-    streams::VersionHistory,
+    streams::{VersionHistory, VersionSpread},
 };
 
 use crate::state::hash_name;
@@ -158,17 +158,20 @@
         self.is_cold_reset = true;
     }
 
-    /// Returns the software version at which all streams of a service began that were relayed in the last
-    /// `window`; `None` if there may have been several.
-    pub(crate) fn only_version(
+    /// Returns how many software versions a service had in the last `window`.
+    pub(crate) fn version_spread(
         &self,
         now: Duration,
         service: &str,
         window: Duration,
-    ) -> Option<VersionHash> {
+    ) -> VersionSpread {
+        self.versions.spread(now, hash_name(service), self.versions_of(service), window)
+    }
+
+    /// Returns the software versions of a service's upstreams that take requests.
+    pub(crate) fn versions_of(&self, service: &str) -> impl Iterator<Item = VersionHash> {
         let versions = self.ready.get(service).into_iter().flat_map(|it| &it.versions);
-        let versions = versions.map(|it| it.0);
-        self.versions.only_version(now, hash_name(service), versions, window)
+        versions.map(|it| it.0)
     }
 
     /// Brings what is derived from the directory and the evacuations up to date; upstreams in
--- a/crates/portfield/src/gossip/stream_holders.rs
+++ b/crates/portfield/src/gossip/stream_holders.rs
@@ -24,6 +24,15 @@
 /// Other data centres that are asked, at most.
 const MAX_CENTRES: usize = 8;
 
+/// How far it is told where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    /// In this data centre.
+    DataCentre,
+    /// In another data centre too.
+    Fleet,
+}
+
 /// A host that is told or asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamHolder {
@@ -35,8 +44,9 @@
 
 impl PeerTable {
     /// Returns the hosts to be told where a stream began.
-    pub fn told_holders(&self, now: Duration, key: StreamKey) -> Vec<StreamHolder> {
-        let remote = self.remote_centres(key).into_iter().take(1);
+    pub fn told_holders(&self, now: Duration, key: StreamKey, reach: Reach) -> Vec<StreamHolder> {
+        let n_remote = usize::from(reach == Reach::Fleet);
+        let remote = self.remote_centres(key).into_iter().take(n_remote);
         let mut res = self.local_holders(now, key, N_TOLD);
         res.extend(remote.flat_map(|it| self.remote_holders(now, key, it, N_TOLD_REMOTE)));
         res
--- a/crates/portfield/src/streams/mod.rs
+++ b/crates/portfield/src/streams/mod.rs
@@ -18,4 +18,4 @@
 pub use origin::{StreamKey, StreamOrigin};
 pub use origins::{KnownOrigin, OriginSource, StreamKnowledge, StreamOrigins};
 pub use query::{OriginAnswer, OriginQuery, QueryOutcome};
-pub use version_history::VersionHistory;
+pub use version_history::{VersionHistory, VersionSpread};
--- a/crates/portfield/src/streams/version_history.rs
+++ b/crates/portfield/src/streams/version_history.rs
@@ -11,6 +11,17 @@
 /// Versions above which those not listed for [`RETENTION`] are forgotten.
 const MAX_VERSIONS: usize = 256;
 
+/// How many software versions a service had for as long as a stream can last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionSpread {
+    /// One, which is certain.
+    One(VersionHash),
+    /// One as far as this host has seen, which may have missed others.
+    OneSeen,
+    /// Several.
+    Several,
+}
+
 /// The software versions that a host has seen in its list of upstreams.
 ///
 /// If the list was current for as long as a stream can last, and showed a single version of the service, every
@@ -19,7 +30,7 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::streams::VersionHistory;
+/// use portfield::streams::{VersionHistory, VersionSpread};
 /// use std::time::Duration;
 ///
 /// let second = Duration::from_secs(1);
@@ -27,11 +38,12 @@
 /// for n in 10..=40 {
 ///     history.observe(second * n, true);
 /// }
-/// let only = |history: &VersionHistory| history.only_version(second * 40, 1, [10], second * 30);
-/// assert_eq!(only(&history), Some(10));
+/// let spread = |it: &VersionHistory, window: u32| it.spread(second * 40, 1, [10], second * window);
+/// assert_eq!(spread(&history, 30), VersionSpread::One(10));
+/// assert_eq!(spread(&history, 31), VersionSpread::OneSeen, "observed for 30 s");
 /// history.record_listed(second * 15, 1, 11);
-/// assert_eq!(only(&history), None, "another version was listed 25 s ago");
-/// assert_eq!(history.only_version(second * 40, 1, [10], second * 20), Some(10));
+/// assert_eq!(spread(&history, 30), VersionSpread::Several, "another one was listed 25 s ago");
+/// assert_eq!(spread(&history, 20), VersionSpread::One(10));
 /// ```
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -62,24 +74,26 @@
         };
     }
 
-    /// Returns the version at which all streams of a service began that were relayed in the last `window`;
-    /// `None` if there may have been several. `current` are the versions of its upstreams now.
-    pub fn only_version(
+    /// Returns how many versions a service had in the last `window`, among them `current`, those of its upstreams
+    /// now. With one, all streams that were relayed in that time began there.
+    pub fn spread(
         &self,
         now: Duration,
         service: u32,
         current: impl IntoIterator<Item = VersionHash>,
         window: Duration,
-    ) -> Option<VersionHash> {
-        let is_observed = now <= self.last_observed + MAX_OBSERVATION_GAP;
-        let since = self.current_since.filter(|_| is_observed)?;
-        if now < since + window {
-            return None;
-        }
+    ) -> VersionSpread {
         let is_recent = |at: Duration| now <= at + window;
         let recent = self.listed.iter().filter(|it| it.0.0 == service && is_recent(*it.1));
         let mut versions = recent.map(|it| it.0.1).chain(current);
-        let first = versions.next()?;
-        versions.all(|it| it == first).then_some(first)
+        let Some(first) = versions.next() else { return VersionSpread::OneSeen };
+        if versions.any(|it| it != first) {
+            return VersionSpread::Several;
+        }
+        let is_observed = now <= self.last_observed + MAX_OBSERVATION_GAP;
+        match self.current_since {
+            Some(since) if is_observed && since + window <= now => VersionSpread::One(first),
+            _ => VersionSpread::OneSeen,
+        }
     }
 }
--- a/crates/portfield/tests/streams.rs
+++ b/crates/portfield/tests/streams.rs
@@ -7,10 +7,10 @@
 };
 
 use portfield::{
-    gossip::{GossipConfig, PeerTable, StreamHolder, host_hash},
+    gossip::{GossipConfig, PeerTable, Reach, StreamHolder, host_hash},
     streams::{
         OriginAnswer, OriginQuery, OriginSource, QueryOutcome, StreamKey, StreamKnowledge,
-        StreamOrigin, StreamOrigins, VersionHistory,
+        StreamOrigin, StreamOrigins, VersionHistory, VersionSpread,
     },
     wire::Digest,
 };
@@ -83,15 +83,16 @@
 /// Guards against the conclusion that a service had one version from a list that may have missed another.
 #[test]
 fn list_that_was_not_current_all_the_while_proves_nothing() {
-    let only = |it: &VersionHistory, now: u32| it.only_version(SECOND * now, 1, [10], WINDOW);
-    assert_eq!(only(&history(40, &[]), 40), Some(10));
-    assert_eq!(only(&history(20, &[]), 20), None, "started 19 s ago");
-    assert_eq!(only(&history(40, &[30]), 40), None, "outdated 10 s ago");
-    assert_eq!(only(&history(60, &[30]), 60), Some(10), "outdated 29 s ago");
-    assert_eq!(only(&history(40, &[]), 45), None, "not observed since");
+    let spread = |it: &VersionHistory, now: u32| it.spread(SECOND * now, 1, [10], WINDOW);
+    let (one, one_seen) = (VersionSpread::One(10), VersionSpread::OneSeen);
+    assert_eq!(spread(&history(40, &[]), 40), one);
+    assert_eq!(spread(&history(20, &[]), 20), one_seen, "started 19 s ago");
+    assert_eq!(spread(&history(40, &[30]), 40), one_seen, "outdated 10 s ago");
+    assert_eq!(spread(&history(60, &[30]), 60), one, "outdated 29 s ago");
+    assert_eq!(spread(&history(40, &[]), 45), one_seen, "not observed since");
     let mut resumed = history(40, &[]);
     resumed.observe(SECOND * 45, true);
-    assert_eq!(only(&resumed, 45), None, "nothing was observed for five seconds");
+    assert_eq!(spread(&resumed, 45), one_seen, "nothing was observed for five seconds");
 }
 
 /// Guards against a version whose last upstream left while its streams can still be resumed.
@@ -99,10 +100,13 @@
 fn version_that_has_left_counts_for_as_long_as_a_stream() {
     let mut history = history(100, &[]);
     history.record_listed(SECOND * 80, 1, 11);
-    let only = |window: u32| history.only_version(SECOND * 100, 1, [10], SECOND * window);
-    assert_eq!((only(24), only(15)), (None, Some(10)));
-    assert_eq!(history.only_version(SECOND * 100, 2, [10], WINDOW), Some(10), "another service");
-    assert_eq!(history.only_version(SECOND * 100, 1, [10, 11], SECOND), None, "both are listed");
+    let spread = |service: u32, current: &[u64], window: u32| {
+        history.spread(SECOND * 100, service, current.iter().copied(), SECOND * window)
+    };
+    assert_eq!(spread(1, &[10], 24), VersionSpread::Several);
+    assert_eq!(spread(1, &[10], 15), VersionSpread::One(10));
+    assert_eq!(spread(2, &[10], 24), VersionSpread::One(10), "another service");
+    assert_eq!(spread(1, &[10, 11], 1), VersionSpread::Several, "both are listed");
 }
 
 /// Guards against a guess from answers that contradict each other, and against a wait for hosts that are gone.
@@ -205,7 +209,7 @@
 
     fn begin(&mut self, host: SocketAddr, key: StreamKey) {
         self.known.get_mut(&host).unwrap().insert(key);
-        let holders = self.peers[&host].told_holders(NOW, key);
+        let holders = self.peers[&host].told_holders(NOW, key, Reach::Fleet);
         for it in self.deliver(key, holders) {
             self.known.get_mut(&it).unwrap().insert(key);
         }
