--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -2,10 +2,20 @@
 
 mod fleet;
 
-use std::{collections::BTreeSet, io::Write, thread, time::Duration};
+use std::{
+    collections::BTreeSet,
+    io::Write,
+    net::UdpSocket,
+    thread,
+    time::{Duration, Instant},
+};
 
 use fleet::{Fleet, Host, Response, connect, read_response, request, wait_until};
+use portfield::gossip::host_hash;
 use portfield_platform_standins::{FakeUpstream, UpstreamFault};
+use portfield_wire::Digest;
+use prost::Message;
+use xxhash_rust::xxh3::xxh3_64;
 
 const N_EVENTS: u32 = 8;
 /// Streams of a test: with two of four engines at either version, all go on at the right one by chance
@@ -201,6 +211,52 @@
     assert_eq!(versions(&second), versions(&first));
 }
 
+/// Guards against a host of an earlier release that takes the news of a stream for its sender's state, and against
+/// a caller who waits for its answer, which never comes.
+#[test]
+fn host_of_an_earlier_release_is_told_in_a_form_that_it_ignores() {
+    let mut fleet = Fleet::new(0, 2);
+    fleet.set_engine_versions(&["v1", "v2"]);
+    let earlier = UdpSocket::bind("127.0.0.1:0").unwrap();
+    earlier.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    let address = earlier.local_addr().unwrap();
+    let host = fleet.spawn_host(&format!("seeds = ['{address}']"));
+    wait_until("the host is ready", || host.is_ready());
+    let mut digest = Digest {
+        host: host_hash(address),
+        incarnation: 1,
+        data_centre: xxh3_64(b"north") as u32,
+        address: address.to_string(),
+        outdated: true,
+        ..Digest::default()
+    };
+    let mut buf = [0; 60_000];
+    let mut receive = || {
+        digest.sequence += 1;
+        earlier.send_to(&digest.encode_to_vec(), host.peers).unwrap();
+        let n = earlier.recv(&mut buf).ok()?;
+        Digest::decode(&buf[..n]).ok()
+    };
+    wait_until("the host counts the other one", || {
+        receive();
+        host.metric("portfield_hosts") == 2.0
+    });
+    assert!(host.send_admitted(&request("digest", "s")).is_complete);
+    let mut news = None;
+    wait_until("the other host is told of the stream", || {
+        news = receive().filter(|it| it.streams.is_some());
+        news.is_some()
+    });
+    let news = news.unwrap();
+    // A digest with hosts is an introduction: nothing else of it is read.
+    let hosts: Vec<String> = news.hosts.iter().map(|it| it.address.clone()).collect();
+    assert_eq!(hosts, [host.peers.to_string()]);
+    assert_eq!((news.host, news.seeks_hosts, news.streams.unwrap().origins.len()), (0, false, 1));
+    let asked_at = Instant::now();
+    assert_eq!(host.send_admitted(&resume("t", "unknown", 3)).status, 503);
+    assert!(asked_at.elapsed() < Duration::from_secs(1), "{:?}", asked_at.elapsed());
+}
+
 /// Guards against a guess: a stream that no host knows may have begun at any of the versions.
 #[test]
 fn unknown_stream_is_refused_while_several_versions_serve() {
