refactor(streams): a module each for telling, asking and messages; software versions of services apart

No change of decisions but one: the versions that a service had are looked up by the hash of its name also where none of its upstreams takes requests; before, such a service counted as one of which nothing was seen.

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -143,15 +143,18 @@
     ];
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::PLAIN);
-    let versions = host.with_list(|it| it.n_by_version());
-    let versions: Vec<(String, f64)> = versions
-        .into_iter()
-        .map(|((service, version), n)| {
-            (format!("upstreams{{service={service:?},software={version:?}}}"), n as f64)
-        })
-        .collect();
+    let versions = version_gauges(host);
     let versions = versions.iter().map(|it| (it.0.as_str(), it.1));
     let gauges: Vec<(&str, f64)> = gauges.into_iter().chain(versions).collect();
     res.set_body(host.metrics.render(&gauges));
     res
 }
+
+/// Returns the number of listed upstreams by service and software version, with names of metrics.
+fn version_gauges(host: &Host) -> Vec<(String, f64)> {
+    let counts = host.with_list(|it| it.n_by_version());
+    let gauge = |((service, software), n): ((String, String), usize)| {
+        (format!("upstreams{{service={service:?},software={software:?}}}"), n as f64)
+    };
+    counts.into_iter().map(gauge).collect()
+}
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -33,6 +33,7 @@
 mod response;
 mod server;
 mod settings;
+mod software_versions;
 mod state;
 mod store_watch;
 mod streams;
--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -8,15 +8,14 @@
 
 use portfield::{
     balance::{Assignment, Candidate, EngineRoom, Placement, Refusal},
-    catalog::{Regions, Restart, Upstream, VersionHash},
-    streams::{StreamOrigin, VersionSpread},
+    catalog::{Regions, Restart, Upstream},
 };
 use portfield_net::clock;
 
 use crate::{
     call::Call,
     quarantine::{self, EndEvidence},
-    state::{Host, hash_name},
+    state::Host,
     upstream_list::{ListChanges, ReadyUpstreams, UpstreamList},
 };
 
@@ -103,60 +102,6 @@
         f(&self.upstream_list.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Observes whether the list of upstreams is current: no upstream can be known elsewhere for long that is
-    /// not known here.
-    pub(crate) fn observe_list(&self) {
-        let now = clock::now();
-        let has_store_contact = self.store_age() < self.settings().store_timeouts.stale_after
-            || self.peers_reached_store(now);
-        // While the store is down, no upstream can register.
-        let hears_all =
-            1 < self.balancer().n_hosts(now) && !self.peers().has_unreachable_centre(now);
-        let is_current = self.has_fresh_state() && (has_store_contact || hears_all);
-        let mut list = self.upstream_list.write().unwrap_or_else(PoisonError::into_inner);
-        let is_current = is_current && !list.directory.is_empty();
-        list.versions.observe(now, is_current);
-    }
-
-    /// Returns how many software versions a service had in the last `window`, by the hash of its name.
-    pub(crate) fn version_spread(&self, service: u32, window: Duration) -> VersionSpread {
-        self.with_list(|it| {
-            let name = it.ready.keys().find(|it| hash_name(it) == service);
-            let name = name.map_or("", String::as_str);
-            it.version_spread(clock::now(), name, window)
-        })
-    }
-
-    /// Returns the only software version that a service had in the last `window`; `None` if there may have been
-    /// several.
-    pub(crate) fn only_version(&self, service: u32, window: Duration) -> Option<VersionHash> {
-        match self.version_spread(service, window) {
-            VersionSpread::One(it) => Some(it),
-            VersionSpread::OneSeen | VersionSpread::Several => None,
-        }
-    }
-
-    /// Returns whether a service had another software version in the last `window`, as far as this host has seen.
-    pub(crate) fn has_seen_other(&self, origin: StreamOrigin, window: Duration) -> bool {
-        self.with_list(|it| {
-            let name = it.ready.keys().find(|it| hash_name(it) == origin.service);
-            let current = name.map_or(Vec::new(), |name| it.versions_of(name).collect());
-            let versions = current.into_iter().chain([origin.version]);
-            let spread = it.versions.spread(clock::now(), origin.service, versions, window);
-            spread == VersionSpread::Several
-        })
-    }
-
-    /// Returns the name of a software version of a service, empty if none of its upstreams that take requests
-    /// has it.
-    pub(crate) fn software_name(&self, service: &str, version: VersionHash) -> String {
-        self.with_list(|it| {
-            let mut upstreams = it.ready.get(service).into_iter().flat_map(|it| &it.upstreams);
-            let found = upstreams.find(|it| it.version_hash() == version);
-            found.map_or(String::new(), |it| it.entry.software_version.clone())
-        })
-    }
-
     /// Returns whether a request that was placed on an upstream may still be sent to it.
     pub(crate) fn may_send_to(&self, upstream: &Upstream) -> bool {
         let backs_off = self.balancer().backoff_until(clock::now(), upstream.wire_id()).is_some();
--- /dev/null
+++ b/crates/portfield-host/src/software_versions.rs
@@ -0,0 +1,64 @@
+//! Which software versions the upstreams of a service have, and had for as long as a stream can last.
+
+use std::{sync::PoisonError, time::Duration};
+
+use portfield::{
+    catalog::VersionHash,
+    streams::{StreamOrigin, VersionSpread},
+};
+use portfield_net::clock;
+
+use crate::state::Host;
+
+impl Host {
+    /// Observes whether the list of upstreams is current: no upstream can be known elsewhere for long that is
+    /// not known here.
+    pub(crate) fn observe_list(&self) {
+        let now = clock::now();
+        let has_store_contact = self.store_age() < self.settings().store_timeouts.stale_after
+            || self.peers_reached_store(now);
+        // While the store is down, no upstream can register.
+        let hears_all =
+            1 < self.balancer().n_hosts(now) && !self.peers().has_unreachable_centre(now);
+        let is_current = self.has_fresh_state() && (has_store_contact || hears_all);
+        let mut list = self.upstream_list.write().unwrap_or_else(PoisonError::into_inner);
+        let is_current = is_current && !list.directory.is_empty();
+        list.versions.observe(now, is_current);
+    }
+
+    /// Returns how many software versions a service, by the hash of its name, had in the last `window`.
+    pub(crate) fn version_spread(&self, service: u32, window: Duration) -> VersionSpread {
+        self.with_list(|it| {
+            it.versions.spread(clock::now(), service, it.versions_of(service), window)
+        })
+    }
+
+    /// Returns the only software version that a service had in the last `window`; `None` if there may have been
+    /// several.
+    pub(crate) fn only_version(&self, service: u32, window: Duration) -> Option<VersionHash> {
+        match self.version_spread(service, window) {
+            VersionSpread::One(it) => Some(it),
+            VersionSpread::OneSeen | VersionSpread::Several => None,
+        }
+    }
+
+    /// Returns whether this host has seen another software version of a stream's service in the last `window`.
+    pub(crate) fn has_seen_other(&self, origin: StreamOrigin, window: Duration) -> bool {
+        let StreamOrigin { service, version } = origin;
+        self.with_list(|it| {
+            let versions = it.versions_of(service).chain([version]);
+            let spread = it.versions.spread(clock::now(), service, versions, window);
+            spread == VersionSpread::Several
+        })
+    }
+
+    /// Returns the name of a software version of a service, empty if none of its upstreams that take requests
+    /// has it.
+    pub(crate) fn software_name(&self, service: &str, version: VersionHash) -> String {
+        self.with_list(|it| {
+            let mut upstreams = it.ready.get(service).into_iter().flat_map(|it| &it.upstreams);
+            let found = upstreams.find(|it| it.version_hash() == version);
+            found.map_or(String::new(), |it| it.entry.software_version.clone())
+        })
+    }
+}
--- /dev/null
+++ b/crates/portfield-host/src/streams/mod.rs
@@ -0,0 +1,105 @@
+//! Where streams began: what this host knows, tells the others and asks them.
+
+mod news;
+mod resolve;
+mod tell;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use portfield::{
+    catalog::RouteKind,
+    streams::{OriginQuery, StreamKey, StreamKnowledge, StreamOrigin, StreamOrigins},
+};
+use portfield_net::clock;
+
+pub(crate) use self::{
+    news::handle_news,
+    resolve::resolve_origin,
+    tell::{record_begun, tell_untold},
+};
+
+use self::tell::Untold;
+use crate::{call::Call, state::Host};
+
+/// Streams of which a host remembers where they began, some 2 MB: at 100 new ones a second and told to
+/// four other hosts each, those of half a minute.
+const MAX_STREAMS: usize = 16_384;
+/// Streams of this host that are remembered until the others have to be told, at most.
+const MAX_UNTOLD: usize = 4_096;
+/// Multiple of a route's timeout for which its streams may be resumed: a caller's attempts share one
+/// deadline, and the last one may take as long as the first.
+const VALIDITY_FACTOR: u32 = 2;
+
+/// Identifies a question: its stream and a number, as several requests may resume one stream.
+type QueryId = (StreamKey, u64);
+
+/// What a host knows of streams that may be resumed.
+#[derive(Debug)]
+pub(crate) struct Streams {
+    origins: StreamOrigins,
+    /// Streams of this host that were not told to the whole fleet.
+    untold: VecDeque<Untold>,
+    /// Questions to other hosts that wait for answers.
+    queries: BTreeMap<QueryId, OriginQuery>,
+    last_query: u64,
+    /// Evictions that were counted so far.
+    n_evicted: u64,
+}
+
+/// A stream that began at this host.
+#[derive(Debug, Clone, Copy)]
+struct BegunStream {
+    key: StreamKey,
+    origin: StreamOrigin,
+    /// Time for which it may be resumed.
+    window: Duration,
+}
+
+impl Default for Streams {
+    fn default() -> Self {
+        Self {
+            origins: StreamOrigins::new(MAX_STREAMS),
+            untold: VecDeque::new(),
+            queries: BTreeMap::new(),
+            last_query: 0,
+            n_evicted: 0,
+        }
+    }
+}
+
+impl Streams {
+    /// Returns the number of streams of which this host knows where they began.
+    pub(crate) fn n_known(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Returns how many streams were forgotten for want of room since the last call.
+    fn take_evicted(&mut self) -> u64 {
+        let n = self.origins.n_evicted();
+        n - std::mem::replace(&mut self.n_evicted, n)
+    }
+}
+
+/// Returns the time for which streams of a call's route may be resumed.
+fn window(call: &Call) -> Duration {
+    call.route.timeout * VALIDITY_FACTOR
+}
+
+/// Returns the key of the stream that a call begins or resumes; `None` if it cannot be resumed, or
+/// its caller does not name it.
+fn stream_key(call: &Call) -> Option<StreamKey> {
+    if call.kind() != RouteKind::ResumableStream {
+        return None;
+    }
+    let id = if call.resumption.is_some() { call.first_attempt() } else { &call.id };
+    (!id.is_empty()).then(|| StreamKey::new(call.placement.workspace, id))
+}
+
+/// Returns whether this host knows where the stream began that a caller resumes.
+pub(crate) fn is_known(host: &Host, workspace: u32, first_attempt: &str) -> bool {
+    let key = StreamKey::new(workspace, first_attempt);
+    matches!(host.streams().origins.get(clock::now(), key), StreamKnowledge::Known(_))
+}
--- a/crates/portfield-host/src/upstream_list.rs
+++ b/crates/portfield-host/src/upstream_list.rs
@@ -10,7 +10,7 @@
 use portfield::{
     balance::Candidate,
     catalog::{Directory, Evacuations, Restart, TouchedUpstreams, Upstream, VersionHash},
-    streams::{VersionHistory, VersionSpread},
+    streams::VersionHistory,
 };
 
 use crate::state::hash_name;
@@ -158,20 +158,10 @@
         self.is_cold_reset = true;
     }
 
-    /// Returns how many software versions a service had in the last `window`.
-    pub(crate) fn version_spread(
-        &self,
-        now: Duration,
-        service: &str,
-        window: Duration,
-    ) -> VersionSpread {
-        self.versions.spread(now, hash_name(service), self.versions_of(service), window)
-    }
-
-    /// Returns the software versions of a service's upstreams that take requests.
-    pub(crate) fn versions_of(&self, service: &str) -> impl Iterator<Item = VersionHash> {
-        let versions = self.ready.get(service).into_iter().flat_map(|it| &it.versions);
-        versions.map(|it| it.0)
+    /// Returns the software versions of the upstreams that take requests, by the hash of their service's name.
+    pub(crate) fn versions_of(&self, service: u32) -> impl Iterator<Item = VersionHash> {
+        let group = self.ready.iter().find(|it| hash_name(it.0) == service);
+        group.into_iter().flat_map(|it| &it.1.versions).map(|it| it.0)
     }
 
     /// Brings what is derived from the directory and the evacuations up to date; upstreams in
