--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -98,6 +98,31 @@
     assert!(OBJECTIVE < placed.estimate);
 }
 
+/// Guards against a caller that resumes a stream behind the new requests of a busy moment and loses what it has, and
+/// against one that waits for events which come after its time.
+#[test]
+fn a_resumed_stream_goes_before_new_requests_within_its_callers_time() {
+    let mut it = Balancer::new(WINDOW);
+    for n in 0..40 {
+        let placed = Assignment {
+            uncached_tokens: 20_000,
+            ..assigned(it.place(at(0), &started_stream(n), &engines(1)))
+        };
+        it.record_start(at(0), &started_stream(n), &placed);
+    }
+    let resumed = |patience: u64| PlacementRequest {
+        stage: Stage::Resumed,
+        patience: Duration::from_millis(patience),
+        ..request(1, 99, 500)
+    };
+    let new = it.place(at(1), &request(1, 99, 500), &engines(1));
+    assert!(matches!(new, Placement::Refuse { reason: Refusal::Busy, .. }), "{new:?}");
+    let placed = assigned(it.place(at(1), &resumed(60_000), &engines(1)));
+    assert!(OBJECTIVE < placed.estimate);
+    let late = it.place(at(1), &resumed(placed.estimate.as_millis() as u64 / 2), &engines(1));
+    assert!(matches!(late, Placement::Refuse { reason: Refusal::Busy, .. }), "{late:?}");
+}
+
 fn started_stream(shared: u64) -> PlacementRequest {
     PlacementRequest { stage: Stage::Streaming, ..request(1, shared, 500) }
 }
