fix(streams): a route that moved proves nothing about where its streams began

Found by reading: where a configuration moves a route to another service, and each of the two has had a single version, a host without a record took a stream of the old service for one of the new, and nothing was told, since both services had one version only.

Change: RouteMoves keeps when routes last changed the services that they lead to. Such a route counts as having several versions for as long as its streams can be resumed: running ones are told to the fleet, and no host answers for a single version (StreamQuery names the route).

--- a/crates/portfield-host/src/software_versions.rs
+++ b/crates/portfield-host/src/software_versions.rs
@@ -2,14 +2,18 @@
 
 use std::{sync::PoisonError, time::Duration};
 
-use portfield::{
-    catalog::VersionHash,
-    streams::{StreamOrigin, VersionSpread},
-};
+use portfield::{catalog::VersionHash, streams::VersionSpread};
 use portfield_net::clock;
 
 use crate::state::Host;
 
+/// A service as the streams of a route see it, by the hashes of both names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct RoutedService {
+    pub route: u32,
+    pub service: u32,
+}
+
 impl Host {
     /// Observes whether the list of upstreams is current: no upstream can be known elsewhere for long that is
     /// not known here.
@@ -26,25 +30,43 @@
         list.versions.observe(now, is_current);
     }
 
-    /// Returns how many software versions a service, by the hash of its name, had in the last `window`.
-    pub(crate) fn version_spread(&self, service: u32, window: Duration) -> VersionSpread {
+    /// Returns at how many software versions streams of a route began in the last `window`, as far as its service is
+    /// concerned. One that led to another service in that time counts as having several.
+    pub(crate) fn version_spread(&self, it: RoutedService, window: Duration) -> VersionSpread {
+        let RoutedService { route, service } = it;
+        if self.route_moves().has_moved(clock::now(), route, window) {
+            return VersionSpread::Several;
+        }
         self.with_list(|it| {
             it.versions.spread(clock::now(), service, it.versions_of(service), window)
         })
     }
 
-    /// Returns the only software version that a service had in the last `window`; `None` if there may have been
-    /// several.
-    pub(crate) fn only_version(&self, service: u32, window: Duration) -> Option<VersionHash> {
+    /// Returns the only software version at which streams of a route began in the last `window`; `None` if there may
+    /// have been several.
+    pub(crate) fn only_version(
+        &self,
+        service: RoutedService,
+        window: Duration,
+    ) -> Option<VersionHash> {
         match self.version_spread(service, window) {
             VersionSpread::One(it) => Some(it),
             VersionSpread::OneSeen | VersionSpread::Several => None,
         }
     }
 
-    /// Returns whether this host has seen another software version of a stream's service in the last `window`.
-    pub(crate) fn has_seen_other(&self, origin: StreamOrigin, window: Duration) -> bool {
-        let StreamOrigin { service, version } = origin;
+    /// Returns whether streams of a route may have begun elsewhere than at a version of its service in the last
+    /// `window`, as far as this host has seen.
+    pub(crate) fn has_seen_other(
+        &self,
+        it: RoutedService,
+        version: VersionHash,
+        window: Duration,
+    ) -> bool {
+        if self.version_spread(it, window) == VersionSpread::Several {
+            return true;
+        }
+        let service = it.service;
         self.with_list(|it| {
             let versions = it.versions_of(service).chain([version]);
             let spread = it.versions.spread(clock::now(), service, versions, window);
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -23,6 +23,7 @@
         host_hash,
     },
     quarantine::{BrokenAttempts, Quarantine, RequestKey, RunningCopies},
+    streams::{RouteMoves, moved_routes},
     suspend::SuspendDetector,
 };
 use portfield_net::{clock, coarse_timer::CoarseTimer, panics, rt::Runtime};
@@ -98,6 +99,7 @@
     quarantine: Mutex<Quarantine>,
     running_copies: Mutex<RunningCopies>,
     streams: Mutex<Streams>,
+    route_moves: Mutex<RouteMoves>,
     /// Notified when another host answered where a stream began.
     pub stream_news: Event,
     /// The socket to the other hosts, once it is open.
@@ -169,6 +171,7 @@
             quarantine: Mutex::default(),
             running_copies: Mutex::new(RunningCopies::new(gossip_config.host)),
             streams: Mutex::default(),
+            route_moves: Mutex::default(),
             stream_news: Event::new(),
             peer_socket: OnceLock::new(),
             digest_due: Event::new(),
@@ -219,6 +222,11 @@
         if catalog.version() <= old {
             return;
         }
+        if let Some(before) = &*active_config {
+            for it in moved_routes(&before.catalog, &catalog) {
+                self.route_moves().record(clock::now(), hash_name(&it.name));
+            }
+        }
         self.balancer().set_capacity(catalog.limits().token_rate);
         let version = catalog.version();
         *active_config = Some(ActiveConfig { catalog: Arc::new(catalog), bytes });
@@ -306,6 +314,11 @@
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns which routes led to other services lately.
+    pub(crate) fn route_moves(&self) -> MutexGuard<'_, RouteMoves> {
+        self.route_moves.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that readiness need not wait for the quarantine in the store any longer.
     pub(crate) fn mark_quarantine_loaded(&self) {
         self.quarantine_loaded.set_now();
--- a/crates/portfield-host/src/streams/mod.rs
+++ b/crates/portfield-host/src/streams/mod.rs
@@ -22,7 +22,7 @@
 };
 
 use self::tell::Untold;
-use crate::{call::Call, state::Host};
+use crate::{call::Call, software_versions::RoutedService, state::Host};
 
 /// Streams of which a host remembers where they began, some 2 MB: at 100 new ones a second and told to
 /// four other hosts each, those of half a minute.
@@ -54,10 +54,18 @@
 struct BegunStream {
     key: StreamKey,
     origin: StreamOrigin,
+    /// Hash of the route's name.
+    route: u32,
     /// Time for which it may be resumed.
     window: Duration,
 }
 
+impl BegunStream {
+    fn routed_service(&self) -> RoutedService {
+        RoutedService { route: self.route, service: self.origin.service }
+    }
+}
+
 impl Default for Streams {
     fn default() -> Self {
         Self {
--- a/crates/portfield-host/src/streams/news.rs
+++ b/crates/portfield-host/src/streams/news.rs
@@ -9,7 +9,7 @@
 use portfield_net::clock;
 use portfield_wire::{self as wire, Digest, KnownHost, StreamNews};
 
-use crate::{peers, state::Host};
+use crate::{peers, software_versions::RoutedService, state::Host};
 
 /// Longest time that other hosts may ask this one to remember a stream.
 const MAX_VALIDITY: Duration = Duration::from_secs(600);
@@ -83,7 +83,8 @@
         StreamKnowledge::Known(it) => res.origin = Some(origin_to_wire(key, it.origin, window)),
         StreamKnowledge::Conflicting => res.conflicting = true,
         StreamKnowledge::Unknown => {
-            res.only_version = host.only_version(query.service, window);
+            let service = RoutedService { route: query.route, service: query.service };
+            res.only_version = host.only_version(service, window);
         }
     }
     send(host, reply_to, StreamNews { answers: vec![res], ..StreamNews::default() });
--- a/crates/portfield-host/src/streams/resolve.rs
+++ b/crates/portfield-host/src/streams/resolve.rs
@@ -19,6 +19,7 @@
 use crate::{
     call::Call,
     response::Failure,
+    software_versions::RoutedService,
     state::{Host, hash_name},
 };
 
@@ -92,7 +93,7 @@
 async fn ask(host: &Host, call: &Call) -> Option<Resolution> {
     // A caller that does not name the stream can still be told that there was a single version.
     let key = stream_key(call).unwrap_or(StreamKey::new(call.placement.workspace, ""));
-    let service = call.placement.service;
+    let service = RoutedService { route: call.placement.route, service: call.placement.service };
     let window = window(call);
     // A route with several services may have begun the stream at another one.
     let has_one_service = call.route.services.len() == 1;
@@ -113,9 +114,9 @@
                 return Some(Resolution::Known(known));
             }
             QueryOutcome::OnlyVersion(version) => {
-                let origin = StreamOrigin { service, version };
+                let origin = StreamOrigin { service: service.service, version };
                 // The others may not have heard of a version that this host has seen.
-                let is_only = has_one_service && !host.has_seen_other(origin, window);
+                let is_only = has_one_service && !host.has_seen_other(service, version, window);
                 return is_only.then_some(Resolution::OnlyVersion(origin));
             }
             QueryOutcome::Unknown => return None,
@@ -128,10 +129,17 @@
     }
 }
 
-fn send_query(host: &Host, to: &StreamHolder, key: StreamKey, service: u32, window: Duration) {
+fn send_query(
+    host: &Host,
+    to: &StreamHolder,
+    key: StreamKey,
+    service: RoutedService,
+    window: Duration,
+) {
     let query = wire::StreamQuery {
         key: Some(news::key_to_wire(key)),
-        service,
+        service: service.service,
+        route: service.route,
         window: window.as_millis() as u32,
         reply_to: host.settings().peers.to_string(),
     };
--- a/crates/portfield-host/src/streams/tell.rs
+++ b/crates/portfield-host/src/streams/tell.rs
@@ -15,7 +15,7 @@
 use portfield_wire::{self as wire, StreamNews};
 
 use super::{BegunStream, MAX_UNTOLD, news, stream_key, window};
-use crate::{call::Call, state::Host};
+use crate::{call::Call, software_versions::RoutedService, state::Host};
 
 /// Streams in one datagram, of some 40 bytes each.
 const MAX_PER_DATAGRAM: usize = 256;
@@ -34,7 +34,7 @@
 /// While there is no sign of a second version, a stream that no other host knows is merely refused, so
 /// that the data centre is enough.
 fn needed_reach(host: &Host, stream: &BegunStream) -> Option<Reach> {
-    match host.version_spread(stream.origin.service, stream.window) {
+    match host.version_spread(stream.routed_service(), stream.window) {
         VersionSpread::One(_) => None,
         VersionSpread::OneSeen => Some(Reach::DataCentre),
         VersionSpread::Several => Some(Reach::Fleet),
@@ -49,7 +49,7 @@
     let Some(key) = stream_key(call) else { return };
     let origin = StreamOrigin { service: call.placement.service, version: upstream.version_hash() };
     let (now, window) = (clock::now(), window(call));
-    let stream = BegunStream { key, origin, window };
+    let stream = BegunStream { key, origin, route: call.placement.route, window };
     // A route with several services says nothing of where a stream began.
     let has_one_service = call.route.services.len() == 1;
     let reach = if has_one_service { needed_reach(host, &stream) } else { Some(Reach::Fleet) };
@@ -80,9 +80,9 @@
         while streams.untold.front().is_some_and(|it| it.expires_at <= now) {
             streams.untold.pop_front();
         }
-        let mut needed: HashMap<(u32, Duration), Option<Reach>> = HashMap::new();
+        let mut needed: HashMap<(RoutedService, Duration), Option<Reach>> = HashMap::new();
         streams.untold.retain_mut(|it| {
-            let service = (it.stream.origin.service, it.stream.window);
+            let service = (it.stream.routed_service(), it.stream.window);
             let needed = *needed.entry(service).or_insert_with(|| needed_reach(host, &it.stream));
             if let Some(reach) = needed.filter(|_| it.reach < needed) {
                 it.reach = needed;
@@ -101,7 +101,7 @@
         HashMap::new();
     {
         let peers = host.peers();
-        for BegunStream { key, origin, window } in streams {
+        for BegunStream { key, origin, window, .. } in streams {
             for it in peers.told_holders(now, *key, reach) {
                 let entry = by_holder.entry(it.address).or_insert_with(|| (it, Vec::new()));
                 entry.1.push(news::origin_to_wire(*key, *origin, *window));
--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -10,11 +10,12 @@
     time::{Duration, Instant},
 };
 
-use fleet::{Fleet, Host, Response, connect, read_response, request, wait_until};
+use fleet::{Fleet, Host, Response, config, connect, read_response, request, wait_until};
 use portfield::gossip::host_hash;
 use portfield_platform_standins::{FakeUpstream, UpstreamFault};
 use portfield_wire::Digest;
 use prost::Message;
+use serde_json::json;
 use xxhash_rust::xxh3::xxh3_64;
 
 const N_EVENTS: u32 = 8;
@@ -211,6 +212,49 @@
     assert_eq!(versions(&second), versions(&first));
 }
 
+/// Guards against a stream that goes on at the upstreams of another service, to which its route has moved: each service
+/// has a single version, so that nothing else tells them apart.
+#[test]
+fn stream_is_not_resumed_at_the_service_that_its_route_moved_to() {
+    let (fleet, mut hosts) = start(&["v1", "v1", "v1"], 3);
+    fleet.store.put("servers", &fleet.engines[2].id, &fleet.engines[2].entry("other", "ready"));
+    thread::sleep(WINDOW + Duration::from_millis(500));
+    let long = request("digest", "s").replace("30,24", "30,300");
+    let mut stream = connect(hosts[0].listen).unwrap();
+    stream.write_all(long.as_bytes()).unwrap();
+    wait_until("an engine executes the stream", || fleet.n_executed() == 1);
+    thread::sleep(Duration::from_millis(100));
+    let mut moved = config(2);
+    let model = moved["services"][1].clone();
+    moved["services"].as_array_mut().unwrap().push(model);
+    moved["services"][2]["name"] = json!("other");
+    moved["routes"][3]["service"] = json!("other");
+    fleet.store.put("op", "config", &moved);
+    wait_until("the configuration is in force", || {
+        hosts.iter().all(|it| it.metric("portfield_config_version") == 2.0)
+    });
+    wait_until("the others are told of the stream", || {
+        hosts[0].metric("portfield_stream_origins_told ") == 1.0
+    });
+    hosts.remove(0).signal("-KILL");
+    let first = read_response(&mut stream).unwrap();
+    assert!(!first.is_complete && !first.event_ids().is_empty(), "{}", first.text());
+    let n_received = first.event_ids().len() as u32;
+    for (n, host) in hosts.iter().enumerate() {
+        for first_attempt in ["s", "unknown"] {
+            let text = resume(&format!("t{n}"), first_attempt, n_received);
+            let second = host.send_admitted(&text.replace("30,24", "30,300"));
+            assert_eq!(second.status, 503, "{first_attempt}: {}", second.text());
+        }
+    }
+    assert_eq!(fleet.n_executed(), 1);
+    assert!(host_serves_new_streams(&hosts[0]), "at the other service");
+}
+
+fn host_serves_new_streams(host: &Host) -> bool {
+    host.send_admitted(&request("digest", "new")).is_complete
+}
+
 /// Guards against a host of an earlier release that takes the news of a stream for its sender's state, and against
 /// a caller who waits for its answer, which never comes.
 #[test]
--- a/crates/portfield/src/catalog/routes.rs
+++ b/crates/portfield/src/catalog/routes.rs
@@ -320,6 +320,11 @@
         self.workspaces.values()
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flat_map(|it| &it.entries).map(|it| &it.route)
+    }
+
     /// Finds the route with the longest matching path prefix among those of a host name.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |it| it.0).to_ascii_lowercase();
--- a/crates/portfield/src/streams/mod.rs
+++ b/crates/portfield/src/streams/mod.rs
@@ -8,14 +8,17 @@
 //! - [`StreamOrigin`]: service and software version of the upstream that began a stream
 //! - [`StreamOrigins`]: the streams of which a host knows where they began
 //! - [`VersionHistory`]: which software versions a service had lately, and whether a host would know
+//! - [`RouteMoves`]: routes that led to other services lately
 //! - [`OriginQuery`]: what a host learns from the others that it asks
 
 mod origin;
 mod origins;
 mod query;
+mod route_moves;
 mod version_history;
 
 pub use origin::{StreamKey, StreamOrigin};
 pub use origins::{KnownOrigin, OriginSource, StreamKnowledge, StreamOrigins};
 pub use query::{OriginAnswer, OriginQuery, QueryOutcome};
+pub use route_moves::{RouteMoves, moved_routes};
 pub use version_history::{VersionHistory, VersionSpread};
