refactor(streams): one function for the holders of a data centre, one for the versions of a service

- stream_holders.rs had two functions that differed in one field, and the list of remote hosts was built in two places: holders_in serves all.
- Evicted streams were counted by a copy of the table's own counter, brought up to date at two places: the metric portfield_stream_origins_evicted is now read from the table.
It is shown from the start, with 0.
- has_seen_other asked for the spread of versions twice; spread_with counts the reported version in the first time.
- A waiting question was copied, with its list of hosts, at each answer: it is read in place.

--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -119,6 +119,10 @@
         let n_running = host.running_copies().n_reported(now);
         (quarantine.n_suspects(), quarantine.entries(now).len(), n_running)
     };
+    let (n_streams, n_evicted) = {
+        let streams = host.streams();
+        (streams.n_known(), streams.n_evicted())
+    };
     let gauges = [
         ("config_version", host.config_version() as f64),
         ("list_version", list.number as f64),
@@ -139,7 +143,8 @@
         ("quarantine_suspects", n_suspects as f64),
         ("quarantine_refused", n_refused as f64),
         ("quarantine_running_elsewhere", n_running as f64),
-        ("streams_known", host.streams().n_known() as f64),
+        ("streams_known", n_streams as f64),
+        ("stream_origins_evicted", n_evicted as f64),
     ];
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::PLAIN);
--- a/crates/portfield-host/src/software_versions.rs
+++ b/crates/portfield-host/src/software_versions.rs
@@ -33,12 +33,23 @@
     /// Returns at how many software versions streams of a route began in the last `window`, as far as its service is
     /// concerned. One that led to another service in that time counts as having several.
     pub(crate) fn version_spread(&self, it: RoutedService, window: Duration) -> VersionSpread {
+        self.spread_with(it, None, window)
+    }
+
+    /// Returns the same, counting one more version.
+    fn spread_with(
+        &self,
+        it: RoutedService,
+        version: Option<VersionHash>,
+        window: Duration,
+    ) -> VersionSpread {
         let RoutedService { route, service } = it;
         if self.route_moves().has_moved(clock::now(), route, window) {
             return VersionSpread::Several;
         }
         self.with_list(|it| {
-            it.versions.spread(clock::now(), service, it.versions_of(service), window)
+            let versions = it.versions_of(service).chain(version);
+            it.versions.spread(clock::now(), service, versions, window)
         })
     }
 
@@ -63,15 +74,7 @@
         version: VersionHash,
         window: Duration,
     ) -> bool {
-        if self.version_spread(it, window) == VersionSpread::Several {
-            return true;
-        }
-        let service = it.service;
-        self.with_list(|it| {
-            let versions = it.versions_of(service).chain([version]);
-            let spread = it.versions.spread(clock::now(), service, versions, window);
-            spread == VersionSpread::Several
-        })
+        self.spread_with(it, Some(version), window) == VersionSpread::Several
     }
 
     /// Returns the name of a software version of a service, empty if none of its upstreams that take requests
--- a/crates/portfield-host/src/streams/mod.rs
+++ b/crates/portfield-host/src/streams/mod.rs
@@ -45,8 +45,6 @@
     /// Questions to other hosts that wait for answers.
     queries: BTreeMap<QueryId, OriginQuery>,
     last_query: u64,
-    /// Evictions that were counted so far.
-    n_evicted: u64,
 }
 
 /// A stream that began at this host.
@@ -73,7 +71,6 @@
             untold: VecDeque::new(),
             queries: BTreeMap::new(),
             last_query: 0,
-            n_evicted: 0,
         }
     }
 }
@@ -84,10 +81,9 @@
         self.origins.len()
     }
 
-    /// Returns how many streams were forgotten for want of room since the last call.
-    fn take_evicted(&mut self) -> u64 {
-        let n = self.origins.n_evicted();
-        n - std::mem::replace(&mut self.n_evicted, n)
+    /// Returns how many streams were forgotten for want of room.
+    pub(crate) fn n_evicted(&self) -> u64 {
+        self.origins.n_evicted()
     }
 }
 
--- a/crates/portfield-host/src/streams/news.rs
+++ b/crates/portfield-host/src/streams/news.rs
@@ -27,16 +27,8 @@
 /// Handles what another host tells or asks of streams.
 pub(crate) fn handle_news(host: &Host, sender: SocketAddr, news: StreamNews) {
     let now = clock::now();
-    if !news.origins.is_empty() {
-        let n_evicted = {
-            let mut streams = host.streams();
-            for it in &news.origins {
-                let Some((key, origin, validity)) = origin_from_wire(it) else { continue };
-                streams.origins.record(now, key, origin, OriginSource::Told, validity);
-            }
-            streams.take_evicted()
-        };
-        host.metrics.add("stream_origins_evicted", n_evicted);
+    for (key, origin, validity) in news.origins.iter().filter_map(origin_from_wire) {
+        host.streams().origins.record(now, key, origin, OriginSource::Told, validity);
     }
     for it in &news.queries {
         answer(host, it);
--- a/crates/portfield-host/src/streams/resolve.rs
+++ b/crates/portfield-host/src/streams/resolve.rs
@@ -50,9 +50,9 @@
         return Ok(());
     }
     let resolution = match own_knowledge(host, call) {
-        Some(StreamKnowledge::Known(it)) => Some(Resolution::Known(it)),
-        Some(StreamKnowledge::Conflicting) => None,
-        Some(StreamKnowledge::Unknown) | None => ask(host, call).await,
+        StreamKnowledge::Known(it) => Some(Resolution::Known(it)),
+        StreamKnowledge::Conflicting => None,
+        StreamKnowledge::Unknown => ask(host, call).await,
     };
     let Some(resolution) = resolution else {
         return Err(refuse(host, call, "it is not known which software version began it"));
@@ -85,8 +85,9 @@
     Ok(())
 }
 
-fn own_knowledge(host: &Host, call: &Call) -> Option<StreamKnowledge> {
-    Some(host.streams().origins.get(clock::now(), stream_key(call)?))
+fn own_knowledge(host: &Host, call: &Call) -> StreamKnowledge {
+    let get = |key| host.streams().origins.get(clock::now(), key);
+    stream_key(call).map_or(StreamKnowledge::Unknown, get)
 }
 
 /// Asks other hosts where a stream began; `None` if it cannot be found out.
@@ -105,8 +106,8 @@
     loop {
         let answered = host.stream_news.listen();
         let now = clock::now();
-        let state = query.state()?;
-        match state.outcome(now) {
+        let (outcome, next_check) = query.read(now)?;
+        match outcome {
             QueryOutcome::Pending => {}
             QueryOutcome::Origin(origin) => {
                 host.streams().origins.record(now, key, origin, OriginSource::Asked, window);
@@ -125,7 +126,7 @@
             repeat_at = now + REPEAT_INTERVAL;
             holders.iter().for_each(|it| send_query(host, it, key, service, window));
         }
-        future::or(answered, clock::sleep(state.next_check(now))).await;
+        future::or(answered, clock::sleep(next_check)).await;
     }
 }
 
@@ -162,8 +163,11 @@
         Self { host, id }
     }
 
-    fn state(&self) -> Option<OriginQuery> {
-        self.host.streams().queries.get(&self.id).cloned()
+    /// Returns what the answers say by now, and the time until that is to be read again.
+    fn read(&self, now: Duration) -> Option<(QueryOutcome, Duration)> {
+        let streams = self.host.streams();
+        let query = streams.queries.get(&self.id)?;
+        Some((query.outcome(now), query.next_check(now)))
     }
 }
 
--- a/crates/portfield-host/src/streams/tell.rs
+++ b/crates/portfield-host/src/streams/tell.rs
@@ -53,7 +53,7 @@
     // A route with several services says nothing of where a stream began.
     let has_one_service = call.route.services.len() == 1;
     let reach = if has_one_service { needed_reach(host, &stream) } else { Some(Reach::Fleet) };
-    let n_evicted = {
+    {
         let mut streams = host.streams();
         streams.origins.record(now, key, origin, OriginSource::Own, window);
         if reach != Some(Reach::Fleet) {
@@ -62,9 +62,7 @@
             }
             streams.untold.push_back(Untold { stream, reach, expires_at: now + window });
         }
-        streams.take_evicted()
-    };
-    host.metrics.add("stream_origins_evicted", n_evicted);
+    }
     if let Some(reach) = reach {
         tell(host, &[stream], reach);
     }
--- a/crates/portfield/src/gossip/stream_holders.rs
+++ b/crates/portfield/src/gossip/stream_holders.rs
@@ -45,41 +45,42 @@
 impl PeerTable {
     /// Returns the hosts to be told where a stream began.
     pub fn told_holders(&self, now: Duration, key: StreamKey, reach: Reach) -> Vec<StreamHolder> {
-        let n_remote = usize::from(reach == Reach::Fleet);
-        let remote = self.remote_centres(key).into_iter().take(n_remote);
-        let mut res = self.local_holders(now, key, N_TOLD);
-        res.extend(remote.flat_map(|it| self.remote_holders(now, key, it, N_TOLD_REMOTE)));
+        let n_centres = usize::from(reach == Reach::Fleet);
+        let mut res = self.holders_in(now, key, self.own_data_centre(), N_TOLD);
+        for it in self.remote_centres(key).into_iter().take(n_centres) {
+            res.extend(self.holders_in(now, key, it, N_TOLD_REMOTE));
+        }
         res
     }
 
     /// Returns the hosts to be asked where a stream began.
     pub fn asked_holders(&self, now: Duration, key: StreamKey) -> Vec<StreamHolder> {
-        let remote = self.remote_centres(key).into_iter().take(MAX_CENTRES);
-        let mut res = self.local_holders(now, key, N_ASKED);
-        res.extend(remote.flat_map(|it| self.remote_holders(now, key, it, N_ASKED_REMOTE)));
+        let mut res = self.holders_in(now, key, self.own_data_centre(), N_ASKED);
+        for it in self.remote_centres(key).into_iter().take(MAX_CENTRES) {
+            res.extend(self.holders_in(now, key, it, N_ASKED_REMOTE));
+        }
         res
     }
 
     /// Returns the hosts of this data centre to which a message from another one is passed on.
     pub fn relayed_holders(&self, now: Duration, key: StreamKey) -> Vec<StreamHolder> {
-        self.local_holders(now, key, N_TOLD)
+        self.holders_in(now, key, self.own_data_centre(), N_TOLD)
     }
 
-    fn local_holders(&self, now: Duration, key: StreamKey, n: usize) -> Vec<StreamHolder> {
-        let hosts = self.hosts_by_rank(now, self.own_data_centre(), key).into_iter().take(n);
-        hosts.map(|address| StreamHolder { address, relays: false }).collect()
-    }
-
-    fn remote_holders(
+    /// Returns the first hosts of a data centre by their rank for a stream, those heard lately before the others.
+    fn holders_in(
         &self,
         now: Duration,
         key: StreamKey,
         data_centre: u32,
         n: usize,
     ) -> Vec<StreamHolder> {
-        let hosts = self.hosts_by_rank(now, data_centre, key).into_iter().take(n);
-        let relays = self.topology().is_hierarchical();
-        hosts.map(|address| StreamHolder { address, relays }).collect()
+        let is_remote = data_centre != self.own_data_centre();
+        let relays = is_remote && self.topology().is_hierarchical();
+        let mut hosts = self.contacts_in(now, data_centre);
+        hosts.sort_by_key(|it| (!it.is_recent, key.rank(it.host)));
+        let first = hosts.into_iter().take(n);
+        first.map(|it| StreamHolder { address: it.address, relays }).collect()
     }
 
     /// Returns the other data centres by their rank for a stream.
@@ -89,11 +90,4 @@
         res.sort_by_key(|it| key.rank(u64::from(*it)));
         res
     }
-
-    /// Returns the known hosts of a data centre by their rank for a stream, those heard lately first.
-    fn hosts_by_rank(&self, now: Duration, data_centre: u32, key: StreamKey) -> Vec<SocketAddr> {
-        let mut hosts = self.contacts_in(now, data_centre);
-        hosts.sort_by_key(|it| (!it.is_recent, key.rank(it.host)));
-        hosts.into_iter().map(|it| it.address).collect()
-    }
 }
