--- a/crates/portfield-net/src/logs.rs
+++ b/crates/portfield-net/src/logs.rs
@@ -27,9 +27,9 @@
 pub const BATCH_PERIOD: Duration = Duration::from_millis(50);
 /// Size of a burst that passes the rate limit, as the time in which the rate allows as many lines.
 const BURST_TIME: Duration = Duration::from_secs(2);
-/// Lines of each message per second that are written beyond the rate: frequent messages must not crowd
-/// out the one line on a rare decision.
-const RESERVED_RATE: f64 = 1.0;
+/// Time between two lines of a message that are written beyond the rate: frequent messages must not crowd out
+/// the one line on a rare decision.
+const RESERVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two lines that report omitted lines.
 const OMITTED_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -114,9 +114,8 @@
         if record.key_values().is_empty() {
             return false;
         }
-        let period = Duration::from_secs_f64(1.0 / RESERVED_RATE);
         let message = record.payload().to_string();
-        if self.reserve_used.get(&message).is_some_and(|it| now < *it + period) {
+        if self.reserve_used.get(&message).is_some_and(|it| now < *it + RESERVE_INTERVAL) {
             return false;
         }
         self.reserve_used.insert(message, now);
