test: the busy engine and the long stream are built in one place each

Two cases of balance.rs filled an engine by the same lines, and three of stream_versions.rs began a long stream by the same lines. busy_balancer and begin_long_stream serve them; every assertion, bound and wait is as before.

--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeSet,
     io::Write,
-    net::UdpSocket,
+    net::{TcpStream, UdpSocket},
     thread,
     time::{Duration, Instant},
 };
@@ -47,6 +47,22 @@
     request("digest", id).replace("token-count", &format!("{headers}token-count"))
 }
 
+/// Sends a stream that lasts for a second to a host, and waits until its caller has some events.
+fn begin_long_stream(fleet: &Fleet, host: &Host, id: &str) -> TcpStream {
+    let n_before = fleet.n_executed();
+    let mut res = connect(host.listen).unwrap();
+    res.write_all(long(&request("digest", id)).as_bytes()).unwrap();
+    wait_until("an engine executes the stream", || fleet.n_executed() == n_before + 1);
+    // A few events: each engine sends one every 10 ms.
+    thread::sleep(Duration::from_millis(100));
+    res
+}
+
+/// Returns a request for a stream of 100 events.
+fn long(text: &str) -> String {
+    text.replace("30,24", "30,300")
+}
+
 /// Sends a stream to a host, and breaks it off at every engine after some events.
 fn begin_stream(fleet: &Fleet, host: &Host, id: &str) -> Response {
     fleet.engines.iter().for_each(|it| it.set_fault(UpstreamFault::TruncateBody));
@@ -132,15 +148,8 @@
 fn stream_of_a_killed_host_is_resumed_at_the_version_that_began_it() {
     let (mut fleet, mut hosts) = start(&["v1", "v1", "v2", "v2"], 3);
     for n in 0..N_STREAMS {
-        let long = request("digest", &format!("s{n}")).replace("30,24", "30,300");
-        let mut stream = connect(hosts[0].listen).unwrap();
-        stream.write_all(long.as_bytes()).unwrap();
-        wait_until("an engine executes the stream", || {
-            let received = fleet.engines.iter().flat_map(|it| it.requests());
-            received.filter(|it| it.is_executed).count() == 2 * n + 1
-        });
-        // A few events: each engine sends one every 10 ms.
-        thread::sleep(Duration::from_millis(100));
+        let mut stream = begin_long_stream(&fleet, &hosts[0], &format!("s{n}"));
+        assert_eq!(fleet.n_executed(), 2 * n + 1);
         let mut killed = hosts.remove(0);
         killed.signal("-KILL");
         killed.wait_for_exit();
@@ -149,7 +158,7 @@
         assert!(!first.is_complete && 0 < n_received, "{}", first.text());
         let engine = drain_first_engine(&fleet, &hosts, &first);
         let text = resume(&format!("t{n}"), &format!("s{n}"), n_received);
-        let second = hosts[n % 2].send_admitted(&text.replace("30,24", "30,300"));
+        let second = hosts[n % 2].send_admitted(&long(&text));
         assert_eq!((second.status, second.is_complete), (200, true), "{}", second.text());
         assert_eq!(versions(&first), versions(&second), "stream {n}");
         fleet.store.put("servers", &engine.id, &engine.entry("model", "ready"));
@@ -190,11 +199,7 @@
 fn stream_that_began_before_a_release_is_resumed_at_its_version() {
     let (fleet, mut hosts) = start(&["v1", "v1", "v1"], 3);
     thread::sleep(WINDOW + Duration::from_millis(500));
-    let long = request("digest", "s").replace("30,24", "30,300");
-    let mut stream = connect(hosts[0].listen).unwrap();
-    stream.write_all(long.as_bytes()).unwrap();
-    wait_until("an engine executes the stream", || fleet.n_executed() == 1);
-    thread::sleep(Duration::from_millis(100));
+    let mut stream = begin_long_stream(&fleet, &hosts[0], "s");
     let told = |it: &Host| it.metric("portfield_stream_origins_told ");
     assert_eq!(told(&hosts[0]), 0.0, "a single version serves");
     let is_idle = |it: &&FakeUpstream| it.requests().is_empty();
@@ -206,7 +211,7 @@
     let first = read_response(&mut stream).unwrap();
     let n_received = first.event_ids().len() as u32;
     assert!(!first.is_complete && 0 < n_received, "{}", first.text());
-    let text = resume("t", "s", n_received).replace("30,24", "30,300");
+    let text = long(&resume("t", "s", n_received));
     let second = hosts[0].send_admitted(&text);
     assert_eq!((second.status, second.is_complete), (200, true), "{}", second.text());
     assert_eq!(versions(&second), versions(&first));
@@ -219,11 +224,7 @@
     let (fleet, mut hosts) = start(&["v1", "v1", "v1"], 3);
     fleet.store.put("servers", &fleet.engines[2].id, &fleet.engines[2].entry("other", "ready"));
     thread::sleep(WINDOW + Duration::from_millis(500));
-    let long = request("digest", "s").replace("30,24", "30,300");
-    let mut stream = connect(hosts[0].listen).unwrap();
-    stream.write_all(long.as_bytes()).unwrap();
-    wait_until("an engine executes the stream", || fleet.n_executed() == 1);
-    thread::sleep(Duration::from_millis(100));
+    let mut stream = begin_long_stream(&fleet, &hosts[0], "s");
     let mut moved = config(2);
     let model = moved["services"][1].clone();
     moved["services"].as_array_mut().unwrap().push(model);
@@ -243,7 +244,7 @@
     for (n, host) in hosts.iter().enumerate() {
         for first_attempt in ["s", "unknown"] {
             let text = resume(&format!("t{n}"), first_attempt, n_received);
-            let second = host.send_admitted(&text.replace("30,24", "30,300"));
+            let second = host.send_admitted(&long(&text));
             assert_eq!(second.status, 503, "{first_attempt}: {}", second.text());
         }
     }
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -84,14 +84,7 @@
 
 #[test]
 fn a_started_stream_is_never_refused_for_its_wait() {
-    let mut it = Balancer::new(WINDOW);
-    for n in 0..40 {
-        let placed = Assignment {
-            uncached_tokens: 20_000,
-            ..assigned(it.place(at(0), &started_stream(n), &engines(1)))
-        };
-        it.record_start(at(0), &started_stream(n), &placed);
-    }
+    let mut it = busy_balancer();
     let new = it.place(at(1), &request(1, 99, 500), &engines(1));
     assert!(matches!(new, Placement::Refuse { .. }), "{new:?}");
     let placed = assigned(it.place(at(1), &started_stream(99), &engines(1)));
@@ -102,14 +95,7 @@
 /// against one that waits for events which come after its time.
 #[test]
 fn a_resumed_stream_goes_before_new_requests_within_its_callers_time() {
-    let mut it = Balancer::new(WINDOW);
-    for n in 0..40 {
-        let placed = Assignment {
-            uncached_tokens: 20_000,
-            ..assigned(it.place(at(0), &started_stream(n), &engines(1)))
-        };
-        it.record_start(at(0), &started_stream(n), &placed);
-    }
+    let mut it = busy_balancer();
     let resumed = |patience: u64| PlacementRequest {
         stage: Stage::Resumed,
         patience: Duration::from_millis(patience),
@@ -123,6 +109,19 @@
     assert!(matches!(late, Placement::Refuse { reason: Refusal::Busy, .. }), "{late:?}");
 }
 
+/// Returns a balancer whose only engine has 40 long prompts to read.
+fn busy_balancer() -> Balancer {
+    let mut it = Balancer::new(WINDOW);
+    for n in 0..40 {
+        let placed = Assignment {
+            uncached_tokens: 20_000,
+            ..assigned(it.place(at(0), &started_stream(n), &engines(1)))
+        };
+        it.record_start(at(0), &started_stream(n), &placed);
+    }
+    it
+}
+
 fn started_stream(shared: u64) -> PlacementRequest {
     PlacementRequest { stage: Stage::Streaming, ..request(1, shared, 500) }
 }
