--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// Returns the ids of its prompt parts as logs show them, empty without a prompt.
+    pub(crate) fn part_ids_hex(&self) -> String {
+        self.placement.prompt.as_ref().map_or(String::new(), Prompt::part_ids_hex)
+    }
+
     /// Returns the cost of the request in its workspace's share, in tokens.
     pub(crate) fn tokens(&self) -> f64 {
         self.placement.token_cost()
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -12,6 +12,7 @@
     upstream::GapMeter,
 };
 use portfield_net::clock;
+use portfield_platform::response::BodyDelimiter;
 
 use crate::{
     attempt::{self, AttemptResult, Outcome, UpstreamResponse},
@@ -171,7 +172,7 @@
             bias_ms = assignment.bias.as_millis() as u64, unread = assignment.uncached_tokens,
             ahead = assignment.queued_tokens, share = assignment.share_ratio, attempt = self.tried.len() + 1,
             tokens = self.call.tokens(), fingerprint = self.call.quarantine_key().fingerprint_hex(),
-            config = self.call.config_version,
+            parts = self.call.part_ids_hex(), config = self.call.config_version,
             list:% = self.host.with_list(|it| it.directory.version()),
             store_age_ms = self.host.store_age_ms(); "placed"
         );
@@ -262,14 +263,20 @@
     }
 
     /// Logs a complete response.
-    pub(crate) fn record_answered(&mut self, status: StatusCode, first: Duration, n_events: u64) {
+    pub(crate) fn record_answered(
+        &mut self,
+        status: StatusCode,
+        first: Duration,
+        n_events: u64,
+        delimiter: BodyDelimiter,
+    ) {
         self.is_finished = true;
         let now = clock::now();
         let total = now.saturating_sub(self.call.arrived);
         log::info!(
             request = self.call.id, status = status.as_u16(),
             first_ms = first.saturating_sub(self.call.arrived).as_millis() as u64,
-            total_ms = total.as_millis() as u64, events = n_events; "answered"
+            total_ms = total.as_millis() as u64, events = n_events, delimiter:?; "answered"
         );
         self.host.metrics.count(&format!("answered{{status=\"{}\"}}", status.as_u16()));
         self.host.metrics.record_time("first", first.saturating_sub(self.call.arrived));
--- a/crates/portfield-host/src/forward.rs
+++ b/crates/portfield-host/src/forward.rs
@@ -120,11 +120,12 @@
             match self.next().await {
                 Ok(Some(it)) => part = it,
                 Ok(None) => {
+                    let delimiter = self.head.delimiter;
                     let mut exchange = self.finish();
                     if status.is_success() {
                         quarantine::record_success(&exchange.host, &exchange.call);
                     }
-                    exchange.record_answered(status, first, 0);
+                    exchange.record_answered(status, first, 0, delimiter);
                     parts.finish(Ok(()));
                     return;
                 }
@@ -191,6 +192,7 @@
     portfield_platform::request::remove_hop_by_hop(&mut parts.headers);
     let host = plain.exchange.host.clone();
     let Some(part) = rest else {
+        let delimiter = plain.head.delimiter;
         let mut exchange = plain.finish();
         let first = clock::now();
         writer.finish(Ok(()));
@@ -203,7 +205,7 @@
         if status.is_success() {
             quarantine::record_success(&exchange.host, &exchange.call);
         }
-        exchange.record_answered(status, first, 0);
+        exchange.record_answered(status, first, 0, delimiter);
         return Ok(res);
     };
     if is_error && plain.exchange.may_retry() {
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -12,6 +12,7 @@
     upstream::GapMeter,
 };
 use portfield_net::{clock, sse::EventBuffer};
+use portfield_platform::response::BodyDelimiter;
 
 use crate::{
     attempt::{UpstreamResponse, error_chain},
@@ -46,6 +47,7 @@
     portfield_platform::request::remove_hop_by_hop(&mut parts.headers);
     let gaps = exchange.gap_meter();
     let memory_limits = exchange.host.settings().options.memory_limits;
+    let delimiter = response.head.delimiter;
     // Boxed, since it moves into and out of the body with each event.
     let mut relay = Box::new(Relay {
         exchange,
@@ -56,6 +58,7 @@
         is_gathering: false,
         broken: None,
         gaps,
+        delimiter,
         memory_limits,
         timeout: None,
     });
@@ -93,6 +96,8 @@
     /// Why the response broke, found while its last events were gathered.
     broken: Option<hyper::Error>,
     gaps: GapMeter,
+    /// What marked the end of the latest response.
+    delimiter: BodyDelimiter,
     /// Whether the balancer counts the output of streams.
     memory_limits: Switch,
     /// Timeout of the current read.
@@ -268,6 +273,7 @@
     fn finish(&mut self) {
         let Some(response) = self.response.take() else { return };
         let UpstreamResponse { head, connection, mut run, upstream, .. } = *response;
+        self.delimiter = head.delimiter;
         run.record_first();
         run.end(Completion::Done);
         quarantine::record_success(&self.exchange.host, &self.exchange.call);
@@ -313,6 +319,6 @@
 
     fn log_finished(&mut self, status: StatusCode) {
         let first = self.first_event.unwrap_or(self.exchange.call.arrived);
-        self.exchange.record_answered(status, first, self.events.count());
+        self.exchange.record_answered(status, first, self.events.count(), self.delimiter);
     }
 }
--- a/crates/portfield/src/upstream/prompt.rs
+++ b/crates/portfield/src/upstream/prompt.rs
@@ -2,6 +2,9 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Parts of a prompt in a log line, at most.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// One part of a prompt; requests may share parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -40,6 +43,21 @@
         f64::from(self.input_tokens) + 2.0 * f64::from(self.max_output_tokens)
     }
 
+    /// Returns the ids of the first parts as logs show them, separated by commas.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::upstream::{Prompt, PromptPart};
+    ///
+    /// let parts = vec![PromptPart { id: 0xaa, tokens: 20 }, PromptPart { id: 0xbb, tokens: 10 }];
+    /// assert_eq!(Prompt { parts, ..Prompt::default() }.part_ids_hex(), "aa,bb");
+    /// ```
+    pub fn part_ids_hex(&self) -> String {
+        let ids = self.parts.iter().take(MAX_LOGGED_PARTS).map(|it| format!("{:x}", it.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the prefix that ends with each part.
     pub(crate) fn prefixes(&self) -> Vec<PromptPrefix> {
         let mut hash = 0;
