--- a/crates/portfield-host/tests/quarantine.rs
+++ b/crates/portfield-host/tests/quarantine.rs
@@ -10,21 +10,17 @@
 //! counts was running, as the first try of a new attempt, from eight of nine hosts. No other request was running
 //! on more than one of them.
 
+mod crashing_engines;
 mod fleet;
 
 use std::{
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread::{self, JoinHandle},
+    thread,
     time::{Duration, Instant},
 };
 
+use crashing_engines::{CrashingEngines, start_hosts};
 use fleet::{Fleet, Host, Response, request, send_request, wait_until};
-use futures_lite::future;
-use portfield_net::rt::Runtime;
-use portfield_platform_standins::{FakeStore, FakeUpstream, StoreFault, UpstreamFault};
+use portfield_platform_standins::{StoreFault, UpstreamFault};
 use serde_json::Value;
 
 /// Body of a poison request.
@@ -35,10 +31,6 @@
 const MAX_IN_FLIGHT: usize = 2;
 /// Number of callers of other requests, each with one request at a time.
 const N_CALLERS: usize = 6;
-/// Time after which a crashed engine restarts.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
-/// Time between two events of an engine's stream.
-const ENGINE_LATENCY: Duration = Duration::from_millis(10);
 /// Time between two attempts of the poison request's caller.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -47,82 +39,14 @@
     request(route, id).replace("\r\n\r\nbody", &format!("\r\n\r\n{POISON_BODY}"))
 }
 
-/// Engines that crash on poison requests and are replaced by new ones, until dropped.
-struct Engines {
-    all: Arc<Mutex<Vec<FakeUpstream>>>,
-    is_stopped: Arc<AtomicBool>,
-    restarter: Option<JoinHandle<()>>,
+/// Makes the engines crash on poison requests.
+fn crash_on_poison(fleet: &Fleet) -> CrashingEngines {
+    CrashingEngines::new(fleet, UpstreamFault::CrashOn(POISON_BODY))
 }
 
-impl Engines {
-    fn new(fleet: &Fleet) -> Self {
-        for it in &fleet.engines {
-            it.set_fault(UpstreamFault::CrashOn(POISON_BODY));
-        }
-        let all = Arc::new(Mutex::new(fleet.engines.clone()));
-        let is_stopped = Arc::new(AtomicBool::new(false));
-        let (rt, store) = (fleet.rt.clone(), fleet.store.clone());
-        let (list, stopped) = (all.clone(), is_stopped.clone());
-        let restarter = thread::spawn(move || {
-            let mut n_restarted = 0;
-            while !stopped.load(Ordering::Relaxed) {
-                thread::sleep(Duration::from_millis(10));
-                n_restarted += restart_crashed(&rt, &store, &list, n_restarted);
-            }
-        });
-        Self { all, is_stopped, restarter: Some(restarter) }
-    }
-
-    /// Returns the number of engines that have crashed.
-    fn n_crashed(&self) -> usize {
-        self.all.lock().unwrap().iter().filter(|it| it.has_crashed()).count()
-    }
-
-    /// Returns the number of poison requests executed.
-    fn n_poison_executed(&self) -> usize {
-        let all = self.all.lock().unwrap();
-        let received = all.iter().flat_map(FakeUpstream::requests);
-        received.filter(|it| it.is_executed && it.body == POISON_BODY.as_bytes()).count()
-    }
-
-    /// Returns the number of other requests interrupted by crashes.
-    fn n_interrupted(&self) -> u32 {
-        self.all.lock().unwrap().iter().map(FakeUpstream::n_interrupted).sum()
-    }
-}
-
-impl Drop for Engines {
-    fn drop(&mut self) {
-        self.is_stopped.store(true, Ordering::Relaxed);
-        let _ = self.restarter.take().map(JoinHandle::join);
-    }
-}
-
-/// Starts a new engine for each one crashed beyond the `n_restarted` already replaced; returns their number.
-fn restart_crashed(
-    rt: &Runtime,
-    store: &FakeStore,
-    all: &Mutex<Vec<FakeUpstream>>,
-    n_restarted: usize,
-) -> usize {
-    let mut crashed: Vec<FakeUpstream> = all.lock().unwrap().clone();
-    crashed.retain(FakeUpstream::has_crashed);
-    let n_new = crashed.len().saturating_sub(n_restarted);
-    if n_new == 0 {
-        return 0;
-    }
-    thread::sleep(RESTART_DELAY);
-    for it in &crashed {
-        store.remove("servers", &it.id);
-    }
-    for n in 0..n_new {
-        let id = format!("engine-again-{}", n_restarted + n);
-        let it = future::block_on(FakeUpstream::start(rt, &id, ENGINE_LATENCY)).unwrap();
-        it.set_fault(UpstreamFault::CrashOn(POISON_BODY));
-        store.put("servers", &id, &it.entry("model", "ready"));
-        all.lock().unwrap().push(it);
-    }
-    n_new
+/// Returns the number of poison requests executed.
+fn count_poison_executed(engines: &CrashingEngines) -> usize {
+    engines.n_executed(|it| it.body == POISON_BODY.as_bytes())
 }
 
 /// Sends a poison request `n` times, each time to the next host.
@@ -134,21 +58,13 @@
     (0..n).map(send).collect()
 }
 
-/// Starts hosts and waits until they know each other.
-fn start_hosts(fleet: &mut Fleet, n: usize) -> Vec<Host> {
-    let res: Vec<Host> = (0..n).map(|_| fleet.start_host()).collect();
-    let has_all_peers = |it: &Host| it.metric("portfield_hosts") as usize == n;
-    wait_until("all hosts know each other", || res.iter().all(has_all_peers));
-    res
-}
-
 #[test]
 fn crashing_request_is_refused_by_all_hosts_after_three_crashes() {
     let mut fleet = Fleet::new(0, 6);
     let hosts = start_hosts(&mut fleet, 3);
-    let engines = Engines::new(&fleet);
+    let engines = crash_on_poison(&fleet);
     let responses = resend_poison(&hosts, "draft", 24);
-    let (n_poison_executed, n_crashed) = (engines.n_poison_executed(), engines.n_crashed());
+    let (n_poison_executed, n_crashed) = (count_poison_executed(&engines), engines.n_crashed());
     assert!(
         n_poison_executed <= CRASH_THRESHOLD + MAX_IN_FLIGHT,
         "executed {n_poison_executed} times, {n_crashed} engines crashed"
@@ -172,9 +88,9 @@
 fn crashing_request_is_not_retried_after_three_crashes() {
     let mut fleet = Fleet::new(0, 6);
     let hosts = start_hosts(&mut fleet, 3);
-    let engines = Engines::new(&fleet);
+    let engines = crash_on_poison(&fleet);
     resend_poison(&hosts, "digest", 12);
-    let n_poison_executed = engines.n_poison_executed();
+    let n_poison_executed = count_poison_executed(&engines);
     assert!(
         n_poison_executed <= CRASH_THRESHOLD + MAX_IN_FLIGHT,
         "executed {n_poison_executed} times"
@@ -185,13 +101,13 @@
 fn quarantine_survives_a_kill_of_all_hosts() {
     let mut fleet = Fleet::new(0, 6);
     let first = start_hosts(&mut fleet, 3);
-    let engines = Engines::new(&fleet);
+    let engines = crash_on_poison(&fleet);
     resend_poison(&first, "draft", 12);
     drop(first);
     let hosts = start_hosts(&mut fleet, 3);
-    let before = engines.n_poison_executed();
+    let before = count_poison_executed(&engines);
     let responses = resend_poison(&hosts, "draft", 9);
-    assert_eq!(engines.n_poison_executed(), before, "executed again");
+    assert_eq!(count_poison_executed(&engines), before, "executed again");
     assert!(responses.iter().all(|it| it.status == 503));
 }
 
@@ -200,7 +116,7 @@
 fn crashing_request_interrupts_few_other_requests() {
     let mut fleet = Fleet::new(0, 6);
     let hosts = start_hosts(&mut fleet, 3);
-    let engines = Engines::new(&fleet);
+    let engines = crash_on_poison(&fleet);
     let end = Instant::now() + Duration::from_secs(4);
     let served = thread::scope(|scope| {
         let send_others = |n: usize| {
@@ -233,7 +149,7 @@
 fn quarantine_holds_while_hosts_are_killed_and_the_store_is_down() {
     let mut fleet = Fleet::new(0, 8);
     let mut hosts = start_hosts(&mut fleet, 4);
-    let engines = Engines::new(&fleet);
+    let engines = crash_on_poison(&fleet);
     fleet.store.set_fault(StoreFault::Unavailable);
     thread::scope(|scope| {
         for n in 0..3 {
@@ -248,7 +164,7 @@
     });
     let has_quarantined = |it: &Host| 1.0 <= it.metric("portfield_quarantine_refused");
     wait_until("all hosts have quarantined the request", || hosts.iter().all(has_quarantined));
-    let n_poison_executed = engines.n_poison_executed();
+    let n_poison_executed = count_poison_executed(&engines);
     // Three callers at a time, each with requests in flight before the first three crashes.
     assert!(n_poison_executed <= CRASH_THRESHOLD * 3, "executed {n_poison_executed} times");
     fleet.store.set_fault(StoreFault::None);
@@ -258,7 +174,7 @@
         hosts.push(fleet.start_host());
         resend_poison(&hosts, "draft", 4);
         assert_eq!(
-            engines.n_poison_executed(),
+            count_poison_executed(&engines),
             n_poison_executed,
             "executed again after {n} hosts were killed"
         );
@@ -271,7 +187,7 @@
 fn copies_of_a_suspect_run_one_at_a_time() {
     let mut fleet = Fleet::new(0, 6);
     let hosts = start_hosts(&mut fleet, 2);
-    let engines = Engines::new(&fleet);
+    let engines = crash_on_poison(&fleet);
     hosts[0].send(&poison_request("draft", "first"));
     wait_until("both hosts suspect the request", || {
         hosts.iter().all(|it| it.metric("portfield_quarantine_suspects") == 1.0)
@@ -279,10 +195,10 @@
     for it in &fleet.engines {
         it.set_fault(UpstreamFault::Hang);
     }
-    let n_before = engines.n_poison_executed();
+    let n_before = count_poison_executed(&engines);
     thread::scope(|scope| {
         let running = scope.spawn(|| hosts[0].send(&poison_request("draft", "running")));
-        wait_until("a copy runs", || engines.n_poison_executed() == n_before + 1);
+        wait_until("a copy runs", || count_poison_executed(&engines) == n_before + 1);
         wait_until("the other host knows of it", || {
             hosts[1].metric("portfield_quarantine_running_elsewhere") == 1.0
         });
@@ -292,7 +208,7 @@
             assert_eq!(response.status, 503, "{}", response.text());
             assert!(response.header("retry-after").is_some());
         }
-        assert_eq!(engines.n_poison_executed(), n_before + 1, "two copies ran at once");
+        assert_eq!(count_poison_executed(&engines), n_before + 1, "two copies ran at once");
         let other = request("draft", "other").replace("deadline-ms: 1200", "deadline-ms: 300");
         hosts[1].send(&other);
         running.join().unwrap();
@@ -311,12 +227,12 @@
 fn operator_can_lift_a_quarantine() {
     let mut fleet = Fleet::new(0, 6);
     let hosts = start_hosts(&mut fleet, 2);
-    let engines = Engines::new(&fleet);
+    let engines = crash_on_poison(&fleet);
     resend_poison(&hosts, "draft", 8);
     wait_until("both hosts refuse the request", || {
         hosts.iter().all(|it| !quarantined_requests(it).is_empty())
     });
-    let before = engines.n_poison_executed();
+    let before = count_poison_executed(&engines);
     let entries = quarantined_requests(&hosts[0]);
     assert_eq!(
         (entries[0]["workspace"].as_str(), entries[0]["n_ends"].as_u64()),
@@ -328,7 +244,7 @@
     assert_eq!(admin_request(&hosts[0], "DELETE", &path).status, 200);
     wait_until("the other host knows of the lift", || quarantined_requests(&hosts[1]).is_empty());
     hosts[1].send(&poison_request("draft", "again"));
-    assert_eq!(engines.n_poison_executed(), before + 1);
+    assert_eq!(count_poison_executed(&engines), before + 1);
 }
 
 /// Returns the entries of a host's quarantine page.
