--- a/crates/portfield-host/src/admin.rs
+++ b/crates/portfield-host/src/admin.rs
@@ -1,7 +1,7 @@
 //! HTTP endpoints for the platform and operators: readiness, metrics, quarantine and evacuations.
 
 use http_types::{Method, Request, Response};
-use portfield::quarantine::Fingerprint;
+use portfield::quarantine::{Fingerprint, QuarantineEntry, SuspectKey, SuspectKind};
 use portfield_net::{clock, http1};
 use serde::Serialize;
 
@@ -12,7 +12,7 @@
 
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
-/// Path of the quarantined requests; each one is below it, by fingerprint.
+/// Path of the quarantined requests and prompt parts; each one is below it, by fingerprint.
 const QUARANTINE: &str = "/quarantine";
 /// Path of the evacuated data centres.
 const EVACUATIONS: &str = "/evacuations";
@@ -37,7 +37,7 @@
     let path = request.url().path();
     match (request.method(), path, path.strip_prefix("/quarantine/")) {
         (Method::Get, METRICS, _) => metrics(host),
-        (Method::Get, QUARANTINE, _) => http1::json_response(200, &quarantined_requests(host)),
+        (Method::Get, QUARANTINE, _) => http1::json_response(200, &quarantined_suspects(host)),
         (Method::Get, EVACUATIONS, _) => http1::json_response(200, &evacuated_data_centres(host)),
         (Method::Delete, _, Some(fingerprint)) => lift(host, fingerprint),
         _ => http1::json_response(
@@ -64,35 +64,54 @@
     })
 }
 
-/// A quarantined request.
+/// A quarantined request or prompt part.
 #[derive(Debug, Serialize)]
-struct QuarantinedRequest {
+struct QuarantinedSuspect {
+    /// `request` or `part`.
+    kind: &'static str,
+    /// Fingerprint of the request, or id of the part.
     fingerprint: String,
-    /// Name of its workspace, empty if the configuration has none with that hash.
+    /// Name of the request's workspace, empty for a part or if the configuration has none with that
+    /// hash.
     workspace: String,
+    /// Name of the service whose upstreams crashed under the part, empty likewise.
+    service: String,
     /// Number of upstreams that crashed under it.
     n_ends: usize,
     /// Seconds until it is tried again.
     left_s: u64,
 }
 
-fn quarantined_requests(host: &Host) -> Vec<QuarantinedRequest> {
+fn quarantined_suspects(host: &Host) -> Vec<QuarantinedSuspect> {
     let catalog = host.active_config().map(|it| it.catalog);
-    let name = |number: u32| {
+    let workspace = |hash: u32| {
         let mut all = catalog.iter().flat_map(|it| it.workspaces());
-        all.find(|it| hash_name(&it.name) == number).map_or(String::new(), |it| it.name.clone())
+        all.find(|it| hash_name(&it.name) == hash).map_or(String::new(), |it| it.name.clone())
+    };
+    let service = |hash: u32| {
+        let mut all = catalog.iter().flat_map(|it| it.service_names());
+        all.find(|it| hash_name(it) == hash).unwrap_or_default().to_owned()
     };
     let entries = host.quarantine().entries(clock::now());
-    let show = |it: &portfield::quarantine::QuarantineEntry| QuarantinedRequest {
-        fingerprint: it.request.fingerprint_hex(),
-        workspace: name(it.request.workspace),
-        n_ends: it.n_crashes,
-        left_s: it.remaining.as_secs(),
+    let show = |it: &QuarantineEntry| {
+        let SuspectKey { kind, owner, .. } = it.key;
+        let (kind, workspace, service) = match kind {
+            SuspectKind::Request => ("request", workspace(owner), String::new()),
+            SuspectKind::Part => ("part", String::new(), service(owner)),
+        };
+        QuarantinedSuspect {
+            kind,
+            fingerprint: it.key.fingerprint_hex(),
+            workspace,
+            service,
+            n_ends: it.n_crashes,
+            left_s: it.remaining.as_secs(),
+        }
     };
     entries.iter().map(show).collect()
 }
 
-/// Lifts the quarantine of a request, here and, with the next digests, at the other hosts.
+/// Lifts the quarantine of a request or prompt part, here and, with the next digests, at the other hosts.
 fn lift(host: &Host, fingerprint: &str) -> Response {
     let Ok(fingerprint) = Fingerprint::from_str_radix(fingerprint, 16) else {
         return http1::json_response(400, &"name a fingerprint: up to 16 hexadecimal digits");
@@ -100,7 +119,7 @@
     if quarantine::lift(host, fingerprint) {
         http1::json_response(200, &"lifted")
     } else {
-        http1::json_response(404, &"nothing is known against this request here")
+        http1::json_response(404, &"nothing is known against this request or part here")
     }
 }
 
@@ -114,10 +133,15 @@
         let n_draining = it.directory.draining_unlisted().count();
         (it.directory.version(), it.evacuations.data_centres().count(), n_draining)
     });
-    let (n_suspects, n_refused, n_running) = {
+    let (n_suspects, n_parts, n_refused, n_running, n_successes_evicted) = {
         let (quarantine, now) = (host.quarantine(), clock::now());
-        let n_running = host.running_copies().n_reported(now);
-        (quarantine.n_suspects(), quarantine.entries(now).len(), n_running)
+        (
+            quarantine.n_suspects(),
+            quarantine.n_suspect_parts(),
+            quarantine.entries(now).len(),
+            host.running_copies().n_reported(now),
+            quarantine.n_successes_evicted(),
+        )
     };
     let (n_streams, n_evicted) = {
         let streams = host.streams();
@@ -141,6 +165,8 @@
         ("held_bytes", host.held_memory.total() as f64),
         ("held_peak_bytes", host.held_memory.peak() as f64),
         ("quarantine_suspects", n_suspects as f64),
+        ("quarantine_suspect_parts", n_parts as f64),
+        ("quarantine_successes_evicted", n_successes_evicted as f64),
         ("quarantine_refused", n_refused as f64),
         ("quarantine_running_elsewhere", n_running as f64),
         ("streams_known", n_streams as f64),
--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -150,7 +150,8 @@
     loop {
         // Connecting takes time: since placement, the upstream may have started to drain, been
         // evacuated or asked this host to back off.
-        if !host.may_send_to(upstream) {
+        // A part of the prompt may also have been quarantined.
+        if !host.may_send_to(upstream) || quarantine::is_refused(host, call) {
             run.end(Completion::Cancelled);
             let text = "nothing more may be sent there";
             return AttemptResult::Failed(Outcome::NotSent, text.to_owned());
--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -12,7 +12,7 @@
 use portfield::{
     balance::{Overload, PlacementRequest, Stage},
     catalog::{Access, Catalog, EngineSpec, Route, RouteKind, Workspace},
-    quarantine::{self, Fingerprint, RequestIdentity},
+    quarantine::{RequestIdentity, RequestKeys, SuspectKey},
     streams::StreamOrigin,
     upstream::Prompt,
 };
@@ -60,8 +60,8 @@
     pub resumption: Option<Resumption>,
     /// Where the stream began, once its caller has an event; it goes on there only.
     pub origin: Option<StreamOrigin>,
-    /// Fingerprint of the request, the same for every attempt.
-    pub fingerprint: Fingerprint,
+    /// What a crash of its upstream may be due to, the same for every attempt.
+    pub keys: Arc<RequestKeys>,
     /// Memory held for the request and its response.
     pub held: Arc<Held>,
     _active: Arc<()>,
@@ -133,7 +133,8 @@
             target: parts.uri.path_and_query().map_or("", |it| it.as_str()),
             body: &body,
         };
-        let fingerprint = identity.fingerprint();
+        let request = SuspectKey::request(workspace_hash, identity.fingerprint());
+        let keys = RequestKeys::new(request, placement.service, placement.prompt.as_ref());
         Ok(Self {
             id: head.attempt_id,
             caller: caller.clone(),
@@ -150,7 +151,7 @@
             placement,
             resumption: head.resumption,
             origin: None,
-            fingerprint,
+            keys: Arc::new(keys),
             held,
             _active: host.track_request(),
         })
@@ -173,12 +174,9 @@
         resumption.and_then(|it| it.first_attempt.as_deref()).unwrap_or_default()
     }
 
-    /// Returns the key by which hosts identify the request in the quarantine.
-    pub(crate) fn quarantine_key(&self) -> quarantine::RequestKey {
-        quarantine::RequestKey {
-            workspace: self.placement.workspace,
-            fingerprint: self.fingerprint,
-        }
+    /// Returns the fingerprint of the request as logs show it.
+    pub(crate) fn fingerprint_hex(&self) -> String {
+        self.keys.request.fingerprint_hex()
     }
 
     /// Returns the ids of its prompt parts as logs show them, empty without a prompt.
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -7,7 +7,7 @@
 use portfield::{
     balance::{ShareSnapshot, Stage},
     catalog::{RouteKind, Upstream},
-    quarantine::QuarantineEntry,
+    quarantine::{QuarantineEntry, Verdict},
     streams::StreamOrigin,
     upstream::GapMeter,
 };
@@ -123,9 +123,8 @@
     /// Picks an upstream; otherwise logs the refusal and returns it as the response.
     fn place(&mut self) -> Result<Placed, Failure> {
         self.call.placement.waited = clock::now().saturating_sub(self.call.arrived);
-        let is_one_crash_away =
-            self.host.quarantine().is_one_crash_away(clock::now(), self.call.quarantine_key());
-        let mode = if is_one_crash_away { PlacementMode::Isolated } else { PlacementMode::Any };
+        let is_at_risk = quarantine::is_one_crash_away(&self.host, &self.call);
+        let mode = if is_at_risk { PlacementMode::Isolated } else { PlacementMode::Any };
         let PlacementRefusal { reason, retry_after, estimate, share_ratio, room, invited } =
             match self.host.place(&self.call, &self.tried, mode) {
                 Ok(it) => return Ok(it),
@@ -171,7 +170,7 @@
             estimate_ms = assignment.estimate.as_millis() as u64,
             bias_ms = assignment.bias.as_millis() as u64, unread = assignment.uncached_tokens,
             ahead = assignment.queued_tokens, share = assignment.share_ratio, attempt = self.tried.len() + 1,
-            tokens = self.call.tokens(), fingerprint = self.call.quarantine_key().fingerprint_hex(),
+            tokens = self.call.tokens(), fingerprint = self.call.fingerprint_hex(),
             parts = self.call.part_ids_hex(), config = self.call.config_version,
             list:% = self.host.with_list(|it| it.directory.version()),
             store_age_ms = self.host.store_age_ms(); "placed"
@@ -230,7 +229,7 @@
         let label = outcome.as_str();
         log::warn!(
             request = self.call.id, upstream = upstream.entry.id, outcome = label, cause,
-            fingerprint = self.call.quarantine_key().fingerprint_hex(),
+            fingerprint = self.call.fingerprint_hex(),
             left_ms = self.call.remaining().as_millis() as u64; "attempt failed"
         );
         self.host.metrics.count(&format!("attempts_failed{{outcome=\"{label}\"}}"));
@@ -256,7 +255,7 @@
         log::warn!(
             request = self.call.id, upstream = upstream.entry.id, outcome = "unknown", cause,
             software = upstream.entry.software_version,
-            fingerprint = self.call.quarantine_key().fingerprint_hex(),
+            fingerprint = self.call.fingerprint_hex(),
             left_ms = self.call.remaining().as_millis() as u64; "answer broke"
         );
         self.host.metrics.count("answers_broken");
@@ -349,29 +348,36 @@
         Ok(())
     }
 
-    /// Checks that the request is not in quarantine; called before every attempt, also before a
-    /// retry and before a stream is resumed.
+    /// Checks that neither the request nor a part of its prompt is in quarantine; called before every
+    /// attempt, also before a retry and before a stream is resumed.
     fn check_quarantine(&self) -> Result<(), Failure> {
-        let entry = self.host.quarantine().entry(clock::now(), self.call.quarantine_key());
-        let Some(QuarantineEntry { n_crashes, remaining, .. }) = entry else {
+        let verdict = self.host.quarantine().verdict(clock::now(), &self.call.keys);
+        let Verdict::Refused(QuarantineEntry { key, n_crashes, remaining, .. }) = verdict else {
             return Ok(());
         };
-        let fingerprint = self.call.quarantine_key().fingerprint_hex();
+        let (fingerprint, part) = (self.call.fingerprint_hex(), key.fingerprint_hex());
+        let part = Some(part).filter(|_| key.is_part()).unwrap_or_default();
         log::info!(
-            request = self.call.id, route = self.call.route.name, fingerprint, n_ends = n_crashes,
-            workspace = self.call.workspace_name(), left_s = remaining.as_secs(); "in quarantine"
+            request = self.call.id, route = self.call.route.name, fingerprint, part,
+            n_ends = n_crashes, workspace = self.call.workspace_name(),
+            left_s = remaining.as_secs(); "in quarantine"
         );
-        self.host.metrics.count("refused{reason=\"Quarantine\"}");
+        let (label, cause) = if key.is_part() {
+            ("QuarantinedPart", format!("requests with part {part} of its prompt"))
+        } else {
+            ("Quarantine", format!("this request ({fingerprint})"))
+        };
+        self.host.metrics.count(&format!("refused{{reason=\"{label}\"}}"));
         let reason = format!(
-            "{n_crashes} upstreams ended while they ran this request ({fingerprint}): it is not sent to \
-             another one for {} s",
+            "{n_crashes} upstreams ended while they ran {cause}: it is not sent to another one for {} s",
             remaining.as_secs()
         );
         Err(self.failure(reason, quarantine::whole_seconds(remaining)))
     }
 
-    /// Registers this copy of the request. While the request is suspected of crashing upstreams, it
-    /// first waits for the end of another copy, which mostly succeeds and clears the request.
+    /// Registers this copy of the request. While the request or a part of its prompt is suspected of
+    /// crashing upstreams, it first waits for the end of another copy or request with the part, which
+    /// mostly succeeds and clears the suspect.
     ///
     /// # Errors
     ///
@@ -411,14 +417,15 @@
     }
 
     fn refuse_copy(&self) -> Failure {
-        let fingerprint = self.call.quarantine_key().fingerprint_hex();
+        let fingerprint = self.call.fingerprint_hex();
         log::info!(
             request = self.call.id, route = self.call.route.name, fingerprint,
             workspace = self.call.workspace_name(); "another copy of the suspect runs"
         );
         self.host.metrics.count("refused{reason=\"SuspectRunning\"}");
         let text = format!(
-            "an upstream ended while it ran this request ({fingerprint}), and another copy of it runs"
+            "upstreams ended while they ran this request ({fingerprint}) or parts of its prompt, and another \
+             one that may end them runs"
         );
         self.failure(text, RETRY)
     }
--- a/crates/portfield-host/src/forward.rs
+++ b/crates/portfield-host/src/forward.rs
@@ -121,9 +121,10 @@
                 Ok(Some(it)) => part = it,
                 Ok(None) => {
                     let delimiter = self.head.delimiter;
+                    let upstream = self.upstream.clone();
                     let mut exchange = self.finish();
                     if status.is_success() {
-                        quarantine::record_success(&exchange.host, &exchange.call);
+                        quarantine::record_success(&exchange.host, &exchange.call, &upstream);
                     }
                     exchange.record_answered(status, first, 0, delimiter);
                     parts.finish(Ok(()));
@@ -193,6 +194,7 @@
     let host = plain.exchange.host.clone();
     let Some(part) = rest else {
         let delimiter = plain.head.delimiter;
+        let upstream = plain.upstream.clone();
         let mut exchange = plain.finish();
         let first = clock::now();
         writer.finish(Ok(()));
@@ -203,7 +205,7 @@
             return Err(exchange);
         }
         if status.is_success() {
-            quarantine::record_success(&exchange.host, &exchange.call);
+            quarantine::record_success(&exchange.host, &exchange.call, &upstream);
         }
         exchange.record_answered(status, first, 0, delimiter);
         return Ok(res);
--- a/crates/portfield-host/src/hedge.rs
+++ b/crates/portfield-host/src/hedge.rs
@@ -7,6 +7,7 @@
 use portfield::{
     balance::{Candidate, Completion},
     catalog::Upstream,
+    quarantine::Verdict,
 };
 use portfield_net::{clock, socket};
 
@@ -118,11 +119,8 @@
         return Err("caller left");
     }
     // A request that may crash its upstream must not run at two.
-    let is_suspect = {
-        let (quarantine, key) = (host.quarantine(), call.quarantine_key());
-        quarantine.entry(now, key).is_some() || quarantine.is_suspect(now, key)
-    };
-    if is_suspect {
+    let verdict = host.quarantine().verdict(now, &call.keys);
+    if verdict != Verdict::Allowed {
         return Err("suspect");
     }
     let ready = host.candidates(call);
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -1,11 +1,15 @@
-//! Quarantine of requests that crash upstreams: what this host observes, and what it refuses.
+//! Quarantine of requests and prompt parts that crash upstreams: what this host observes, and what it
+//! refuses.
 
 use std::{sync::Arc, time::Duration};
 
 use portfield::{
     catalog::Upstream,
     gossip::GossipTopology,
-    quarantine::{CopyId, Fingerprint, QuarantineEntry, RequestKey},
+    quarantine::{
+        CopyId, CrashedUpstream, Fingerprint, QuarantineEntry, RequestKeys, SuspectKey,
+        SuspectKind, Verdict,
+    },
 };
 use portfield_net::clock;
 use portfield_wire::{Digest, RunningSuspect, Suspect};
@@ -40,43 +44,57 @@
     Store,
 }
 
-/// Registers a running copy of a request until dropped.
+/// Registers a running copy of a request, and of the parts of its prompt, until dropped.
 #[derive(Debug)]
 pub(crate) struct CopyGuard {
     host: Arc<Host>,
-    request: RequestKey,
+    keys: Arc<RequestKeys>,
     id: CopyId,
 }
 
 impl CopyGuard {
     /// Registers a copy; if it is a suspect, tells the other hosts at once.
     pub(crate) fn start(host: &Arc<Host>, call: &Call) -> Self {
-        let (now, request) = (clock::now(), call.quarantine_key());
-        let id = host.running_copies().start(now, request);
+        let id = host.running_copies().start(clock::now(), call.keys.all());
         if is_suspect(host, call) {
             host.digest_due.notify(1);
         }
-        Self { host: host.clone(), request, id }
+        Self { host: host.clone(), keys: call.keys.clone(), id }
     }
 }
 
 impl Drop for CopyGuard {
     fn drop(&mut self) {
-        self.host.running_copies().end(self.request, self.id);
+        self.host.running_copies().end(self.keys.all(), self.id);
     }
 }
 
-/// Returns whether an upstream crashed under a request that may run.
+/// Returns whether upstreams crashed under a request that may run, or under parts of its prompt.
 pub(crate) fn is_suspect(host: &Host, call: &Call) -> bool {
-    host.quarantine().is_suspect(clock::now(), call.quarantine_key())
+    host.quarantine().verdict(clock::now(), &call.keys) == Verdict::Trial
 }
 
-/// Returns whether a request is suspected of crashing upstreams and another copy of it runs. `own`
-/// is the copy that is to be sent, `None` if it has not started.
+/// Returns whether a request, or a part of its prompt, is quarantined.
+pub(crate) fn is_refused(host: &Host, call: &Call) -> bool {
+    matches!(host.quarantine().verdict(clock::now(), &call.keys), Verdict::Refused(_))
+}
+
+/// Returns whether one more crash quarantines a request or a part of its prompt.
+pub(crate) fn is_one_crash_away(host: &Host, call: &Call) -> bool {
+    let (quarantine, now) = (host.quarantine(), clock::now());
+    call.keys.all().any(|it| quarantine.is_one_crash_away(now, it))
+}
+
+/// Returns whether a request is suspected of crashing upstreams and another copy of it, or another
+/// request with the suspected part, runs. `own` is the copy that is to be sent, `None` if it has not
+/// started.
 pub(crate) fn is_held_back(host: &Host, call: &Call, own: Option<&CopyGuard>) -> bool {
-    let (now, request) = (clock::now(), call.quarantine_key());
-    host.quarantine().is_suspect(now, request)
-        && host.running_copies().is_held_back(now, request, own.map(|it| it.id))
+    let (now, quarantine) = (clock::now(), host.quarantine());
+    if quarantine.verdict(now, &call.keys) != Verdict::Trial {
+        return false;
+    }
+    let (copies, own) = (host.running_copies(), own.map(|it| it.id));
+    quarantine.keys_on_trial(&call.keys).any(|it| copies.is_held_back(now, it, own))
 }
 
 /// Records that an attempt of a request broke; returns whether to check that its upstream is still
@@ -87,58 +105,89 @@
     if !host.has_fresh_state() || !host.with_list(|it| it.directory.get_ready(upstream).is_some()) {
         return false;
     }
-    let has_ended = host.broken_attempts().record_break(
-        clock::now(),
-        call.quarantine_key(),
-        upstream.wire_id(),
-    );
+    let keys = &call.keys;
+    let has_ended =
+        host.broken_attempts().record_break(clock::now(), keys.clone(), upstream.wire_id());
     if has_ended {
-        add_suspects(host, &[call.quarantine_key()], upstream);
+        add_suspects(host, std::slice::from_ref(keys), upstream);
     }
     !has_ended
 }
 
 /// Records that an upstream ended.
 pub(crate) fn record_upstream_end(host: &Host, upstream: &Upstream, how: EndEvidence) {
-    let requests = host.broken_attempts().record_crash(clock::now(), upstream.wire_id());
-    if requests.is_empty() {
+    let runs = host.broken_attempts().record_crash(clock::now(), upstream.wire_id());
+    if runs.is_empty() {
         return;
     }
-    let logged = requests.iter().take(MAX_LOGGED).map(|it| it.fingerprint_hex());
-    let fingerprints = logged.collect::<Vec<_>>().join(" ");
+    let text = |keys: &[SuspectKey]| {
+        let logged = keys.iter().take(MAX_LOGGED).map(SuspectKey::fingerprint_hex);
+        logged.collect::<Vec<_>>().join(" ")
+    };
+    let requests: Vec<SuspectKey> = runs.iter().map(|it| it.request).collect();
+    let mut parts: Vec<SuspectKey> = runs.iter().flat_map(|it| it.parts.iter().copied()).collect();
+    parts.sort_unstable();
+    parts.dedup();
     log::warn!(
-        upstream = upstream.entry.id, how:?, n = requests.len(), fingerprints; "upstream ended"
+        upstream = upstream.entry.id, software = upstream.entry.software_version, how:?,
+        n = runs.len(), fingerprints = text(&requests), parts = text(&parts); "upstream ended"
     );
     host.metrics.count("upstreams_ended");
-    add_suspects(host, &requests, upstream);
+    add_suspects(host, &runs, upstream);
 }
 
 /// Records that an upstream crashed under some requests.
-fn add_suspects(host: &Host, requests: &[RequestKey], upstream: &Upstream) {
-    let changes = Changes::of(host, requests.iter().copied());
-    let entries = host.quarantine().record_crash(clock::now(), requests, upstream.wire_id());
+fn add_suspects(host: &Host, runs: &[Arc<RequestKeys>], upstream: &Upstream) {
+    let changes = Changes::of(host, runs.iter().flat_map(|it| it.all()));
+    let crashed = CrashedUpstream { id: upstream.wire_id(), version: version(upstream) };
+    let runs = runs.iter().map(|it| &**it);
+    let entries = host.quarantine().record_crashed_runs(clock::now(), runs, crashed);
     if changes.log(host, QuarantineSource::Own) {
         host.digest_due.notify(1);
     }
     entries.iter().for_each(|it| record_quarantine(host, it, QuarantineSource::Own));
 }
 
-/// Records that a request got a complete response, which clears it of suspicion.
-pub(crate) fn record_success(host: &Host, call: &Call) {
-    if host.quarantine().record_success(clock::now(), call.quarantine_key()) {
-        log::info!(
-            request = call.id, fingerprint = call.quarantine_key().fingerprint_hex();
-            "request cleared of suspicion"
-        );
+/// Returns the hash of an upstream's software version in crash histories.
+fn version(upstream: &Upstream) -> u32 {
+    upstream.version_hash() as u32
+}
+
+/// Records that a request got a complete response from an upstream that goes on, which clears it and
+/// the parts of its prompt of suspicion.
+pub(crate) fn record_success(host: &Host, call: &Call, upstream: &Upstream) {
+    let (now, version) = (clock::now(), version(upstream));
+    let mut cleared: Vec<SuspectKey> = Vec::new();
+    {
+        let mut quarantine = host.quarantine();
+        if quarantine.record_success(now, call.keys.request) {
+            cleared.push(call.keys.request);
+        }
+        for &it in &call.keys.parts {
+            if quarantine.record_part_success(now, it, version) {
+                cleared.push(it);
+            }
+        }
+    }
+    for it in cleared {
+        let fingerprint = it.fingerprint_hex();
+        match it.kind {
+            SuspectKind::Request => {
+                log::info!(request = call.id, fingerprint; "request cleared of suspicion");
+            }
+            SuspectKind::Part => {
+                log::info!(request = call.id, part = fingerprint; "prompt part cleared of suspicion");
+            }
+        }
     }
 }
 
-/// Lifts the quarantine of a request; returns whether it was suspected at all.
+/// Lifts the quarantine of a request or part; returns whether it was suspected at all.
 pub(crate) fn lift(host: &Host, fingerprint: Fingerprint) -> bool {
     let lifted = host.quarantine().lift(clock::now(), fingerprint);
-    let Some(request) = lifted else { return false };
-    log::warn!(fingerprint = request.fingerprint_hex(); "quarantine lifted");
-    host.persist_quarantine(request);
+    let Some(key) = lifted else { return false };
+    log::warn!(fingerprint = key.fingerprint_hex(); "quarantine lifted");
+    host.persist_quarantine(key);
     true
 }
 
@@ -147,8 +196,7 @@
     if suspects.is_empty() {
         return;
     }
-    let key = |it: &Suspect| RequestKey { workspace: it.workspace, fingerprint: it.fingerprint };
-    let changes = Changes::of(host, suspects.iter().map(key));
+    let changes = Changes::of(host, suspects.iter().map(SuspectKey::from));
     let entries = host.quarantine().merge(clock::now(), suspects);
     // The leader relays other hosts' digests and tells them to other data centres.
     if changes.log(host, source) && host.topology().is_leader() {
@@ -159,9 +207,7 @@
 
 /// Records which suspects another host is running.
 pub(crate) fn record_running(host: &Host, digest: &Digest) {
-    let key =
-        |it: &RunningSuspect| RequestKey { workspace: it.workspace, fingerprint: it.fingerprint };
-    let requests = digest.running.iter().map(key).collect();
+    let requests = digest.running.iter().map(SuspectKey::from).collect();
     host.running_copies().record_report(clock::now(), digest.host, requests);
 }
 
@@ -172,9 +218,7 @@
     digest.suspects = quarantine.suspects_for_digest(now, topology, digest.sequence);
     let copies = host.running_copies();
     let running = quarantine.suspects(|it| copies.is_running(now, it));
-    let to_wire =
-        |it: RequestKey| RunningSuspect { fingerprint: it.fingerprint, workspace: it.workspace };
-    digest.running = running.into_iter().map(to_wire).collect();
+    digest.running = running.into_iter().map(RunningSuspect::from).collect();
 }
 
 /// Adds the suspects known in this data centre to its summary.
@@ -187,24 +231,33 @@
     Duration::from_secs(time.as_secs() + 1)
 }
 
-/// Numbers of crashes known of some requests, compared before and after an update.
-struct Changes(Vec<(RequestKey, usize)>);
+/// Numbers of crashes known of some suspects, compared before and after an update.
+struct Changes(Vec<(SuspectKey, usize)>);
 
 impl Changes {
-    fn of(host: &Host, requests: impl Iterator<Item = RequestKey>) -> Self {
+    fn of(host: &Host, keys: impl Iterator<Item = SuspectKey>) -> Self {
         let quarantine = host.quarantine();
-        Self(requests.map(|it| (it, quarantine.n_crashes(it))).collect())
+        Self(keys.map(|it| (it, quarantine.n_crashes(it))).collect())
     }
 
-    /// Logs the requests of which more crashes are known by now; returns whether there are any.
-    fn log(self, host: &Host, source: QuarantineSource) -> bool {
+    /// Logs the suspects of which more crashes are known by now; returns whether there are any.
+    fn log(mut self, host: &Host, source: QuarantineSource) -> bool {
+        self.0.sort_unstable();
+        self.0.dedup_by_key(|it| it.0);
         let mut has_news = false;
-        for (request, before) in self.0 {
-            let n_ends = host.quarantine().n_crashes(request);
+        for (key, before) in self.0 {
+            let n_ends = host.quarantine().n_crashes(key);
             if before < n_ends {
                 has_news = true;
-                let fingerprint = request.fingerprint_hex();
-                log::info!(fingerprint, n_ends, source:?; "request suspected");
+                let fingerprint = key.fingerprint_hex();
+                match key.kind {
+                    SuspectKind::Request => {
+                        log::info!(fingerprint, n_ends, source:?; "request suspected");
+                    }
+                    SuspectKind::Part => {
+                        log::info!(part = fingerprint, n_ends, source:?; "prompt part suspected");
+                    }
+                }
             }
         }
         has_news
@@ -212,12 +265,24 @@
 }
 
 fn record_quarantine(host: &Host, it: &QuarantineEntry, source: QuarantineSource) {
-    log::warn!(
-        fingerprint = it.request.fingerprint_hex(), workspace_hash = it.request.workspace,
-        n_ends = it.n_crashes, left_s = it.remaining.as_secs(), source:?; "request quarantined"
-    );
-    host.metrics.count("requests_quarantined");
+    let (fingerprint, owner) = (it.key.fingerprint_hex(), it.key.owner);
+    let (n_ends, left_s) = (it.n_crashes, it.remaining.as_secs());
+    match it.key.kind {
+        SuspectKind::Request => {
+            log::warn!(
+                fingerprint, workspace_hash = owner, n_ends, left_s, source:?; "request quarantined"
+            );
+            host.metrics.count("requests_quarantined");
+        }
+        SuspectKind::Part => {
+            log::warn!(
+                part = fingerprint, service_hash = owner, n_ends, left_s, source:?;
+                "prompt part quarantined"
+            );
+            host.metrics.count("parts_quarantined");
+        }
+    }
     if it.is_local {
-        host.persist_quarantine(it.request);
+        host.persist_quarantine(it.key);
     }
 }
--- a/crates/portfield-host/src/quarantine_store.rs
+++ b/crates/portfield-host/src/quarantine_store.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_channel::Receiver;
-use portfield::quarantine::{self, RequestKey};
+use portfield::quarantine::{self, SuspectKey, SuspectKind};
 use portfield_net::clock;
 use portfield_platform::store::{self, Row, Store};
 use portfield_wire::{StoredSuspect, Suspect};
@@ -28,6 +28,8 @@
 const N_LOADERS: usize = 4;
 /// Number of rows per workspace; a later entry overwrites one in the same row.
 const ROWS_PER_WORKSPACE: u64 = 16;
+/// Number of rows per service for prompt parts, likewise.
+const ROWS_PER_SERVICE: u64 = 64;
 
 /// Reads the stored entries at start, and repeatedly while a data centre is unreachable that may
 /// know more. Must be called when the other hosts are known.
@@ -93,11 +95,11 @@
 /// Queues all entries of this host to be written again, after the store lost them.
 pub(crate) fn persist_all(host: &Host) {
     let entries = host.quarantine().entries(clock::now());
-    entries.iter().for_each(|it| host.persist_quarantine(it.request));
+    entries.iter().for_each(|it| host.persist_quarantine(it.key));
 }
 
 /// Writes the entries of the queued requests.
-pub(crate) async fn run_writer(host: Arc<Host>, store: Store, requests: Receiver<RequestKey>) {
+pub(crate) async fn run_writer(host: Arc<Host>, store: Store, requests: Receiver<SuspectKey>) {
     while let Ok(request) = requests.recv().await {
         write_row(&host, &store, request).await;
     }
@@ -105,7 +107,7 @@
 
 /// Writes what is known about a request, retrying until the store has it or nothing is known any
 /// more.
-async fn write_row(host: &Host, store: &Store, request: RequestKey) {
+async fn write_row(host: &Host, store: &Store, request: SuspectKey) {
     let mut pause = INITIAL_PAUSE;
     loop {
         let known = host.quarantine().suspect(clock::now(), request);
@@ -120,9 +122,16 @@
     }
 }
 
-/// Returns the key of a request's row.
-fn row_key(request: RequestKey) -> String {
-    format!("{:08x}-{:x}", request.workspace, request.fingerprint % ROWS_PER_WORKSPACE)
+/// Returns the key of a suspect's row.
+fn row_key(it: SuspectKey) -> String {
+    match it.kind {
+        SuspectKind::Request => {
+            format!("{:08x}-{:x}", it.owner, it.fingerprint % ROWS_PER_WORKSPACE)
+        }
+        SuspectKind::Part => {
+            format!("part-{:08x}-{:x}", it.owner, it.fingerprint % ROWS_PER_SERVICE)
+        }
+    }
 }
 
 /// Decodes a row and adds the time since it was written to its ages.
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -276,7 +276,7 @@
         self.delimiter = head.delimiter;
         run.record_first();
         run.end(Completion::Done);
-        quarantine::record_success(&self.exchange.host, &self.exchange.call);
+        quarantine::record_success(&self.exchange.host, &self.exchange.call, &upstream);
         connection.gate.open();
         if head.keep_alive {
             self.exchange.host.pool.put(upstream.wire_id(), connection, head.idle_timeout);
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -22,7 +22,7 @@
         GossipConfig, GossipTopology, PeerTable, StoreAvailability, StoreWatchers, WatcherStatus,
         host_hash,
     },
-    quarantine::{BrokenAttempts, Quarantine, RequestKey, RunningCopies},
+    quarantine::{BrokenAttempts, Quarantine, RequestKeys, RunningCopies, SuspectKey},
     streams::{RouteMoves, moved_routes},
     suspend::SuspendDetector,
 };
@@ -95,7 +95,7 @@
     store_availability: Mutex<StoreAvailability>,
     load_shedder: Mutex<LoadShedder>,
     ingress_balance: Mutex<IngressBalance>,
-    broken_attempts: Mutex<BrokenAttempts>,
+    broken_attempts: Mutex<BrokenAttempts<Arc<RequestKeys>>>,
     quarantine: Mutex<Quarantine>,
     running_copies: Mutex<RunningCopies>,
     streams: Mutex<Streams>,
@@ -108,7 +108,7 @@
     pub digest_due: Event,
     suspend_detector: Mutex<SuspendDetector>,
     /// Requests whose quarantine entry is to be written to the store.
-    pending_writes: Sender<RequestKey>,
+    pending_writes: Sender<SuspectKey>,
     /// Set once the quarantine was read from the store, could not be read or need not be.
     quarantine_loaded: AtomicInstant,
     /// When this host first knew some of the other hosts.
@@ -132,7 +132,7 @@
     ///
     /// Also returns the receiver of the requests whose quarantine entry is to be written to the
     /// store.
-    pub(crate) fn new(rt: Runtime, settings: Settings) -> (Arc<Self>, Receiver<RequestKey>) {
+    pub(crate) fn new(rt: Runtime, settings: Settings) -> (Arc<Self>, Receiver<SuspectKey>) {
         let gossip_config = GossipConfig {
             host: host_hash(settings.peers),
             data_centre: hash_name(&settings.data_centre),
@@ -290,7 +290,7 @@
     }
 
     /// Returns the attempts that recently broke.
-    pub(crate) fn broken_attempts(&self) -> MutexGuard<'_, BrokenAttempts> {
+    pub(crate) fn broken_attempts(&self) -> MutexGuard<'_, BrokenAttempts<Arc<RequestKeys>>> {
         self.broken_attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -358,7 +358,7 @@
     }
 
     /// Queues the quarantine entry of a request to be written to the store.
-    pub(crate) fn persist_quarantine(&self, request: RequestKey) {
+    pub(crate) fn persist_quarantine(&self, request: SuspectKey) {
         if self.pending_writes.try_send(request).is_err() {
             self.metrics.count("verdicts_not_kept");
             log::warn!(fingerprint = request.fingerprint_hex(); "quarantine entry not queued");
--- a/crates/portfield-host/src/store_watch.rs
+++ b/crates/portfield-host/src/store_watch.rs
@@ -7,7 +7,7 @@
 use portfield::{
     catalog::{MissingRows, REGISTRATION_GRACE, StoreVersion},
     gossip::{PeerCopy, STORE_CALL_TIMEOUT},
-    quarantine::RequestKey,
+    quarantine::SuspectKey,
     suspend::CachedState,
 };
 use portfield_net::{clock, http1::Error};
@@ -44,7 +44,7 @@
 const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
 
 /// Starts the tasks that read from and write to the store.
-pub(crate) fn start(host: &Arc<Host>, pending_writes: Receiver<RequestKey>) {
+pub(crate) fn start(host: &Arc<Host>, pending_writes: Receiver<SuspectKey>) {
     let store = Store::new(host.settings().store, STORE_CALL_TIMEOUT);
     let operator = WatchedTable {
         table: store::OPERATOR_TABLE,
--- a/crates/portfield/src/catalog/routes.rs
+++ b/crates/portfield/src/catalog/routes.rs
@@ -331,6 +331,11 @@
         self.routes.get(&host)?.find(path)
     }
 
+    /// Returns the names of all services.
+    pub fn service_names(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
     /// Finds a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/portfield/src/quarantine/broken_attempts.rs
+++ b/crates/portfield/src/quarantine/broken_attempts.rs
@@ -2,8 +2,6 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::fingerprint::Fingerprint;
-
 /// Time after an attempt broke within which a crash of its upstream counts as the cause.
 ///
 /// Usually the next connection is refused within milliseconds. An upstream that restarts before any
@@ -15,25 +13,9 @@
 /// Crashed upstreams remembered, for attempts that are seen to break after the crash.
 const MAX_CRASHED: usize = 256;
 
-/// Key of a request in messages between hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestKey {
-    /// Caller: hash of the workspace's name.
-    pub workspace: u32,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-}
-
-impl RequestKey {
-    /// Returns the fingerprint as logs and pages show it.
-    pub fn fingerprint_hex(&self) -> String {
-        format!("{:016x}", self.fingerprint)
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-struct BrokenAttempt {
-    request: RequestKey,
+#[derive(Debug)]
+struct BrokenAttempt<T> {
+    request: T,
     upstream: u32,
     at: Duration,
 }
@@ -42,31 +24,37 @@
 ///
 /// An attempt breaks because its upstream crashed or only because its connection did. The host
 /// cannot tell which without probing the upstream, and may learn of the crash before or after the
-/// broken attempt.
+/// broken attempt. `T` tells requests apart.
 ///
 /// # Examples
 ///
 /// ```
-/// use portfield::quarantine::{BrokenAttempts, RequestKey};
+/// use portfield::quarantine::{BrokenAttempts, SuspectKey};
 /// use std::time::Duration;
 ///
-/// let request = RequestKey { workspace: 7, fingerprint: 1 };
+/// let request = SuspectKey::request(7, 1);
 /// let mut attempts = BrokenAttempts::default();
 /// assert!(!attempts.record_break(Duration::ZERO, request, 3));
 /// assert_eq!(attempts.record_crash(Duration::from_millis(2), 3), [request]);
 /// let later = Duration::from_millis(4);
 /// assert!(attempts.record_break(later, request, 3), "its upstream is known to have crashed");
 /// ```
-#[derive(Debug, Default)]
-pub struct BrokenAttempts {
-    attempts: VecDeque<BrokenAttempt>,
+#[derive(Debug)]
+pub struct BrokenAttempts<T> {
+    attempts: VecDeque<BrokenAttempt<T>>,
     crashed: VecDeque<(u32, Duration)>,
 }
 
-impl BrokenAttempts {
+impl<T> Default for BrokenAttempts<T> {
+    fn default() -> Self {
+        Self { attempts: VecDeque::new(), crashed: VecDeque::new() }
+    }
+}
+
+impl<T: Clone + PartialEq> BrokenAttempts<T> {
     /// Records a broken attempt of a request at an upstream; returns whether the upstream is known
     /// to have crashed.
-    pub fn record_break(&mut self, now: Duration, request: RequestKey, upstream: u32) -> bool {
+    pub fn record_break(&mut self, now: Duration, request: T, upstream: u32) -> bool {
         self.prune(now);
         if self.crashed.iter().any(|it| it.0 == upstream) {
             return true;
@@ -80,7 +68,7 @@
 
     /// Records that an upstream crashed; returns the requests whose attempts had broken there, each
     /// once.
-    pub fn record_crash(&mut self, now: Duration, upstream: u32) -> Vec<RequestKey> {
+    pub fn record_crash(&mut self, now: Duration, upstream: u32) -> Vec<T> {
         self.prune(now);
         if !self.crashed.iter().any(|it| it.0 == upstream) {
             self.crashed.push_back((upstream, now));
@@ -88,10 +76,10 @@
         if MAX_CRASHED < self.crashed.len() {
             self.crashed.pop_front();
         }
-        let mut res: Vec<RequestKey> = Vec::new();
+        let mut res: Vec<T> = Vec::new();
         for it in self.attempts.iter().filter(|it| it.upstream == upstream) {
             if !res.contains(&it.request) {
-                res.push(it.request);
+                res.push(it.request.clone());
             }
         }
         self.attempts.retain(|it| it.upstream != upstream);
--- a/crates/portfield/src/quarantine/crash_history.rs
+++ b/crates/portfield/src/quarantine/crash_history.rs
@@ -1,17 +1,25 @@
-//! Crash history of one request, and whether it suffices for quarantine.
+//! Crash history of one suspect, and whether it suffices for quarantine.
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::broken_attempts::RequestKey;
+use super::key::{RequestKeys, SuspectKey, SuspectKind};
 use crate::{digest_scope::DIGESTS_PER_UPDATE, wire};
 
-/// Upstreams that must crash while running a request before it is quarantined.
+/// Upstreams that must crash while running a suspect before it is quarantined.
 ///
 /// A crash breaks all requests at the upstream, which are then sent again. While upstreams crash
 /// one after another, an innocent request is now and then involved in two crashes, but hardly ever
 /// in three (`tests/quarantine.rs` counts this).
 pub const CRASH_THRESHOLD: usize = 3;
-/// Crashes remembered per request, the latest ones.
+/// Different requests that a part must have crashed upstreams in: a request that does so by itself is
+/// quarantined as a whole, and says nothing about the parts of its prompt.
+const MIN_REQUESTS: usize = 2;
+/// Crashes from which on requests with a part run one at a time.
+pub(super) const TRIAL_THRESHOLD: usize = 2;
+/// Time after a success of a request with a part for which crashes do not count against the part. Parts
+/// in use succeed at some host within seconds; one that crashes its upstreams never does.
+pub(super) const SUCCESS_VALIDITY: Duration = Duration::from_secs(10);
+/// Crashes remembered per suspect, the latest ones.
 const MAX_CRASHES: usize = 6;
 /// Time after its latest crash for which a request with [`CRASH_THRESHOLD`] crashes is quarantined.
 /// Each further crash doubles it, up to 16 minutes.
@@ -22,8 +30,8 @@
 const BASE_QUARANTINE: Duration = Duration::from_secs(120);
 /// Time after its latest crash for which a request is remembered: twice the longest quarantine.
 pub const RETENTION: Duration = Duration::from_secs(1920);
-/// Time for which a success of a request is remembered: longer than reports of earlier crashes take
-/// to arrive from other hosts.
+/// Time for which a success is remembered after it no longer speaks against new crashes: longer than
+/// reports of earlier crashes take to arrive from other hosts.
 const SUCCESS_RETENTION: Duration = Duration::from_secs(10);
 
 /// Digest that suspects are collected for.
@@ -39,21 +47,68 @@
     Summary,
 }
 
-/// Crash of an upstream while it ran the request.
+/// A run that the crash of its upstream broke, as far as it matters for a part of its prompt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct CrashedRun {
+    /// Hash of the workspace's name.
+    pub workspace: u32,
+    /// Low 32 bits of the request's fingerprint.
+    pub request: u32,
+    /// Hash of the upstream's software version.
+    pub version: u32,
+}
+
+impl CrashedRun {
+    /// Returns the run of a request at an upstream with this software version.
+    pub(super) fn new(keys: &RequestKeys, version: u32) -> Self {
+        let SuspectKey { owner, fingerprint, .. } = keys.request;
+        Self { workspace: owner, request: fingerprint as u32, version }
+    }
+
+    fn is_of(self, request: SuspectKey) -> bool {
+        !request.is_part()
+            && request.owner == self.workspace
+            && request.fingerprint as u32 == self.request
+    }
+}
+
+/// Crash of an upstream while it ran the suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Crash {
+pub(super) struct Crash {
     /// Wire id of the incarnation that crashed.
-    upstream: u32,
+    pub upstream: u32,
+    pub at: Duration,
+    /// One of the requests with the part; the default for a suspect that is a request.
+    pub run: CrashedRun,
+}
+
+impl Crash {
+    /// Returns whether `cause` explains the crash, so that it does not count against `other`. A
+    /// quarantined request does not clear the parts of its own prompt.
+    pub(super) fn is_explained(&self, cause: SuspectKey, other: SuspectKind) -> bool {
+        match other {
+            SuspectKind::Request => true,
+            SuspectKind::Part => !self.run.is_of(cause),
+        }
+    }
+}
+
+/// Success of a request, or of one with the part.
+#[derive(Debug, Clone, Copy)]
+struct Success {
+    /// Hash of the upstream's software version; zero for a suspect that is a request.
+    version: u32,
     at: Duration,
 }
 
-/// Crashes of upstreams that ran a request.
-#[derive(Debug, Clone, Default)]
+/// Crashes of upstreams that ran a suspect.
+#[derive(Debug, Clone)]
 pub(super) struct CrashHistory {
+    kind: SuspectKind,
     /// The latest crashes, at most [`MAX_CRASHES`], each of a different upstream.
     crashes: Vec<Crash>,
-    /// When it last succeeded.
-    last_success: Option<Duration>,
+    /// The latest success at each software version.
+    successes: Vec<Success>,
     /// Digests of this host that still have to carry it as a change.
     n_own_digests: u32,
     /// Summaries of the data centre that still have to carry it as a change.
@@ -63,18 +118,30 @@
 }
 
 impl CrashHistory {
+    pub(super) fn new(kind: SuspectKind) -> Self {
+        Self {
+            kind,
+            crashes: Vec::new(),
+            successes: Vec::new(),
+            n_own_digests: 0,
+            n_summaries: 0,
+            is_local: false,
+        }
+    }
+
     /// Adds a crash; returns whether it is new.
     ///
     /// A crash reported by several hosts counts once, at the earliest reported time.
-    pub(super) fn add_crash(&mut self, upstream: u32, at: Duration) -> bool {
-        if self.last_success.is_some_and(|it| at <= it) {
+    pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
+        let Crash { upstream, at, run } = crash;
+        if self.successes.iter().any(|it| it.version == run.version && at <= self.valid_until(it)) {
             return false;
         }
         if let Some(it) = self.crashes.iter_mut().find(|it| it.upstream == upstream) {
             it.at = it.at.min(at);
+            it.run = it.run.min(run);
             return false;
         }
-        let crash = Crash { upstream, at };
         if self.crashes.len() < MAX_CRASHES {
             self.crashes.push(crash);
             return true;
@@ -87,11 +154,12 @@
         is_newer
     }
 
-    /// Removes a crash that is attributed to another request, unless this request is over the
-    /// threshold itself.
-    pub(super) fn drop_crash(&mut self, upstream: u32) {
+    /// Removes a crash that is attributed to another suspect, unless this one is over the threshold
+    /// itself.
+    pub(super) fn drop_crash(&mut self, upstream: u32, cause: SuspectKey) {
         if !self.is_over_threshold() {
-            self.crashes.retain(|it| it.upstream != upstream);
+            let kind = self.kind;
+            self.crashes.retain(|it| it.upstream != upstream || !it.is_explained(cause, kind));
         }
     }
 
@@ -100,17 +168,65 @@
         self.crashes.iter().map(|it| it.upstream)
     }
 
-    /// Records a success at `at`, which removes earlier crashes; returns whether any were removed.
-    pub(super) fn record_success(&mut self, at: Duration) -> bool {
-        if self.last_success.is_some_and(|it| at <= it) {
+    /// Returns whether it accounts for all crashes of another suspect.
+    pub(super) fn covers(&self, other: &Self) -> bool {
+        other.upstreams().all(|it| self.crashes.iter().any(|own| own.upstream == it))
+    }
+
+    /// Returns whether the crashes count against requests of a workspace: one that sent a request
+    /// under which an upstream crashed, or any as soon as two did. A workspace alone cannot have a
+    /// part refused to others.
+    pub(super) fn concerns(&self, workspace: u32) -> bool {
+        let mut workspaces = self.crashes.iter().map(|it| it.run.workspace);
+        let first = workspaces.next();
+        first == Some(workspace) || workspaces.any(|it| it == workspace || Some(it) != first)
+    }
+
+    /// Records a success at `at`, which removes the crashes that it speaks against; returns whether
+    /// any were removed.
+    pub(super) fn record_success(&mut self, version: u32, at: Duration) -> bool {
+        if !self.add_success(version, at) {
             return false;
         }
-        self.last_success = Some(at);
+        let until = at + self.success_validity();
         let n_before = self.crashes.len();
-        self.crashes.retain(|it| at < it.at);
+        self.crashes.retain(|it| it.run.version != version || until < it.at);
         self.crashes.len() < n_before
     }
 
+    /// Removes all crashes, on an operator's order; returns whether there were any.
+    pub(super) fn lift(&mut self, at: Duration) -> bool {
+        // The crashes after it count.
+        let at = at.saturating_sub(self.success_validity());
+        let versions: Vec<u32> = self.crashes.iter().map(|it| it.run.version).collect();
+        let mut has_any = false;
+        for it in versions {
+            has_any |= self.record_success(it, at);
+        }
+        has_any
+    }
+
+    fn add_success(&mut self, version: u32, at: Duration) -> bool {
+        match self.successes.iter_mut().find(|it| it.version == version) {
+            Some(it) if at <= it.at => return false,
+            Some(it) => it.at = at,
+            None => self.successes.push(Success { version, at }),
+        }
+        true
+    }
+
+    fn valid_until(&self, success: &Success) -> Duration {
+        success.at + self.success_validity()
+    }
+
+    /// Returns how long after a success no crash counts.
+    fn success_validity(&self) -> Duration {
+        match self.kind {
+            SuspectKind::Request => Duration::ZERO,
+            SuspectKind::Part => SUCCESS_VALIDITY,
+        }
+    }
+
     /// Records that this host saw a change of it.
     pub(super) fn mark_local(&mut self) {
         self.n_own_digests = DIGESTS_PER_UPDATE;
@@ -165,48 +281,109 @@
         (now < end).then(|| end - now)
     }
 
-    /// Returns whether it has at least [`CRASH_THRESHOLD`] crashes.
+    /// Returns whether it has at least [`CRASH_THRESHOLD`] crashes; a part also has to have them
+    /// under [`MIN_REQUESTS`] requests.
     pub(super) fn is_over_threshold(&self) -> bool {
-        CRASH_THRESHOLD <= self.crashes.len()
+        if self.crashes.len() < CRASH_THRESHOLD {
+            return false;
+        }
+        let request = |it: &Crash| (it.run.workspace, it.run.request);
+        let is_first = |it: &usize| {
+            self.crashes[..*it].iter().all(|other| request(other) != request(&self.crashes[*it]))
+        };
+        let n_requests = (0..self.crashes.len()).filter(is_first).count();
+        self.kind == SuspectKind::Request || MIN_REQUESTS <= n_requests
+    }
+
+    /// Returns whether it is so suspicious that its requests run one at a time.
+    pub(super) fn is_on_trial(&self) -> bool {
+        let threshold = match self.kind {
+            SuspectKind::Request => 1,
+            SuspectKind::Part => TRIAL_THRESHOLD,
+        };
+        threshold <= self.crashes.len()
     }
 
     /// Returns whether it no longer has to be remembered.
     pub(super) fn is_expired(&self, now: Duration) -> bool {
         let is_crash_expired = self.crashes.is_empty() || self.last_crash() + RETENTION <= now;
-        is_crash_expired && self.last_success.is_none_or(|it| it + SUCCESS_RETENTION <= now)
+        let is_old = |it: &Success| self.valid_until(it) + SUCCESS_RETENTION <= now;
+        is_crash_expired && self.successes.iter().all(is_old)
     }
 
     /// Encodes it for messages to other hosts and for the store.
-    pub(super) fn to_wire(&self, now: Duration, request: RequestKey) -> wire::Suspect {
+    pub(super) fn to_wire(&self, now: Duration, key: SuspectKey) -> wire::Suspect {
         let age =
             |at: Duration| now.saturating_sub(at).as_millis().min(u128::from(u32::MAX)) as u32;
-        let crash = |it: &Crash| wire::UpstreamEnd { upstream: it.upstream, age: age(it.at) };
-        wire::Suspect {
-            fingerprint: request.fingerprint,
-            workspace: request.workspace,
+        let crash = |it: &Crash| wire::UpstreamEnd {
+            upstream: it.upstream,
+            age: age(it.at),
+            workspace: it.run.workspace,
+            request: it.run.request,
+            version: it.run.version,
+        };
+        let mut res = wire::Suspect {
+            fingerprint: key.fingerprint,
+            workspace: key.owner,
             ends: self.crashes.iter().map(crash).collect(),
-            cleared: self.last_success.map(age),
+            cleared: None,
+            part: key.is_part(),
+            successes: Vec::new(),
+        };
+        let successes = self.successes.iter();
+        match self.kind {
+            SuspectKind::Request => res.cleared = successes.map(|it| age(it.at)).next(),
+            SuspectKind::Part => {
+                let success =
+                    |it: &Success| wire::PartSuccess { version: it.version, age: age(it.at) };
+                res.successes = successes.map(success).collect();
+            }
         }
+        res
     }
 
     /// Merges a report from another host or the store; returns whether anything was new.
     ///
-    /// Skips crashes in `attributed`, unless the request is over the threshold already or by the
-    /// report: two requests may have crashed the same upstreams.
+    /// Skips crashes that are attributed to another suspect, unless this one is over the threshold
+    /// already or by the report: two suspects may have crashed the same upstreams.
     pub(super) fn merge(
         &mut self,
         now: Duration,
         suspect: &wire::Suspect,
-        attributed: &VecDeque<u32>,
+        attributed: &VecDeque<Attribution>,
     ) -> bool {
         let at = |age: u32| now.saturating_sub(Duration::from_millis(u64::from(age)));
-        let mut is_news = suspect.cleared.is_some_and(|it| self.record_success(at(it)));
+        let cleared = suspect.cleared.map(|age| (0, age));
+        let successes = suspect.successes.iter().map(|it| (it.version, it.age));
+        let mut is_news = false;
+        for (version, age) in cleared.into_iter().chain(successes) {
+            is_news |= self.record_success(version, at(age));
+        }
         let is_over_threshold = self.is_over_threshold() || CRASH_THRESHOLD <= suspect.ends.len();
-        for it in
-            suspect.ends.iter().filter(|it| is_over_threshold || !attributed.contains(&it.upstream))
-        {
-            is_news |= self.add_crash(it.upstream, at(it.age));
+        for it in &suspect.ends {
+            let run =
+                CrashedRun { workspace: it.workspace, request: it.request, version: it.version };
+            let crash = Crash { upstream: it.upstream, at: at(it.age), run };
+            let is_explained = attributed.iter().any(|it| it.explains(&crash, self.kind));
+            if is_over_threshold || !is_explained {
+                is_news |= self.add_crash(crash);
+            }
         }
         is_news
     }
 }
+
+/// A crash whose cause is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Attribution {
+    /// Wire id of the upstream.
+    pub upstream: u32,
+    pub cause: SuspectKey,
+}
+
+impl Attribution {
+    /// Returns whether a crash does not count against suspects of a kind.
+    pub(super) fn explains(&self, crash: &Crash, kind: SuspectKind) -> bool {
+        self.upstream == crash.upstream && crash.is_explained(self.cause, kind)
+    }
+}
--- a/crates/portfield/src/quarantine/running_copies.rs
+++ b/crates/portfield/src/quarantine/running_copies.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::broken_attempts::RequestKey;
+use super::key::SuspectKey;
 
 /// Identifies a running copy within its host, in the order of the starts.
 pub type CopyId = u64;
@@ -26,16 +26,16 @@
 /// # Examples
 ///
 /// ```
-/// use portfield::quarantine::{RequestKey, RunningCopies};
+/// use portfield::quarantine::{SuspectKey, RunningCopies};
 /// use std::time::Duration;
 ///
-/// let request = RequestKey { workspace: 7, fingerprint: 1 };
+/// let request = SuspectKey::request(7, 1);
 /// let now = Duration::from_secs(1);
 /// let mut copies = RunningCopies::new(30);
-/// let first = copies.start(now, request);
+/// let first = copies.start(now, [request]);
 /// assert!(copies.is_held_back(now, request, None), "another copy runs");
 /// assert!(!copies.is_held_back(now, request, Some(first)));
-/// copies.end(request, first);
+/// copies.end([request], first);
 /// assert!(!copies.is_held_back(now, request, None));
 /// copies.record_report(now, 20, vec![request]);
 /// assert!(copies.is_held_back(now, request, None), "another host runs it");
@@ -46,7 +46,7 @@
     host: u64,
     last_id: CopyId,
     /// Start times of this host's copies, by request.
-    local: BTreeMap<(RequestKey, CopyId), Duration>,
+    local: BTreeMap<(SuspectKey, CopyId), Duration>,
     /// Suspects that other hosts run, by the host's hash.
     reports: BTreeMap<u64, Report>,
 }
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 struct Report {
     heard: Duration,
-    requests: Vec<RequestKey>,
+    requests: Vec<SuspectKey>,
 }
 
 impl RunningCopies {
@@ -64,20 +64,23 @@
         Self { host, last_id: 0, local: BTreeMap::new(), reports: BTreeMap::new() }
     }
 
-    /// Records that a copy starts at this host.
-    pub fn start(&mut self, now: Duration, request: RequestKey) -> CopyId {
+    /// Records that a copy of a request starts at this host; `keys` are those of the request and of the
+    /// parts of its prompt.
+    pub fn start(&mut self, now: Duration, keys: impl IntoIterator<Item = SuspectKey>) -> CopyId {
         self.last_id += 1;
-        self.local.insert((request, self.last_id), now);
+        self.local.extend(keys.into_iter().map(|it| ((it, self.last_id), now)));
         self.last_id
     }
 
     /// Records that a copy ended at this host.
-    pub fn end(&mut self, request: RequestKey, id: CopyId) {
-        self.local.remove(&(request, id));
+    pub fn end(&mut self, keys: impl IntoIterator<Item = SuspectKey>, id: CopyId) {
+        for it in keys {
+            self.local.remove(&(it, id));
+        }
     }
 
     /// Records which suspects another host is running; replaces its earlier report.
-    pub fn record_report(&mut self, now: Duration, host: u64, requests: Vec<RequestKey>) {
+    pub fn record_report(&mut self, now: Duration, host: u64, requests: Vec<SuspectKey>) {
         if requests.is_empty() {
             self.reports.remove(&host);
             return;
@@ -88,7 +91,7 @@
 
     /// Returns whether a suspect must not be sent now because another copy of it runs. `own` is the
     /// copy that is to be sent, `None` if it has not started.
-    pub fn is_held_back(&self, now: Duration, request: RequestKey, own: Option<CopyId>) -> bool {
+    pub fn is_held_back(&self, now: Duration, request: SuspectKey, own: Option<CopyId>) -> bool {
         let is_blocking = |id: CopyId| own.is_none_or(|own| id < own);
         let has_local = self.recent(now, request).any(is_blocking);
         let has_remote = self.reports.iter().any(|(&host, it)| {
@@ -100,7 +103,7 @@
     }
 
     /// Returns whether a copy of a request started recently at this host and still runs.
-    pub fn is_running(&self, now: Duration, request: RequestKey) -> bool {
+    pub fn is_running(&self, now: Duration, request: SuspectKey) -> bool {
         self.recent(now, request).next().is_some()
     }
 
@@ -110,7 +113,7 @@
         recent.map(|it| it.requests.len()).sum()
     }
 
-    fn recent(&self, now: Duration, request: RequestKey) -> impl Iterator<Item = CopyId> {
+    fn recent(&self, now: Duration, request: SuspectKey) -> impl Iterator<Item = CopyId> {
         let copies = self.local.range((request, 0)..=(request, CopyId::MAX));
         copies.filter(move |(_, started)| now < **started + PROBATION).map(|(key, _)| key.1)
     }
--- a/crates/portfield/tests/gossip_leaders.rs
+++ b/crates/portfield/tests/gossip_leaders.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use gossip_simulation::{Host, Simulation};
-use portfield::{gossip::host_hash, quarantine::RequestKey};
+use portfield::{
+    gossip::host_hash,
+    quarantine::{CrashedUpstream, RequestKeys, SuspectKey},
+};
 
 /// Allowed age of a host's last digest: two periods of 118 ms at 59 hosts, and a lost one.
 const AGE: Duration = Duration::from_millis(400);
@@ -117,11 +120,11 @@
 }
 
 /// A request that crashed an upstream at each of three hosts, in three data centres.
-fn with_suspect(n_each: u32, loss: u32) -> (Simulation, RequestKey) {
+fn with_suspect(n_each: u32, loss: u32) -> (Simulation, SuspectKey) {
     let mut sim = Simulation::new(5, n_each, None);
     sim.loss = loss;
     sim.run(Duration::from_secs(5));
-    let request = RequestKey { workspace: 7, fingerprint: 0xfeed };
+    let request = SuspectKey::request(7, 0xfeed);
     for (i, upstream) in [(1, 100), (7, 101), (8, 102)] {
         let host = &mut sim.hosts[i];
         let uptime = sim.now - host.started;
@@ -132,7 +135,7 @@
 
 impl Simulation {
     /// Returns the number of hosts that would send a request.
-    fn n_sending(&self, request: RequestKey) -> usize {
+    fn n_sending(&self, request: SuspectKey) -> usize {
         let sends = |it: &&Host| {
             let uptime = self.now.saturating_sub(it.started);
             it.is_alive && it.quarantine.entry(uptime, request).is_none()
@@ -141,6 +144,34 @@
     }
 }
 
+/// Every host has to refuse a part within half a second of the third crash, of three hosts' in three data centres, while
+/// each crash accuses twenty parts more, of which a distant host saw one succeed.
+#[test]
+fn a_crashing_part_is_refused_by_all_hosts_within_half_a_second() {
+    for (n_each, loss) in [(2, 0), (12, 10), (60, 0), (60, 10)] {
+        let mut sim = Simulation::new(5, n_each, None);
+        sim.loss = loss;
+        sim.run(Duration::from_secs(5));
+        let part = |id| SuspectKey::part(3, id);
+        let uptime = sim.now - sim.hosts[9].started;
+        sim.hosts[9].quarantine.record_part_success(uptime, part(0xa), 1);
+        for (n, i) in (0..).zip([1, 7, 8]) {
+            let run = |m: u64| RequestKeys {
+                request: SuspectKey::request(7 + n, u64::from(n) * 100 + m),
+                parts: vec![part(0xa), part(if m == 0 { 0xdead } else { u64::from(n) * 50 + m })],
+            };
+            let runs: Vec<RequestKeys> = (0..20).map(run).collect();
+            let host = &mut sim.hosts[i];
+            let upstream = CrashedUpstream { id: 100 + n, version: 1 };
+            host.quarantine.record_crashed_runs(sim.now - host.started, &runs, upstream);
+        }
+        sim.run(Duration::from_millis(500));
+        let case = format!("{n_each} hosts a data centre, {loss} % lost");
+        assert_eq!(sim.n_sending(part(0xdead)), 0, "{case}");
+        assert_eq!(sim.n_sending(part(0xa)), sim.hosts.len(), "{case}");
+    }
+}
+
 /// Every host has to know of three crashes within three seconds of the last one.
 #[test]
 fn crashes_seen_by_three_hosts_add_up_at_every_host() {
@@ -167,7 +198,7 @@
     let (mut sim, request) = with_suspect(60, 10);
     for n in 0..1500 {
         let host = &mut sim.hosts[n % 300];
-        let other = RequestKey { workspace: n as u32 % 40, fingerprint: n as u64 };
+        let other = SuspectKey::request(n as u32 % 40, n as u64);
         host.quarantine.record_crash(sim.now - host.started, &[other], 200 + n as u32 % 100);
     }
     sim.run(Duration::from_secs(3));
--- a/crates/portfield/tests/quarantine.rs
+++ b/crates/portfield/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use portfield::quarantine::{
     BrokenAttempts, CRASH_THRESHOLD, Quarantine, QuarantineEntry, RETENTION, RequestIdentity,
-    RequestKey, RunningCopies,
+    RunningCopies, SuspectKey,
 };
 use portfield::{
     gossip::{GossipConfig, GossipTopology},
@@ -19,8 +19,8 @@
 /// A time some time after the start of a host.
 const NOW: Duration = Duration::from_secs(100);
 
-fn request(fingerprint: u64) -> RequestKey {
-    RequestKey { workspace: 7, fingerprint }
+fn request(fingerprint: u64) -> SuspectKey {
+    SuspectKey::request(7, fingerprint)
 }
 
 /// Topology of a host in a small fleet.
@@ -40,7 +40,7 @@
 }
 
 /// Records `n` crashes of a request at upstreams numbered from `first`; returns the last new entry.
-fn crash(it: &mut Quarantine, request: RequestKey, first: u32, n: u32) -> Option<QuarantineEntry> {
+fn crash(it: &mut Quarantine, request: SuspectKey, first: u32, n: u32) -> Option<QuarantineEntry> {
     let record = |upstream| it.record_crash(NOW, &[request], upstream).pop();
     (first..first + n).filter_map(record).last()
 }
@@ -104,7 +104,7 @@
     assert_eq!(it.entry(NOW, request(1)), Some(entry));
     assert_eq!(it.record_crash(NOW, &[request(1)], 13), []);
     assert_eq!(it.entry(NOW, request(2)), None, "another request");
-    let elsewhere = RequestKey { workspace: 8, fingerprint: 1 };
+    let elsewhere = SuspectKey::request(8, 1);
     assert_eq!(it.entry(NOW, elsewhere), None, "another workspace");
 }
 
@@ -220,7 +220,7 @@
 #[test]
 fn one_workspace_cannot_evict_the_entries_of_another() {
     let mut it = Quarantine::default();
-    let other = RequestKey { workspace: 8, fingerprint: 5 };
+    let other = SuspectKey::request(8, 5);
     crash(&mut it, other, 10, 3);
     for n in 0..10_000 {
         crash(&mut it, request(n), 100 + n as u32 * 3, 3);
@@ -300,7 +300,7 @@
         let (broken, rest): (Vec<_>, Vec<_>) = self.runs.drain(..).partition(|it| it.1 == engine);
         self.runs = rest;
         self.n_broken += broken.len() as u32;
-        let requests: Vec<RequestKey> = broken.iter().map(|it| request(it.0)).collect();
+        let requests: Vec<SuspectKey> = broken.iter().map(|it| request(it.0)).collect();
         self.quarantine.record_crash(now, &requests, self.n_incarnations);
         for (id, _, _, n_attempts) in broken {
             if n_attempts < MAX_ATTEMPTS {
@@ -401,7 +401,7 @@
 #[test]
 fn of_copies_at_two_hosts_one_goes_on() {
     let (mut here, mut there) = (RunningCopies::new(1), RunningCopies::new(2));
-    let (first, second) = (here.start(NOW, request(1)), there.start(NOW, request(1)));
+    let (first, second) = (here.start(NOW, [request(1)]), there.start(NOW, [request(1)]));
     here.record_report(NOW, 2, vec![request(1)]);
     there.record_report(NOW, 1, vec![request(1)]);
     assert!(!here.is_held_back(NOW, request(1), Some(first)));
@@ -414,7 +414,7 @@
 #[test]
 fn running_copies_hold_back_others_for_a_short_time() {
     let mut here = RunningCopies::new(1);
-    here.start(NOW, request(1));
+    here.start(NOW, [request(1)]);
     assert!(here.is_held_back(NOW + SECOND, request(1), None));
     assert!(!here.is_held_back(NOW + SECOND * 2, request(1), None), "it ran for two seconds");
     assert!(!here.is_running(NOW + SECOND * 2, request(1)), "and is not reported any more");
@@ -430,10 +430,10 @@
 #[test]
 fn the_earliest_copy_at_a_host_goes_on() {
     let mut here = RunningCopies::new(1);
-    let (first, second) = (here.start(NOW, request(1)), here.start(NOW, request(1)));
+    let (first, second) = (here.start(NOW, [request(1)]), here.start(NOW, [request(1)]));
     assert!(!here.is_held_back(NOW, request(1), Some(first)));
     assert!(here.is_held_back(NOW, request(1), Some(second)));
-    here.end(request(1), first);
+    here.end([request(1)], first);
     assert!(!here.is_held_back(NOW, request(1), Some(second)));
 }
 
--- a/crates/portfieldctl/src/logs.rs
+++ b/crates/portfieldctl/src/logs.rs
@@ -153,13 +153,17 @@
         );
     }
     if let Some(it) = find_last("in quarantine") {
+        let part = it.kvs.get("part").and_then(Value::as_str).filter(|it| !it.is_empty());
+        let (cause, key) = match part {
+            Some(it) => ("requests with the prompt part", it.to_owned()),
+            None => ("it (fingerprint", it.value_text("fingerprint")),
+        };
+        let close = if part.is_some() { "" } else { ")" };
         return format!(
-            "refused: {} upstreams ended while they ran it (fingerprint {}), quarantined for another {} s; \
-             `portfieldctl quarantine HOST --lift {}` lets it run again",
+            "refused: {} upstreams ended while they ran {cause} {key}{close}, quarantined for another {} s; \
+             `portfieldctl quarantine HOST --lift {key}` lets it run again",
             it.value_text("n_ends"),
-            it.value_text("fingerprint"),
             it.value_text("left_s"),
-            it.value_text("fingerprint"),
         );
     }
     let backed_off = find_last("not placed").filter(|it| it.value_text("reason") == "Backoff");
