fix(relay): a crash between two events no longer passes for the end of a stream

Callers of a stream whose upstream sends neither a length nor chunks got a cut stream as a complete one when the upstream crashed between two events, and the host recorded a success, which cleared the very request, and the prompt part, that had crashed it.

Cause: the end of the connection delimits such a response, and a crash ends it alike. The host now opens a connection to the upstream, which the pool keeps in place of the ended one: refused, the stream was broken off and is resumed or cut; open for 100 ms, it is complete and a success; anything else, and an upstream that is about to leave: complete, but no success. A plain response of this kind is passed on as before, and clears a suspect only after the same check. Such a connection no longer goes back into the pool.

--- a/crates/portfield-host/src/forward.rs
+++ b/crates/portfield-host/src/forward.rs
@@ -9,13 +9,14 @@
 use hyper::body::Incoming;
 use portfield::{balance::Completion, catalog::Upstream};
 use portfield_net::{clock, panics};
-use portfield_platform::response::ResponseHead;
+use portfield_platform::response::{BodyDelimiter, ResponseHead};
 
 use crate::{
     attempt::{self, RunGuard, UpstreamResponse},
     call::Call,
     exchange::Exchange,
     pool::Connection,
+    probe::{self, Liveness},
     quarantine,
     read_ahead::PartWriter,
     relay,
@@ -92,7 +93,7 @@
         let Self { exchange, head, connection, mut run, upstream, is_error, .. } = self;
         run.record_first();
         run.end(if is_error { Completion::Error } else { Completion::Done });
-        if head.keep_alive {
+        if head.may_reuse_connection() {
             exchange.host.pool.put(upstream.wire_id(), connection, head.idle_timeout);
         }
         exchange
@@ -124,7 +125,7 @@
                     let upstream = self.upstream.clone();
                     let mut exchange = self.finish();
                     if status.is_success() {
-                        quarantine::record_success(&exchange.host, &exchange.call, &upstream);
+                        record_success(&exchange, upstream, delimiter);
                     }
                     exchange.record_answered(status, first, 0, delimiter);
                     parts.finish(Ok(()));
@@ -205,7 +206,7 @@
             return Err(exchange);
         }
         if status.is_success() {
-            quarantine::record_success(&exchange.host, &exchange.call, &upstream);
+            record_success(&exchange, upstream, delimiter);
         }
         exchange.record_answered(status, first, 0, delimiter);
         return Ok(res);
@@ -222,6 +223,23 @@
     Ok(Response::from_parts(parts, body.boxed_unsync()))
 }
 
+/// Records a whole response of an upstream. Where the end of the connection delimits it, a crash looks
+/// the same: it clears a suspect only once the upstream has proved to be alive.
+fn record_success(exchange: &Exchange, upstream: Arc<Upstream>, delimiter: BodyDelimiter) {
+    let (host, call) = (exchange.host.clone(), &exchange.call);
+    if delimiter != BodyDelimiter::Close {
+        quarantine::record_success(&host, &call.id, &call.keys, &upstream);
+    } else if quarantine::is_suspect(&host, call) {
+        let (id, keys) = (call.id.clone(), call.keys.clone());
+        let rt = host.rt.clone();
+        rt.spawn(async move {
+            if probe::check_alive(&host, &upstream).await == Liveness::Alive {
+                quarantine::record_success(&host, &id, &keys, &upstream);
+            }
+        });
+    }
+}
+
 /// Returns whether a status tells the caller that its request did not run and will not.
 fn states_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -155,15 +155,15 @@
 
 /// Records that a request got a complete response from an upstream that goes on, which clears it and
 /// the parts of its prompt of suspicion.
-pub(crate) fn record_success(host: &Host, call: &Call, upstream: &Upstream) {
+pub(crate) fn record_success(host: &Host, id: &str, keys: &RequestKeys, upstream: &Upstream) {
     let (now, version) = (clock::now(), version(upstream));
     let mut cleared: Vec<SuspectKey> = Vec::new();
     {
         let mut quarantine = host.quarantine();
-        if quarantine.record_success(now, call.keys.request) {
-            cleared.push(call.keys.request);
+        if quarantine.record_success(now, keys.request) {
+            cleared.push(keys.request);
         }
-        for &it in &call.keys.parts {
+        for &it in &keys.parts {
             if quarantine.record_part_success(now, it, version) {
                 cleared.push(it);
             }
@@ -173,10 +173,10 @@
         let fingerprint = it.fingerprint_hex();
         match it.kind {
             SuspectKind::Request => {
-                log::info!(request = call.id, fingerprint; "request cleared of suspicion");
+                log::info!(request = id, fingerprint; "request cleared of suspicion");
             }
             SuspectKind::Part => {
-                log::info!(request = call.id, part = fingerprint; "prompt part cleared of suspicion");
+                log::info!(request = id, part = fingerprint; "prompt part cleared of suspicion");
             }
         }
     }
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::{
     attempt::{UpstreamResponse, error_chain},
     exchange::Exchange,
+    probe::{self, Liveness},
     quarantine,
     response::Body,
 };
@@ -179,11 +180,17 @@
                 None => clock::timeout_at(timeout, response.body.frame()).await,
             };
             let cause = match frame {
-                Some(None) if !self.events.has_partial() => {
-                    self.finish();
-                    return Ok(None);
+                Some(None) if self.events.has_partial() => {
+                    "the stream ended within an event".to_owned()
+                }
+                Some(None) => {
+                    let liveness = self.check_end().await;
+                    if liveness != Liveness::Ended {
+                        self.finish(liveness);
+                        return Ok(None);
+                    }
+                    "the upstream ended, and may not have sent all events".to_owned()
                 }
-                Some(None) => "the stream ended within an event".to_owned(),
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let n_before = self.events.count();
@@ -269,16 +276,30 @@
         }
     }
 
+    /// Checks whether the upstream lives on where only the end of its connection shows that the stream
+    /// is complete.
+    async fn check_end(&mut self) -> Liveness {
+        let response = self.response.as_ref();
+        let Some(it) = response.filter(|it| it.head.delimiter == BodyDelimiter::Close) else {
+            return Liveness::Alive;
+        };
+        let (host, upstream) = (self.exchange.host.clone(), it.upstream.clone());
+        probe::check_alive(&host, &upstream).await
+    }
+
     /// Records the complete end of the stream and returns its connection to the pool.
-    fn finish(&mut self) {
+    fn finish(&mut self, liveness: Liveness) {
         let Some(response) = self.response.take() else { return };
         let UpstreamResponse { head, connection, mut run, upstream, .. } = *response;
         self.delimiter = head.delimiter;
         run.record_first();
         run.end(Completion::Done);
-        quarantine::record_success(&self.exchange.host, &self.exchange.call, &upstream);
+        if liveness == Liveness::Alive {
+            let (host, call) = (&self.exchange.host, &self.exchange.call);
+            quarantine::record_success(host, &call.id, &call.keys, &upstream);
+        }
         connection.gate.open();
-        if head.keep_alive {
+        if head.may_reuse_connection() {
             self.exchange.host.pool.put(upstream.wire_id(), connection, head.idle_timeout);
         }
     }
