fix(quarantine): trials run at the least busy upstream; soak with a prompt part that crashes engines

Found by reading the diff: a request that runs on trial because two parts account for the same crashes is over the threshold, so that it was not "one crash away" and was placed like any other. Its crash would have broken all that ran at a busy upstream. Quarantine::needs_isolation decides now; tests/prompt_parts.rs, a_trial_decides, holds it.

--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -123,8 +123,8 @@
     /// Picks an upstream; otherwise logs the refusal and returns it as the response.
     fn place(&mut self) -> Result<Placed, Failure> {
         self.call.placement.waited = clock::now().saturating_sub(self.call.arrived);
-        let is_at_risk = quarantine::is_one_crash_away(&self.host, &self.call);
-        let mode = if is_at_risk { PlacementMode::Isolated } else { PlacementMode::Any };
+        let is_risky = self.host.quarantine().needs_isolation(clock::now(), &self.call.keys);
+        let mode = if is_risky { PlacementMode::Isolated } else { PlacementMode::Any };
         let PlacementRefusal { reason, retry_after, estimate, share_ratio, room, invited } =
             match self.host.place(&self.call, &self.tried, mode) {
                 Ok(it) => return Ok(it),
--- a/crates/portfield-host/src/quarantine.rs
+++ b/crates/portfield-host/src/quarantine.rs
@@ -79,12 +79,6 @@
     matches!(host.quarantine().verdict(clock::now(), &call.keys), Verdict::Refused(_))
 }
 
-/// Returns whether one more crash quarantines a request or a part of its prompt.
-pub(crate) fn is_one_crash_away(host: &Host, call: &Call) -> bool {
-    let (quarantine, now) = (host.quarantine(), clock::now());
-    call.keys.all().any(|it| quarantine.is_one_crash_away(now, it))
-}
-
 /// Returns whether a request is suspected of crashing upstreams and another copy of it, or another
 /// request with the suspected part, runs. `own` is the copy that is to be sent, `None` if it has not
 /// started.
--- a/crates/portfield-host/tests/crashing_engines/mod.rs
+++ b/crates/portfield-host/tests/crashing_engines/mod.rs
@@ -22,9 +22,28 @@
 /// Time between two events of an engine's stream.
 const ENGINE_LATENCY: Duration = Duration::from_millis(10);
 
+/// What engines that start from now on do, and are.
+#[derive(Debug, Clone)]
+struct Release {
+    fault: UpstreamFault,
+    software_version: String,
+}
+
+impl Release {
+    /// Starts an engine and lists it.
+    fn start(&self, rt: &Runtime, store: &FakeStore, id: &str) -> FakeUpstream {
+        let res = future::block_on(FakeUpstream::start(rt, id, ENGINE_LATENCY)).unwrap();
+        res.set_fault(self.fault);
+        res.set_software_version(&self.software_version);
+        store.put("servers", id, &res.entry("model", "ready"));
+        res
+    }
+}
+
 /// Engines of a fleet with a fault that crashes them; crashed ones are replaced until dropped.
 pub struct CrashingEngines {
     all: Arc<Mutex<Vec<FakeUpstream>>>,
+    release: Arc<Mutex<Release>>,
     is_stopped: Arc<AtomicBool>,
     restarter: Option<JoinHandle<()>>,
 }
@@ -36,16 +55,46 @@
         }
         let all = Arc::new(Mutex::new(fleet.engines.clone()));
         let is_stopped = Arc::new(AtomicBool::new(false));
+        let release = Release { fault, software_version: fleet.engines[0].software_version() };
+        let release = Arc::new(Mutex::new(release));
         let (rt, store) = (fleet.rt.clone(), fleet.store.clone());
-        let (list, stopped) = (all.clone(), is_stopped.clone());
+        let (list, stopped, current) = (all.clone(), is_stopped.clone(), release.clone());
         let restarter = thread::spawn(move || {
             let mut n_restarted = 0;
             while !stopped.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(10));
-                n_restarted += restart_crashed(&rt, &store, &list, n_restarted, fault);
+                n_restarted += restart_crashed(&rt, &store, &list, n_restarted, &current);
             }
         });
-        Self { all, is_stopped, restarter: Some(restarter) }
+        Self { all, release, is_stopped, restarter: Some(restarter) }
+    }
+
+    /// Replaces all engines by as many with another software version and fault; the old ones end what they run.
+    pub fn release(&self, fleet: &Fleet, software_version: &str, fault: UpstreamFault) {
+        let new = Release { fault, software_version: software_version.to_owned() };
+        *self.release.lock().unwrap() = new.clone();
+        let mut all = self.all.lock().unwrap();
+        all.iter().for_each(|it| fleet.store.remove("servers", &it.id));
+        for n in 0..fleet.engines.len() {
+            all.push(new.start(&fleet.rt, &fleet.store, &format!("{software_version}-{n}")));
+        }
+    }
+
+    /// Crashes the `n`th of the engines that run, for a reason of its own.
+    pub fn crash(&self, n: usize) {
+        let all = self.all.lock().unwrap();
+        let running: Vec<_> = all.iter().filter(|it| !it.has_crashed()).collect();
+        running[n % running.len()].crash();
+    }
+
+    /// Returns when executed requests that `f` selects arrived at engines with a fault, in order.
+    pub fn arrivals_at_faulty(&self, f: impl Fn(&ReceivedRequest) -> bool) -> Vec<Duration> {
+        let all = self.all.lock().unwrap();
+        let faulty = all.iter().filter(|it| it.fault() != UpstreamFault::None);
+        let executed = faulty.flat_map(FakeUpstream::requests).filter(|it| it.is_executed && f(it));
+        let mut res: Vec<Duration> = executed.map(|it| it.received_at).collect();
+        res.sort();
+        res
     }
 
     /// Returns the number of engines that have crashed.
@@ -79,7 +128,7 @@
     store: &FakeStore,
     all: &Mutex<Vec<FakeUpstream>>,
     n_restarted: usize,
-    fault: UpstreamFault,
+    release: &Mutex<Release>,
 ) -> usize {
     let mut crashed: Vec<FakeUpstream> = all.lock().unwrap().clone();
     crashed.retain(FakeUpstream::has_crashed);
@@ -93,9 +142,7 @@
     }
     for n in 0..n_new {
         let id = format!("engine-again-{}", n_restarted + n);
-        let it = future::block_on(FakeUpstream::start(rt, &id, ENGINE_LATENCY)).unwrap();
-        it.set_fault(fault);
-        store.put("servers", &id, &it.entry("model", "ready"));
+        let it = release.lock().unwrap().start(rt, store, &id);
         all.lock().unwrap().push(it);
     }
     n_new
--- a/crates/portfield/src/quarantine/registry.rs
+++ b/crates/portfield/src/quarantine/registry.rs
@@ -139,14 +139,19 @@
         history.concerns(keys.request.owner) && !of_owner(&self.histories, part).any(is_alternative)
     }
 
-    /// Returns whether one more crash quarantines a request that may run, or a part of its prompt;
-    /// other requests at its upstream are at risk.
+    /// Returns whether one more crash quarantines a suspect that may run.
     pub fn is_one_crash_away(&self, now: Duration, key: SuspectKey) -> bool {
         self.history(key).is_some_and(|it| {
             CRASH_THRESHOLD <= it.n_crashes() + 1 && it.remaining(now + START_OFFSET).is_none()
         })
     }
 
+    /// Returns whether other requests at the upstream of a request are at risk: one more crash
+    /// quarantines it, or it runs for a part on trial.
+    pub fn needs_isolation(&self, now: Duration, keys: &RequestKeys) -> bool {
+        self.is_one_crash_away(now, keys.request) || self.keys_on_trial(keys).any(|it| it.is_part())
+    }
+
     /// Records that an upstream crashed while running requests of this host; returns the suspects
     /// that are quarantined as a result.
     pub fn record_crashed_runs<'a>(
--- a/crates/portfield/tests/prompt_parts.rs
+++ b/crates/portfield/tests/prompt_parts.rs
@@ -165,6 +165,7 @@
     assert!(is_refused(&it, NOW, &keys(7, 1, &both)));
     let sound = keys(7, 2, &[0xb]);
     assert_eq!(it.verdict(NOW, &sound), Verdict::Trial);
+    assert!(it.needs_isolation(NOW, &sound), "others at its upstream are at risk");
     assert!(it.record_part_success(NOW + SECOND, part(0xb), VERSION));
     assert_eq!(it.verdict(NOW + SECOND, &sound), Verdict::Allowed);
     assert!(is_refused(&it, NOW + SECOND, &keys(7, 3, &[0xdead])));
