test(relay): a connection that ends inside an event breaks a close-delimited stream

The code before kept this too; no test played it. The stand-in closes the connection within an event, with neither a length nor chunks: digests go on at the other engine with 8 of 8 events, a draft ends visibly cut.

--- a/crates/portfield-host/tests/prompt_parts.rs
+++ b/crates/portfield-host/tests/prompt_parts.rs
@@ -142,6 +142,26 @@
     assert!(hosts.iter().all(has_quarantined));
 }
 
+/// The end of the connection inside an event is no end of a stream, though its engine goes on: a resumable stream goes on
+/// elsewhere, another one is visibly cut.
+#[test]
+fn a_connection_that_ends_inside_an_event_breaks_the_stream() {
+    let mut fleet = Fleet::new(0, 2);
+    let host = fleet.start_host();
+    fleet.engines[0].set_fault(UpstreamFault::CloseInsideEvent);
+    for n in 0..12 {
+        // Requests with another first part mostly go to another engine.
+        let text = request_with_parts("digest", &format!("f{n}"), &format!("a{n}:20"));
+        let response = host.send_admitted(&text);
+        assert_eq!((response.status, response.is_complete), (200, true), "{}", response.text());
+        assert_eq!(response.event_ids(), (1..=8).collect::<Vec<u32>>());
+    }
+    assert!(0 < fleet.engines[0].n_executed(), "no stream of the engine was tried");
+    fleet.engines[1].set_fault(UpstreamFault::CloseInsideEvent);
+    let response = host.send_admitted(&request_with_parts("draft", "d", "aa:20"));
+    assert_eq!((response.status, response.is_complete), (200, false), "{}", response.text());
+}
+
 /// Streams with neither a length nor chunks are complete where their engine goes on.
 #[test]
 fn close_delimited_streams_are_passed_on_whole() {
