fix(test): the soak counts requests as servable after the end of its record, not after the last window

Cause, from a trace of one run in quarter seconds beside the windows: the last time in which any upstream served ended at 2.42 s (the others drain, shed all, hang, or ask for 0.8 s of rest until the end). Availability took the end of that last window for the end of its record, so that all requests from 2.42 s on counted as servable, with no upstream there to serve them. It now keeps when finish() was called, which is what its comment says.

No code of the product changes.

--- a/crates/portfield-host/tests/availability/mod.rs
+++ b/crates/portfield-host/tests/availability/mod.rs
@@ -121,6 +121,8 @@
     is_store_lost: bool,
     /// Times in which a host may refuse requests.
     exempt: Vec<(SocketAddr, Interval)>,
+    /// End of the record: all faults are cleared right after it.
+    end: Option<Duration>,
 }
 
 impl Availability {
@@ -134,6 +136,7 @@
             may_serve: Windows::new(n, Duration::ZERO, Condition::may_serve),
             is_store_lost: false,
             exempt: Vec::new(),
+            end: None,
         }
     }
 
@@ -179,6 +182,7 @@
 
     /// Ends the record; no window goes on.
     pub fn finish(&mut self) {
+        self.end = Some(clock::now());
         for index in 0..self.conditions.len() {
             self.must_serve.close(index);
             self.may_serve.close(index);
@@ -237,9 +241,9 @@
     /// Returns whether an upstream of its service served at least some requests when it was sent, or after the end of
     /// the record.
     fn may_be_served(&self, it: &Attempt) -> bool {
-        let last_end = self.may_serve.closed.iter().map(|it| it.1.end).max().unwrap_or_default();
         let mut windows = self.windows(&self.may_serve, it.service);
-        last_end < it.sent || windows.any(|(_, w)| w.start <= it.sent && it.sent <= w.end)
+        self.end.is_some_and(|end| end < it.sent)
+            || windows.any(|(_, w)| w.start <= it.sent && it.sent <= w.end)
     }
 
     /// Returns the slices of windows that a request belongs to: the upstream's index, the slice's end and the host.
