--- a/crates/portfield-host/tests/soak_prompt_parts.rs
+++ b/crates/portfield-host/tests/soak_prompt_parts.rs
@@ -18,12 +18,12 @@
     time::{Duration, Instant},
 };
 
-use crashing_engines::{CrashingEngines, start_hosts};
+use crashing_engines::CrashingEngines;
 use fleet::{Fleet, Host, request_with_body, send_request, wait_until};
 use portfield_platform_standins::{StoreFault, UpstreamFault};
 
-/// Seeds that CI runs, one of each scenario.
-const SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// Seeds that CI runs, one of each scenario, two of them in two data centres.
+const SEEDS: [u64; 4] = [1, 6, 3, 8];
 const CI_DURATION: Duration = Duration::from_secs(9);
 const N_HOSTS: usize = 4;
 const N_ENGINES: usize = 9;
@@ -62,6 +62,13 @@
     }
 }
 
+/// Starts the host of an index; with two data centres, each knows the other by summaries.
+fn spawn_host(fleet: &mut Fleet, index: usize, data_centres: &[&str], settings: &str) -> Host {
+    let summaries = if 1 < data_centres.len() { "direct_hosts = 1" } else { "" };
+    let data_centre = data_centres[index % data_centres.len()];
+    fleet.spawn_host_in(data_centre, &format!("{summaries}\n{settings}"))
+}
+
 /// Results of the requests of some callers.
 #[derive(Debug, Default)]
 struct Counts {
@@ -114,6 +121,7 @@
 fn inject_fault(
     fleet: &mut Fleet,
     hosts: &mut [Host],
+    data_centres: &[&str],
     addresses: &Mutex<Vec<SocketAddr>>,
     rng: &mut fastrand::Rng,
 ) {
@@ -122,7 +130,8 @@
         signal @ 0..=1 => {
             hosts[index].signal(if signal == 0 { "-KILL" } else { "-TERM" });
             let seeds: Vec<String> = hosts.iter().map(|it| it.peers.to_string()).collect();
-            let host = fleet.spawn_host(&format!("seeds = {seeds:?}"));
+            let settings = format!("seeds = {seeds:?}");
+            let host = spawn_host(fleet, index, data_centres, &settings);
             addresses.lock().unwrap()[index] = host.listen;
             let mut old = std::mem::replace(&mut hosts[index], host);
             thread::spawn(move || old.wait_for_exit());
@@ -142,7 +151,11 @@
     let scenario = Scenario::of(seed);
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut fleet = Fleet::new(0, N_ENGINES);
-    let mut hosts = start_hosts(&mut fleet, N_HOSTS);
+    let data_centres: &[&str] =
+        if seed.wrapping_sub(1) / 4 % 2 == 0 { &["north"] } else { &["north", "south"] };
+    let spawn = |index| spawn_host(&mut fleet, index, data_centres, "");
+    let mut hosts: Vec<Host> = (0..N_HOSTS).map(spawn).collect();
+    wait_until("all hosts are ready", || hosts.iter().all(Host::is_ready));
     let fault = match scenario {
         Scenario::BadPart => UpstreamFault::CrashOnPart("dead"),
         Scenario::CutBetweenEvents => UpstreamFault::CrashBetweenEvents("dead"),
@@ -165,7 +178,7 @@
         });
         let (start, mut is_released) = (Instant::now(), false);
         while start.elapsed() < time {
-            inject_fault(&mut fleet, &mut hosts, &addresses, &mut rng);
+            inject_fault(&mut fleet, &mut hosts, data_centres, &addresses, &mut rng);
             if scenario == Scenario::OtherCauses {
                 engines.crash(rng.usize(..N_ENGINES));
             }
@@ -190,8 +203,9 @@
     let n_cut = bad.n_cut + sum(|it| it.n_cut);
     let _ = writeln!(
         io::stderr(),
-        "seed {seed}: {scenario:?}, {} engines crashed, {} bad requests executed, {n_late} late; {n_served} of {n_sent} \
+        "seed {seed}: {scenario:?}, {} data centres, {} engines crashed, {} bad requests executed, {n_late} late; {n_served} of {n_sent} \
          sound requests served, {n_refused} refused for a part",
+        data_centres.len(),
         engines.n_crashed(),
         arrivals.len(),
     );
