--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -355,8 +355,8 @@
         let Verdict::Refused(QuarantineEntry { key, n_crashes, remaining, .. }) = verdict else {
             return Ok(());
         };
-        let (fingerprint, part) = (self.call.fingerprint_hex(), key.fingerprint_hex());
-        let part = Some(part).filter(|_| key.is_part()).unwrap_or_default();
+        let fingerprint = self.call.fingerprint_hex();
+        let part = if key.is_part() { key.fingerprint_hex() } else { String::new() };
         log::info!(
             request = self.call.id, route = self.call.route.name, fingerprint, part,
             n_ends = n_crashes, workspace = self.call.workspace_name(),
