--- a/review/standins.rs
+++ b/review/standins.rs
@@ -41,6 +41,7 @@
 #[derive(Clone)]
 pub struct Record {
     file: Arc<Mutex<File>>,
+    lines: Arc<Mutex<Vec<String>>>,
     start: Instant,
 }
 
@@ -48,7 +49,7 @@
     /// Creates the file, replacing that of an earlier run.
     pub fn create(path: &str) -> Self {
         let file = File::create(path).unwrap_or_else(|err| give_up(&format!("{path}: {err}")));
-        Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
+        Self { file: Arc::new(Mutex::new(file)), lines: Arc::default(), start: Instant::now() }
     }
 
     /// Adds a line.
@@ -56,6 +57,12 @@
         let line = format!("{:9.3} s  {text}\n", self.start.elapsed().as_secs_f64());
         print!("{line}");
         let _ = self.file.lock().unwrap().write_all(line.as_bytes());
+        self.lines.lock().unwrap().push(line);
+    }
+
+    /// Returns whether a line contains a text.
+    pub fn contains(&self, text: &str) -> bool {
+        self.lines.lock().unwrap().iter().any(|it| it.contains(text))
     }
 }
 
