fix(forward): a response that its upstream's crash cut is not passed on as complete

What callers saw: an upstream was killed in the middle of an answer with neither a length nor chunks. A stream was passed on as complete likewise if its upstream was draining, not listed, or listed anew under its id.

Cause: the end of a connection was taken for the end of the body. The system closes a killed process's connections in order, as a process does that has finished. Only streams of ready upstreams were checked.

Ruled out: a reset that is hidden (hyper reports it as an error, which was handled); one connection attempt as evidence (of 200 killed processes with 10 connections, 43 accepted a new one after the first of theirs had ended; the address refused at the latest after 17 ms, and with 400 connections after 26 ms, beside 24 busy processes).

Change: where the end of the connection delimits a response, plain or stream, its upstream must accept a connection that stays open (60 ms for plain responses, 100 ms for streams). Responses that end meanwhile share the connection. If it is refused, the response broke: another attempt where the kind allows it, otherwise 502. Draining and unlisted upstreams are asked too; one listed anew under its id has ended; after a suspension of the host the list decides. No answer twice counts as overload, and the response as whole. A Transfer-Encoding without a last `chunked` is delimited by the connection; a response without a body needs no check.

Conclusion: the evidence is that the process accepts connections after the response has ended, which a killed one does not.

--- a/crates/portfield-host/src/attempt.rs
+++ b/crates/portfield-host/src/attempt.rs
@@ -4,11 +4,15 @@
 
 use bytes::Bytes;
 use http::{Request, Response, response};
+use http_body::Body as _;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use portfield::{balance::Completion, catalog::Upstream, ids::RunId};
 use portfield_net::clock;
-use portfield_platform::{request, response::ResponseHead};
+use portfield_platform::{
+    request,
+    response::{BodyDelimiter, ResponseHead},
+};
 
 use crate::{
     cache_transfer::FetchContext,
@@ -239,7 +243,7 @@
 }
 
 /// Returns whether the process or the machine is out of file descriptors.
-fn is_fd_limit(err: &io::Error) -> bool {
+pub(crate) fn is_fd_limit(err: &io::Error) -> bool {
     const ENFILE: i32 = 23;
     const EMFILE: i32 = 24;
     matches!(err.raw_os_error(), Some(ENFILE | EMFILE))
@@ -264,7 +268,11 @@
     mut run: RunGuard,
 ) -> AttemptResult {
     let (parts, body) = response.into_parts();
-    let head = portfield_platform::response::decode(parts.status, &parts.headers, &call.id);
+    let mut head = portfield_platform::response::decode(parts.status, &parts.headers, &call.id);
+    if body.is_end_stream() {
+        // Responses such as a 204 have no body, and need no header that delimits it.
+        head.delimiter = BodyDelimiter::Length;
+    }
     upstream_signals::handle_response_head(host, call, upstream, parts.status, &head);
     if !head.id_matches {
         run.end(Completion::Broken);
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -9,7 +9,7 @@
     catalog::{RouteKind, Upstream},
     quarantine::{QuarantineEntry, Verdict},
     streams::StreamOrigin,
-    upstream::GapMeter,
+    upstream::{GapMeter, Liveness},
 };
 use portfield_net::clock;
 use portfield_platform::response::BodyDelimiter;
@@ -17,7 +17,7 @@
 use crate::{
     attempt::{self, AttemptResult, Outcome, UpstreamResponse},
     call::{Call, SUSPENDED_RETRY, SUSPENDED_TEXT},
-    hedge,
+    hedge, liveness,
     placement::{Placed, PlacementMode, PlacementRefusal},
     probe,
     quarantine::{self, CopyGuard},
@@ -249,6 +249,25 @@
         }
     }
 
+    /// Checks whether an upstream lives on after the end of its response, if the end of the connection
+    /// delimits it: a crash looks the same.
+    pub(crate) fn check_end(
+        &self,
+        upstream: &Arc<Upstream>,
+        delimiter: BodyDelimiter,
+        open_time: Duration,
+    ) -> impl Future<Output = Liveness> + use<> {
+        let (host, upstream) = (self.host.clone(), upstream.clone());
+        let (arrived, remaining) = (self.call.arrived, self.call.remaining());
+        async move {
+            if delimiter != BodyDelimiter::Close {
+                return Liveness::Alive;
+            }
+            let check = liveness::check_response_end(&host, &upstream, arrived, open_time);
+            clock::timeout(remaining, check).await.unwrap_or(Liveness::Unclear)
+        }
+    }
+
     /// Records that a response broke before its end.
     pub(crate) fn record_broken_response(&self, upstream: &Arc<Upstream>, cause: &str) {
         self.record_break(upstream);
--- a/crates/portfield-host/src/forward.rs
+++ b/crates/portfield-host/src/forward.rs
@@ -1,13 +1,13 @@
 //! Forwards one request to upstreams until one responds, and returns the response.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use portfield::{balance::Completion, catalog::Upstream};
+use portfield::{balance::Completion, catalog::Upstream, upstream::Liveness};
 use portfield_net::{clock, panics};
 use portfield_platform::response::{BodyDelimiter, ResponseHead};
 
@@ -15,8 +15,8 @@
     attempt::{self, RunGuard, UpstreamResponse},
     call::Call,
     exchange::Exchange,
+    liveness::PLAIN_OPEN_TIME,
     pool::Connection,
-    probe::{self, Liveness},
     quarantine,
     read_ahead::PartWriter,
     relay,
@@ -54,6 +54,9 @@
 /// request whose response breaks by then is repeated.
 const MAX_WHOLE_BYTES: u64 = 256 << 10;
 
+/// Why a response whose end its connection delimits counts as broken.
+const UPSTREAM_ENDED: &str = "the upstream ended, and may not have sent the whole answer";
+
 /// A plain response that is being read.
 #[derive(Debug)]
 struct PlainResponse {
@@ -88,15 +91,17 @@
         }
     }
 
-    /// Records the complete response and returns its connection to the pool.
-    fn finish(self) -> Exchange {
+    /// Records the end of the body, which frees the upstream's slot, and returns the connection to the
+    /// pool.
+    fn finish(self) -> FinishedResponse {
         let Self { exchange, head, connection, mut run, upstream, is_error, .. } = self;
         run.record_first();
         run.end(if is_error { Completion::Error } else { Completion::Done });
+        let delimiter = head.delimiter;
         if head.may_reuse_connection() {
             exchange.host.pool.put(upstream.wire_id(), connection, head.idle_timeout);
         }
-        exchange
+        FinishedResponse { exchange, upstream, delimiter, ended: clock::now() }
     }
 
     /// Records that the response broke.
@@ -121,14 +126,12 @@
             match self.next().await {
                 Ok(Some(it)) => part = it,
                 Ok(None) => {
-                    let delimiter = self.head.delimiter;
-                    let upstream = self.upstream.clone();
-                    let mut exchange = self.finish();
-                    if status.is_success() {
-                        record_success(&exchange, upstream, delimiter);
+                    let mut finished = self.finish();
+                    let res = finished.verify(status).await;
+                    if res.is_ok() {
+                        finished.record_answered(status, first);
                     }
-                    exchange.record_answered(status, first, 0, delimiter);
-                    parts.finish(Ok(()));
+                    parts.finish(res.map_err(str::to_owned));
                     return;
                 }
                 Err(cause) => break cause,
@@ -146,6 +149,45 @@
     }
 }
 
+/// A plain response whose body has ended.
+#[derive(Debug)]
+struct FinishedResponse {
+    exchange: Exchange,
+    upstream: Arc<Upstream>,
+    delimiter: BodyDelimiter,
+    /// When the body ended.
+    ended: Duration,
+}
+
+impl FinishedResponse {
+    /// Checks that the body is whole: where the end of the connection delimits it, its upstream must
+    /// live on.
+    ///
+    /// # Errors
+    ///
+    /// Why the response counts as broken.
+    async fn verify(&mut self, status: StatusCode) -> Result<(), &'static str> {
+        let Self { exchange, upstream, delimiter, .. } = self;
+        match exchange.check_end(upstream, *delimiter, PLAIN_OPEN_TIME).await {
+            Liveness::Ended => {
+                exchange.record_broken_response(upstream, UPSTREAM_ENDED);
+                return Err(UPSTREAM_ENDED);
+            }
+            Liveness::Alive if status.is_success() => {
+                let call = &exchange.call;
+                quarantine::record_success(&exchange.host, &call.id, &call.keys, upstream);
+            }
+            Liveness::Alive | Liveness::Unclear => {}
+        }
+        Ok(())
+    }
+
+    /// Logs the complete response; its first part arrived at `first`.
+    fn record_answered(&mut self, status: StatusCode, first: Duration) {
+        self.exchange.record_answered(status, first, 0, self.delimiter);
+    }
+}
+
 /// Passes a plain response on. One of up to [`MAX_WHOLE_BYTES`] is read to its end first, as far as
 /// memory allows. The connection of a caller who already got a part of a response that breaks is
 /// broken off, so that it never looks complete.
@@ -194,21 +236,27 @@
     portfield_platform::request::remove_hop_by_hop(&mut parts.headers);
     let host = plain.exchange.host.clone();
     let Some(part) = rest else {
-        let delimiter = plain.head.delimiter;
-        let upstream = plain.upstream.clone();
-        let mut exchange = plain.finish();
-        let first = clock::now();
+        let mut finished = plain.finish();
         writer.finish(Ok(()));
         length = length.or(Some(n_read));
         let res = Response::from_parts(parts, reader.with_length(length).boxed_unsync());
-        if is_error && exchange.may_retry() {
-            exchange.store_error(res);
-            return Err(exchange);
+        if is_error && finished.exchange.may_retry() {
+            // Without the check, an error that may be cut short is not kept.
+            if finished.delimiter != BodyDelimiter::Close {
+                finished.exchange.store_error(res);
+            }
+            return Err(finished.exchange);
         }
-        if status.is_success() {
-            record_success(&exchange, upstream, delimiter);
+        if let Err(cause) = finished.verify(status).await {
+            let exchange = finished.exchange;
+            return if exchange.may_retry() {
+                Err(exchange)
+            } else {
+                Ok(fail(exchange, cause.to_owned()))
+            };
         }
-        exchange.record_answered(status, first, 0, delimiter);
+        let first = finished.ended;
+        finished.record_answered(status, first);
         return Ok(res);
     };
     if is_error && plain.exchange.may_retry() {
@@ -223,23 +271,6 @@
     Ok(Response::from_parts(parts, body.boxed_unsync()))
 }
 
-/// Records a whole response of an upstream. Where the end of the connection delimits it, a crash looks
-/// the same: it clears a suspect only once the upstream has proved to be alive.
-fn record_success(exchange: &Exchange, upstream: Arc<Upstream>, delimiter: BodyDelimiter) {
-    let (host, call) = (exchange.host.clone(), &exchange.call);
-    if delimiter != BodyDelimiter::Close {
-        quarantine::record_success(&host, &call.id, &call.keys, &upstream);
-    } else if quarantine::is_suspect(&host, call) {
-        let (id, keys) = (call.id.clone(), call.keys.clone());
-        let rt = host.rt.clone();
-        rt.spawn(async move {
-            if probe::check_alive(&host, &upstream).await == Liveness::Alive {
-                quarantine::record_success(&host, &id, &keys, &upstream);
-            }
-        });
-    }
-}
-
 /// Returns whether a status tells the caller that its request did not run and will not.
 fn states_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/portfield-host/src/main.rs
+++ b/crates/portfield-host/src/main.rs
@@ -20,6 +20,7 @@
 mod host_discovery;
 mod ingress;
 mod lifecycle;
+mod liveness;
 mod metrics;
 mod newer_copy;
 mod peers;
--- a/crates/portfield-host/src/probe.rs
+++ b/crates/portfield-host/src/probe.rs
@@ -2,10 +2,11 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use portfield::catalog::Upstream;
+use portfield::{catalog::Upstream, upstream::Liveness};
 use portfield_net::clock;
 
 use crate::{
+    liveness::{self, OPEN_TIME},
     quarantine::{self, EndEvidence},
     state::Host,
 };
@@ -16,21 +17,6 @@
 /// Longest pause between two attempts.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
-/// How long a new connection must stay open to show that an upstream is alive after an attempt
-/// broke there.
-const MIN_OPEN_TIME: Duration = Duration::from_millis(100);
-
-/// What is known of an upstream after it closed a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Liveness {
-    /// It accepts connections.
-    Alive,
-    /// Its address refuses connections.
-    Ended,
-    /// Neither, or it was about to leave.
-    Unclear,
-}
-
 /// Starts connection attempts to an unreachable upstream, until it is reachable or no longer
 /// listed. `err` is the error of the last attempt. Does nothing if the upstream is being probed
 /// already.
@@ -47,25 +33,6 @@
     });
 }
 
-/// Checks whether an upstream is alive after it closed a connection that delimits a response: a crash looks
-/// the same. The connection opened by the check replaces the closed one in the pool.
-pub(crate) async fn check_alive(host: &Arc<Host>, upstream: &Arc<Upstream>) -> Liveness {
-    if host.with_list(|it| it.directory.get_ready(upstream).is_none()) {
-        return Liveness::Unclear;
-    }
-    match open_lasting(host, upstream).await {
-        Ok(()) => Liveness::Alive,
-        Err(err) if is_refused(&err) => {
-            start_reconnect(host, upstream, &err);
-            Liveness::Ended
-        }
-        Err(err) => {
-            log::debug!(upstream = upstream.entry.id, err:%; "upstream check failed");
-            Liveness::Unclear
-        }
-    }
-}
-
 /// Starts to check whether an upstream is alive after an attempt broke there, unless it is being
 /// probed already.
 ///
@@ -84,33 +51,12 @@
 }
 
 /// Checks an upstream, and probes it until it is reachable again if it ended.
-async fn verify_with_retry(host: &Host, upstream: &Upstream) {
-    match open_lasting(host, upstream).await {
-        Ok(()) => {}
-        Err(err) if is_refused(&err) => {
-            record_unreachable(host, upstream, &err);
-            probe_until_reachable(host, upstream, &err).await;
-        }
-        Err(err) => log::debug!(upstream = upstream.entry.id, err:%; "upstream check failed"),
-    }
-}
-
-/// Opens a connection that stays open, for the pool; opens another one if it is closed, since a
-/// terminating process may close its connections before its listening socket.
-///
-/// # Errors
-///
-/// Why no connection could be opened, or stayed open.
-async fn open_lasting(host: &Host, upstream: &Upstream) -> io::Result<()> {
-    for _ in 0..2 {
-        let it = host.pool.connect(upstream.entry.address).await?;
-        clock::sleep(MIN_OPEN_TIME).await;
-        if !it.sender.is_closed() {
-            host.pool.put(upstream.wire_id(), it, None);
-            return Ok(());
-        }
+async fn verify_with_retry(host: &Arc<Host>, upstream: &Arc<Upstream>) {
+    if liveness::check(host, upstream, OPEN_TIME).await == Liveness::Ended {
+        let err = io::ErrorKind::ConnectionRefused.into();
+        record_unreachable(host, upstream, &err);
+        probe_until_reachable(host, upstream, &err).await;
     }
-    Err(io::Error::new(io::ErrorKind::ConnectionAborted, "new connections are closed"))
 }
 
 /// Records that no connection could be opened; a refused connection shows that the upstream ended.
--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use portfield::{
     balance::{Completion, Switch},
-    upstream::GapMeter,
+    upstream::{GapMeter, Liveness},
 };
 use portfield_net::{clock, sse::EventBuffer};
 use portfield_platform::response::BodyDelimiter;
@@ -17,7 +17,7 @@
 use crate::{
     attempt::{UpstreamResponse, error_chain},
     exchange::Exchange,
-    probe::{self, Liveness},
+    liveness::OPEN_TIME,
     quarantine,
     response::Body,
 };
@@ -184,7 +184,8 @@
                     "the stream ended within an event".to_owned()
                 }
                 Some(None) => {
-                    let liveness = self.check_end().await;
+                    let (upstream, delimiter) = (&response.upstream, response.head.delimiter);
+                    let liveness = self.exchange.check_end(upstream, delimiter, OPEN_TIME).await;
                     if liveness != Liveness::Ended {
                         self.finish(liveness);
                         return Ok(None);
@@ -276,17 +277,6 @@
         }
     }
 
-    /// Checks whether the upstream lives on where only the end of its connection shows that the stream
-    /// is complete.
-    async fn check_end(&mut self) -> Liveness {
-        let response = self.response.as_ref();
-        let Some(it) = response.filter(|it| it.head.delimiter == BodyDelimiter::Close) else {
-            return Liveness::Alive;
-        };
-        let (host, upstream) = (self.exchange.host.clone(), it.upstream.clone());
-        probe::check_alive(&host, &upstream).await
-    }
-
     /// Records the complete end of the stream and returns its connection to the pool.
     fn finish(&mut self, liveness: Liveness) {
         let Some(response) = self.response.take() else { return };
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -35,6 +35,7 @@
     gathering::Gathering,
     held_memory::{self, HeldMemory},
     ingress::IngressStats,
+    liveness::LivenessChecks,
     metrics::Metrics,
     newer_copy::NewerCopy,
     peers::PeerSocket,
@@ -78,6 +79,7 @@
     /// Advances each second, for the idle time of callers' connections.
     pub second_timer: Arc<CoarseTimer>,
     pub probes: ActiveProbes,
+    pub liveness_checks: LivenessChecks,
     pub incarnation: u64,
     host_hash: u64,
     active_config: RwLock<Option<ActiveConfig>>,
@@ -149,6 +151,7 @@
             gathering: Gathering::default(),
             second_timer: Arc::default(),
             probes: ActiveProbes::default(),
+            liveness_checks: LivenessChecks::default(),
             rt,
             metrics: Metrics::default(),
             ingress: IngressStats::default(),
--- a/crates/portfield/src/balance/upstream_signals.rs
+++ b/crates/portfield/src/balance/upstream_signals.rs
@@ -10,6 +10,25 @@
         self.upstreams.entry(upstream).health.record_reachable();
     }
 
+    /// Records that an upstream's address refuses connections; a block that lasts is not extended.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::balance::Balancer;
+    /// use std::time::Duration;
+    ///
+    /// let mut balancer = Balancer::new(Duration::from_secs(4));
+    /// balancer.record_unreachable(Duration::from_secs(1), 7);
+    /// balancer.record_reachable(7);
+    /// ```
+    pub fn record_unreachable(&mut self, now: Duration, upstream: u32) {
+        let health = &mut self.upstreams.entry(upstream).health;
+        if !health.is_blocked(now) {
+            health.record_unreachable(now);
+        }
+    }
+
     /// Records that an upstream asks this host to back off for a time; an earlier backoff is not
     /// shortened.
     ///
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 //! - `prefix_cache`: prompt prefixes cached by engines
 //! - `recent_uses`: those that this host used, for hosts that have just started
 //! - `latency_model`: time to the first event, learned from observations
+//! - [`LivenessCheck`]: whether an upstream that closed a connection is alive
 //! - `memory`: KV memory of the running requests
 //! - `output_length`: expected output of a request, learned from completed ones
 //! - `bias`: recent error of that estimate
@@ -21,6 +22,7 @@
 mod gap_meter;
 mod health;
 mod latency_model;
+mod liveness;
 mod memory;
 mod output_length;
 mod prefix_cache;
@@ -35,6 +37,7 @@
 pub(crate) use engine_speed::{EngineSpeeds, Slowness};
 pub use gap_meter::GapMeter;
 pub(crate) use latency_model::LatencyModel;
+pub use liveness::{ConnectEvidence, ListEvidence, Liveness, LivenessCheck};
 pub(crate) use output_length::{RouteOutputs, announced as announced_output};
 pub(crate) use prefix_cache::{CachedParts, PrefixState};
 pub(crate) use prompt::PromptPrefix;
