fix(lifecycle): a stopping host refuses what it might have to cut off

Cause: streams were refused from 2.6 s after SIGTERM on, plain requests were accepted until the process ended, and no deadline was compared with the end of the grace period. Ruled out: a lapse in the count of running requests (`stopped` had both as `cut`).

Change: one rule for both, in portfield::shutdown. Until 2.6 s (a third of the grace period at most) everything is accepted, since the platform still sends callers; then what is over by its deadline before the cutoff. It is asked when the head was read, when the body was read, and before a request that may not be repeated is sent to an upstream, also after another one turned it away. Once connections are closed nothing is accepted. The refusal is a 503 that says "not run", and closes the connection. The margin before SIGKILL is 0.7 s as before, and a quarter of shorter grace periods.

Conclusion: a request is refused where its deadline allows it to outlive the host; none that is accepted after 2.6 s can be cut off while its upstream works on it.

--- a/crates/portfield-host/src/call.rs
+++ b/crates/portfield-host/src/call.rs
@@ -90,9 +90,9 @@
         let head = request::decode(&parts.headers)
             .map_err(|it| Failure::rejected(StatusCode::BAD_REQUEST, it.header, it.hint))?;
         let route = find_route(&catalog, &parts.uri, &parts.headers)?;
-        if route.kind.is_stream() && !host.accepts_streams() {
-            return Err(Failure::unavailable("this host is about to end", STOPPING_RETRY));
-        }
+        let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived.saturating_add(timeout);
+        check_shutdown(host, deadline)?;
         let workspace = authorize(&catalog, &route, head.api_key.as_deref())?;
         let service = route.pick_service(fastrand::f64()).unwrap_or_default().to_owned();
         let engine = catalog.service(&service).and_then(|it| it.engine);
@@ -110,11 +110,12 @@
             log_overload(host, &head, &route, workspace.as_deref(), refused);
             return Err(Failure::overloaded(host.load_shedder().retry_after(fastrand::f64())));
         }
-        let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         let body_limit = catalog.limits().body_bytes;
         let body_bytes = body.size_hint().lower().min(body_limit as u64);
         let held = Arc::new(admit(host, caller, body_bytes, &head)?);
         let body = read_body_in_time(body, body_limit, &held, timeout).await?;
+        // The body may have taken longer than this host still accepts requests.
+        check_shutdown(host, deadline)?;
         let placement = PlacementRequest {
             workspace: workspace_hash,
             service: hash_name(&service),
@@ -139,7 +140,7 @@
             id: head.attempt_id,
             caller: caller.clone(),
             arrived,
-            deadline: arrived.saturating_add(timeout),
+            deadline,
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
@@ -195,6 +196,19 @@
     }
 }
 
+/// Checks whether a request may still be sent to an upstream by a host that was told to stop.
+///
+/// # Errors
+///
+/// The refusal, which states that the request did not run.
+pub(crate) fn check_shutdown(host: &Host, deadline: Duration) -> Result<(), Failure> {
+    if host.accepts_until(deadline) {
+        return Ok(());
+    }
+    host.metrics.count("refused{reason=\"Stopping\"}");
+    Err(Failure::unavailable("this host is about to end", STOPPING_RETRY))
+}
+
 /// Returns whether a caller resumes a stream of which this host knows where it began.
 fn resumes_known(host: &Host, head: &request::RequestHead, workspace: u32) -> bool {
     let first = head.resumption.as_ref().and_then(|it| it.first_attempt.as_deref());
--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     attempt::{self, AttemptResult, Outcome, UpstreamResponse},
-    call::{Call, SUSPENDED_RETRY, SUSPENDED_TEXT},
+    call::{self, Call, SUSPENDED_RETRY, SUSPENDED_TEXT},
     hedge, liveness,
     placement::{Placed, PlacementMode, PlacementRefusal},
     probe,
@@ -95,6 +95,10 @@
             // Last, with no wait before the request is sent: the host may have been suspended.
             self.wait_for_fresh_state().await?;
             self.check_quarantine()?;
+            if !self.call.kind().is_retryable() {
+                // Cut off, it could not be repeated.
+                call::check_shutdown(&self.host, self.call.deadline)?;
+            }
             let placed = self.place()?;
             if !self.tried.is_empty() && !self.host.withdraw_retry(self.call.placement.service) {
                 self.host.metrics.count("retry_budget_spent");
--- a/crates/portfield-host/src/lifecycle.rs
+++ b/crates/portfield-host/src/lifecycle.rs
@@ -15,18 +15,13 @@
 use portfield_wire::peers_server::PeersServer;
 
 use crate::{
-    admin, engine_speeds, gathering, peers, server,
-    settings::Settings,
-    state::{Host, STREAM_ACCEPT_TIME},
-    store_watch,
+    admin, engine_speeds, gathering, peers, server, settings::Settings, state::Host, store_watch,
 };
 
 /// Interval for checking whether all requests are finished during shutdown.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Timeout for closing idle connections at the end of shutdown.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Margin before the end of the grace period at which requests still running are cut off.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
 
 /// Runs the process until it is told to stop.
 pub(crate) async fn run(rt: Runtime, settings: Settings, path: PathBuf) -> eyre::Result<()> {
@@ -66,16 +61,14 @@
     while let Some(Ok(Signal::Hup)) = signals.next().await {
         reload(&host, &path);
     }
-    let grace = host.settings().grace;
-    log::info!(grace_ms = grace.as_millis() as u64; "stopping");
-    let stop_time = clock::now();
-    host.begin_shutdown();
-    let deadline = stop_time + grace - SHUTDOWN_MARGIN.min(grace);
-    clock::sleep(STREAM_ACCEPT_TIME.min(grace / 3)).await;
-    while 0 < host.n_active() && clock::now() < deadline {
+    log::info!(grace_ms = host.settings().grace.as_millis() as u64; "stopping");
+    let plan = host.begin_shutdown();
+    clock::sleep(plan.accept_until().saturating_sub(clock::now())).await;
+    while 0 < host.n_active() && clock::now() < plan.cutoff() {
         clock::sleep(DRAIN_POLL).await;
     }
     let cut = host.n_active();
+    host.begin_closing();
     drop(stop);
     let ended = clock::timeout(CLOSE_TIMEOUT, serving).await.is_some();
     log::info!(ended, cut; "stopped");
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -5,7 +5,7 @@
     io,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -23,6 +23,7 @@
         host_hash,
     },
     quarantine::{BrokenAttempts, Quarantine, RequestKeys, RunningCopies, SuspectKey},
+    shutdown::ShutdownPlan,
     streams::{RouteMoves, moved_routes},
     suspend::SuspendDetector,
 };
@@ -50,10 +51,6 @@
 /// file descriptors are freed as responses end.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(1500);
 
-/// Time after shutdown began in which new streams are still accepted: the platform stops sending
-/// callers after two failed readiness checks, one second apart.
-pub(crate) const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2600);
-
 /// Maximum number of quarantine entries queued for the store while it is down; other hosts know
 /// them too.
 const MAX_PENDING_WRITES: usize = 256;
@@ -119,8 +116,10 @@
     hosts_loaded: AtomicInstant,
     /// Number of restores of the store from a backup, as far as this host knows.
     store_era: AtomicU64,
-    /// When shutdown began.
-    stopping: AtomicInstant,
+    /// Times of the shutdown, once it has begun.
+    shutdown: OnceLock<ShutdownPlan>,
+    /// Whether callers' connections are being closed, after which no request is accepted.
+    is_closing: AtomicBool,
     /// Cloned into every request in progress; the reference count is their number.
     active: Arc<()>,
     /// When the store last responded.
@@ -184,7 +183,8 @@
             hosts_read: AtomicInstant::default(),
             hosts_loaded: AtomicInstant::default(),
             store_era: AtomicU64::new(0),
-            stopping: AtomicInstant::default(),
+            shutdown: OnceLock::new(),
+            is_closing: AtomicBool::new(false),
             active: Arc::new(()),
             store_response: AtomicInstant::default(),
             accept_failure: AtomicInstant::default(),
@@ -491,23 +491,24 @@
 
     /// Returns whether shutdown has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.elapsed().is_some()
+        self.shutdown.get().is_some()
     }
 
-    /// Returns the time since shutdown began.
-    pub(crate) fn stopping_elapsed(&self) -> Option<Duration> {
-        self.stopping.elapsed()
+    /// Returns whether a request with this deadline may be accepted, or sent to an upstream for the first
+    /// time: during shutdown, it must not be cut off.
+    pub(crate) fn accepts_until(&self, deadline: Duration) -> bool {
+        let Some(plan) = self.shutdown.get() else { return true };
+        !self.is_closing.load(Ordering::Relaxed) && plan.accepts(clock::now(), deadline)
     }
 
-    /// Returns whether new streams are accepted: during shutdown only until the platform has
-    /// stopped sending callers here.
-    pub(crate) fn accepts_streams(&self) -> bool {
-        self.stopping_elapsed().is_none_or(|it| it <= STREAM_ACCEPT_TIME)
+    /// Begins shutdown; the host stays not ready from now on.
+    pub(crate) fn begin_shutdown(&self) -> ShutdownPlan {
+        *self.shutdown.get_or_init(|| ShutdownPlan::new(clock::now(), self.settings().grace))
     }
 
-    /// Begins shutdown; the host stays not ready from now on.
-    pub(crate) fn begin_shutdown(&self) {
-        self.stopping.set_now();
+    /// Accepts no further request.
+    pub(crate) fn begin_closing(&self) {
+        self.is_closing.store(true, Ordering::Relaxed);
     }
 
     /// Returns a guard that counts a request as active until it is dropped.
--- a/crates/portfield/src/lib.rs
+++ b/crates/portfield/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`streams`]: where a stream that has begun may go on
 //! - [`quarantine`]: requests that crash the upstreams that run them
 //! - [`digest_scope`]: incremental and full digests
+//! - [`shutdown`]: which requests a host accepts after it was told to stop
 //! - [`suspend`]: detection that this process was suspended, which makes its cached state stale
 //! - [`fleet`]: the operators' configuration, its plans and its revisions
 //! - [`member`]: membership, and which host owns a shard
@@ -36,6 +37,7 @@
 pub mod quarantine;
 pub mod route;
 pub mod schedule;
+pub mod shutdown;
 pub mod slo;
 pub mod streams;
 pub mod suspend;
