--- a/crates/portfield-host/tests/response_ends.rs
+++ b/crates/portfield-host/tests/response_ends.rs
@@ -17,7 +17,8 @@
 use socket2::{Domain, Socket, Type};
 
 /// Body whose first half is sent before the upstream is killed.
-const SMALL: HeldBody = HeldBody { status: 200, n_first: 400, n_rest: 400 };
+const SMALL: HeldBody =
+    HeldBody { status: 200, n_first: 400, n_rest: 400, max_hold: Duration::MAX };
 /// Bodies of which the first half has no byte, or more than the host reads before it passes any of it on.
 const EMPTY: HeldBody = HeldBody { n_first: 0, ..SMALL };
 const LARGE: HeldBody = HeldBody { n_first: 300 << 10, ..SMALL };
