test(soak): the ids of soaks that run side by side differ

Cause: 20 seeds each of three soaks side by side: two of the three reported runs at upstreams that the soak did not know ("got 768 bytes from []", an order at "plain-23" twice). The three use the same ids, and the port of a crashed upstream may be taken by one of another soak, which has the id that the request names and runs it. Within one soak ids are never used again, so that another one answers 421.

Change: ids of upstreams and requests name the seed. No check, bound or seed changed.

Conclusion: a fault of the test.

--- a/crates/portfield-host/tests/soak_shutdown.rs
+++ b/crates/portfield-host/tests/soak_shutdown.rs
@@ -60,6 +60,7 @@
     /// Upstreams that have crashed or left.
     past: Vec<FakeUpstream>,
     stopping: Vec<JoinHandle<Option<i32>>>,
+    seed: u64,
     rng: fastrand::Rng,
     n_started: usize,
 }
@@ -79,6 +80,7 @@
             upstreams: Vec::new(),
             past: Vec::new(),
             stopping: Vec::new(),
+            seed,
             rng: fastrand::Rng::with_seed(seed),
             n_started: 0,
         };
@@ -94,7 +96,8 @@
     /// Starts an upstream whose responses have a length, or none and a pause in the middle.
     fn start_upstream(&mut self) -> FakeUpstream {
         self.n_started += 1;
-        let id = format!("plain-{}", self.n_started);
+        // Unique among soaks that run side by side, which may use each other's ports.
+        let id = format!("plain-{}-{}", self.seed, self.n_started);
         let latency = Duration::from_millis(self.rng.u64(2..200));
         let res = future::block_on(FakeUpstream::start(&self.fleet.rt, &id, latency)).unwrap();
         if self.rng.f64() < 0.75 {
@@ -179,7 +182,7 @@
             thread::sleep(Duration::from_millis(10));
             continue;
         };
-        let id = format!("c{caller}-{}", res.len());
+        let id = format!("c{seed}-{caller}-{}", res.len());
         let route = if rng.bool() { "order" } else { "check" };
         let deadline = rng.u64(600..MAX_DEADLINE_MS).to_string();
         let sent = stream.write_all(request(route, &id).replace("1200", &deadline).as_bytes());
