refactor(suspension): one wait for fresh state

Cause: found reading the diff: the check of a response's end repeated the loop, and its interval, with which an exchange waits until the host's state is fresh after a suspension. Change: Host::wait_for_fresh_state serves both. Behaviour as before: an exchange that has not begun a stream is refused at once.

Conclusion: no decision changes.

--- a/crates/portfield-host/src/exchange.rs
+++ b/crates/portfield-host/src/exchange.rs
@@ -34,9 +34,6 @@
 /// retried at another one.
 const FIRST_TIMEOUT_PART: f64 = 0.4;
 
-/// Interval for checking whether this host's state is fresh again.
-const FRESH_STATE_POLL: Duration = Duration::from_millis(25);
-
 /// Mean interval for checking whether another copy of a suspect still runs; random, so that two
 /// hosts rarely start the next copy together.
 const COPY_POLL: Duration = Duration::from_millis(25);
@@ -362,12 +359,10 @@
     /// Checks that this host's state is fresh; a stream that has begun waits for it, since its
     /// caller already has a part of the response.
     async fn wait_for_fresh_state(&mut self) -> Result<(), Failure> {
-        while !self.host.has_fresh_state() {
-            if self.call.placement.stage != Stage::Streaming {
-                return Err(self.failure(SUSPENDED_TEXT.to_owned(), SUSPENDED_RETRY));
-            }
-            clock::sleep(FRESH_STATE_POLL).await;
+        if self.call.placement.stage != Stage::Streaming && !self.host.has_fresh_state() {
+            return Err(self.failure(SUSPENDED_TEXT.to_owned(), SUSPENDED_RETRY));
         }
+        self.host.wait_for_fresh_state().await;
         Ok(())
     }
 
--- a/crates/portfield-host/src/liveness.rs
+++ b/crates/portfield-host/src/liveness.rs
@@ -23,9 +23,6 @@
 /// The same where a caller waits for a plain response, whose latency target may be 100 ms.
 pub(crate) const PLAIN_OPEN_TIME: Duration = Duration::from_millis(60);
 
-/// Interval for checking whether this host's state is fresh again.
-const FRESH_STATE_POLL: Duration = Duration::from_millis(25);
-
 /// Connection of the checks of one upstream, opened by the first of them.
 #[derive(Debug, Default)]
 struct SharedConnection {
@@ -149,8 +146,8 @@
 /// address, which then accepts connections in its place.
 async fn list_evidence(host: &Host, upstream: &Upstream, since: Duration) -> ListEvidence {
     let was_suspended = host.resumed_at().is_some_and(|it| since <= it);
-    while was_suspended && !host.has_fresh_state() {
-        clock::sleep(FRESH_STATE_POLL).await;
+    if was_suspended {
+        host.wait_for_fresh_state().await;
     }
     let is_replaced = host.with_list(|list| {
         let current = list.directory.get(&upstream.entry.id);
--- a/crates/portfield-host/src/suspension.rs
+++ b/crates/portfield-host/src/suspension.rs
@@ -6,6 +6,9 @@
 
 use crate::state::Host;
 
+/// Interval for checking whether this host's state is fresh again.
+const FRESH_STATE_POLL: Duration = Duration::from_millis(25);
+
 impl Host {
     /// Checks the clock for a suspension; returns its length if the host has just resumed.
     ///
@@ -27,6 +30,13 @@
         self.suspend_detector().is_state_usable(clock::now(), period)
     }
 
+    /// Waits until this host's view of the fleet is fresh enough to be used.
+    pub(crate) async fn wait_for_fresh_state(&self) {
+        while !self.has_fresh_state() {
+            clock::sleep(FRESH_STATE_POLL).await;
+        }
+    }
+
     /// Returns when this host last resumed from a suspension, if ever.
     pub(crate) fn resumed_at(&self) -> Option<Duration> {
         self.check_suspension();
