--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -387,7 +387,7 @@
 const STREAM_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time from the start of the hosts until callers come, in seconds, unless `AGE_S` says another one.
 const AGE_S: u64 = 20;
-/// Time from the loss until the platform sends callers to the other data centre: two missed checks.
+/// Time from the loss until the platform sends callers to other data centres: two missed checks.
 const MOVE_TIME: Duration = Duration::from_millis(2200);
 
 /// Sends a request for a stream, and reads it to its end. Returns the status line, the last event, and whether
@@ -435,7 +435,7 @@
 /// What became of a stream.
 #[derive(Default)]
 struct StreamEnd {
-    /// It was taken up again at the other data centre.
+    /// It was taken up again at another data centre.
     is_resumed: bool,
     /// It brought events there.
     has_gone_on: bool,
@@ -491,10 +491,10 @@
         "config",
         &route.replace("\"target_latency_ms\":150", "\"target_latency_ms\":300"),
     );
-    for n in 0..4 {
+    for n in 0..6 {
         let name = format!("i-engine-{n}");
         let address = start_engine(&name, record)?;
-        let zone = if n < 2 { "north" } else { "south" };
+        let zone = ["north", "south", "west"][n % 3];
         let entry = format!(
             "{{\"service\":\"desk\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":64,\
              \"state\":\"ready\",\"cold_remaining_ms\":0,\"seq\":1}}"
@@ -503,17 +503,18 @@
     }
     let settings = small_settings(56);
     let mut fleet = Fleet::new(&store, &settings)?;
-    let mut start = |zone: &str| -> io::Result<Vec<Host>> {
-        (1..=3).map(|n| fleet.start_in(&format!("edge-{zone}-{n}"), zone)).collect()
+    let mut start = |zone: &str, n: usize| -> io::Result<Vec<Host>> {
+        (1..=n).map(|n| fleet.start_in(&format!("edge-{zone}-{n}"), zone)).collect()
     };
-    let (mut north, south) = (start("north")?, start("south")?);
-    north.iter().chain(&south).try_for_each(Host::wait_until_ready)?;
+    let mut north = start("north", 3)?;
+    let others: Vec<Host> = start("south", 3)?.into_iter().chain(start("west", 2)?).collect();
+    north.iter().chain(&others).try_for_each(Host::wait_until_ready)?;
     record.add("the hosts are ready");
     thread::sleep(Duration::from_secs(age));
     let mut callers = Vec::new();
     for n in 0..N_STREAMS {
         let record = record.clone();
-        let (first, second) = (north[n as usize % 3].listen, south[n as usize % 3].listen);
+        let (first, second) = (north[n as usize % 3].listen, others[n as usize % 5].listen);
         callers.push(thread::spawn(move || {
             follow_stream(&record, first, second, &format!("stream-{n}"))
         }));
@@ -527,7 +528,7 @@
     thread::sleep(MOVE_TIME);
     let mut newcomers = Vec::new();
     for n in 0..N_STREAMS {
-        let (record, host) = (record.clone(), south[n as usize % 3].listen);
+        let (record, host) = (record.clone(), others[n as usize % 5].listen);
         newcomers.push(thread::spawn(move || -> io::Result<bool> {
             let id = format!("new-{n}.0");
             let (head, last, _) = read_stream(host, &id, "", 0, STREAM_TIMEOUT)?;
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, HashMap},
     env, fs,
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -471,7 +471,7 @@
         let [listen, ready, peers, metrics] = self.ports[name];
         let text = format!(
             "name = \"{name}\"\ndata_centre = \"{data_centre}\"\nlisten = \"{listen}\"\nready = \"{ready}\"\n\
-             peers = \"{peers}\"\nmetrics = \"{metrics}\"\nseeds = []\n{}\n[regions]\n\"north\" = \"riga\"\n\"south\" = \"riga\"\n",
+             peers = \"{peers}\"\nmetrics = \"{metrics}\"\nseeds = []\n{}\n[regions]\n\"north\" = \"riga\"\n\"south\" = \"riga\"\n\"west\" = \"riga\"\n",
             self.settings
         );
         let path = self.dir.join(format!("{name}.toml"));
@@ -509,15 +509,29 @@
     Ok(())
 }
 
+/// Ports for hosts, below those that the kernel gives to outgoing connections: a host binds its own some
+/// time after they were chosen, and again after a restart.
+const HOST_PORTS: std::ops::Range<u16> = 15_000..32_000;
+
+/// Returns free addresses, searched from a place that depends on the process on.
 fn free_addresses() -> io::Result<[SocketAddr; 4]> {
-    let mut held = Vec::new();
+    static NEXT: Mutex<Option<u16>> = Mutex::new(None);
+    let n_ports = HOST_PORTS.end - HOST_PORTS.start;
+    let mut next = NEXT.lock().unwrap();
+    let mut port = next.unwrap_or((std::process::id() * 64 % u32::from(n_ports)) as u16);
     let mut res = Vec::new();
-    while res.len() < 4 {
-        let it = TcpListener::bind("127.0.0.1:0")?;
-        res.push(it.local_addr()?);
-        held.push(it);
+    for _ in 0..n_ports {
+        let address = SocketAddr::from(([127, 0, 0, 1], HOST_PORTS.start + port));
+        port = (port + 1) % n_ports;
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            res.push(address);
+        }
+        if let [listen, ready, peers, metrics] = res[..] {
+            *next = Some(port);
+            return Ok([listen, ready, peers, metrics]);
+        }
     }
-    Ok([res[0], res[1], res[2], res[3]])
+    Err(io::Error::other("no free ports"))
 }
 
 impl Host {
