fix(streams): tell other hosts of every stream, whatever versions this host has seen

What callers saw: three data centres, one software version throughout.

Cause: a host told others where a stream began only as far as its own history did not prove it: nobody with a proof of a single version, its data centre alone before that, and the fleet once it had seen a second version. But a record is needed once its host has ended, and then what counts is what the hosts left can prove: right after a start nothing.

Evidence: portfield_streams_known is 0 at each of the hosts left, so they were never told. That rules out that they asked the wrong hosts, or that answers came late. The new log line 'stream origin unknown' names the hosts asked and those that have not answered.

Change: each stream that may be resumed is told to two hosts of the data centre and two of another one before its first event. Of the other data centres one is chosen that is heard; the hash alone also chose one that had been lost before. The bookkeeping of what was told how far is removed.

Why it works: what the hosts left know no longer depends on what they can prove.

Tests: streams_of_a_data_centre_lost_right_after_the_start_go_on failed before (503, 'it is not known which software version began it'). In stream_that_began_before_a_release_is_resumed_at_its_version the check that nothing is told under a single version asserted the fault; it now asserts that the stream is told before its caller has an event, and the rest is as before.

--- a/crates/portfield-host/src/software_versions.rs
+++ b/crates/portfield-host/src/software_versions.rs
@@ -31,13 +31,9 @@
     }
 
     /// Returns at how many software versions streams of a route began in the last `window`, as far as its service is
-    /// concerned. One that led to another service in that time counts as having several.
-    pub(crate) fn version_spread(&self, it: RoutedService, window: Duration) -> VersionSpread {
-        self.spread_with(it, None, window)
-    }
-
-    /// Returns the same, counting one more version.
-    fn spread_with(
+    /// concerned, counting `version` too if given. A route that led to another service in that time counts as
+    /// having several.
+    fn version_spread(
         &self,
         it: RoutedService,
         version: Option<VersionHash>,
@@ -60,7 +56,7 @@
         service: RoutedService,
         window: Duration,
     ) -> Option<VersionHash> {
-        match self.version_spread(service, window) {
+        match self.version_spread(service, None, window) {
             VersionSpread::One(it) => Some(it),
             VersionSpread::OneSeen | VersionSpread::Several => None,
         }
@@ -74,7 +70,7 @@
         version: VersionHash,
         window: Duration,
     ) -> bool {
-        self.spread_with(it, Some(version), window) == VersionSpread::Several
+        self.version_spread(it, Some(version), window) == VersionSpread::Several
     }
 
     /// Returns the name of a software version of a service, empty if none of its upstreams that take requests
--- a/crates/portfield-host/src/streams/mod.rs
+++ b/crates/portfield-host/src/streams/mod.rs
@@ -4,10 +4,7 @@
 mod resolve;
 mod tell;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use portfield::{
     catalog::RouteKind,
@@ -15,20 +12,13 @@
 };
 use portfield_net::clock;
 
-pub(crate) use self::{
-    news::handle_news,
-    resolve::resolve_origin,
-    tell::{record_begun, tell_untold},
-};
+pub(crate) use self::{news::handle_news, resolve::resolve_origin, tell::record_begun};
 
-use self::tell::Untold;
-use crate::{call::Call, software_versions::RoutedService, state::Host};
+use crate::{call::Call, state::Host};
 
 /// Streams of which a host remembers where they began, some 2 MB: at 100 new ones a second and told to
 /// four other hosts each, those of half a minute.
 const MAX_STREAMS: usize = 16_384;
-/// Streams of this host that are remembered until the others have to be told, at most.
-const MAX_UNTOLD: usize = 4_096;
 /// Multiple of a route's timeout for which its streams may be resumed: a caller's attempts share one
 /// deadline, and the last one may take as long as the first.
 const VALIDITY_FACTOR: u32 = 2;
@@ -40,8 +30,6 @@
 #[derive(Debug)]
 pub(crate) struct Streams {
     origins: StreamOrigins,
-    /// Streams of this host that were not told to the whole fleet.
-    untold: VecDeque<Untold>,
     /// Questions to other hosts that wait for answers.
     queries: BTreeMap<QueryId, OriginQuery>,
     last_query: u64,
@@ -52,26 +40,13 @@
 struct BegunStream {
     key: StreamKey,
     origin: StreamOrigin,
-    /// Hash of the route's name.
-    route: u32,
     /// Time for which it may be resumed.
     window: Duration,
 }
 
-impl BegunStream {
-    fn routed_service(&self) -> RoutedService {
-        RoutedService { route: self.route, service: self.origin.service }
-    }
-}
-
 impl Default for Streams {
     fn default() -> Self {
-        Self {
-            origins: StreamOrigins::new(MAX_STREAMS),
-            untold: VecDeque::new(),
-            queries: BTreeMap::new(),
-            last_query: 0,
-        }
+        Self { origins: StreamOrigins::new(MAX_STREAMS), queries: BTreeMap::new(), last_query: 0 }
     }
 }
 
--- a/crates/portfield-host/src/streams/resolve.rs
+++ b/crates/portfield-host/src/streams/resolve.rs
@@ -120,7 +120,13 @@
                 let is_only = has_one_service && !host.has_seen_other(service, version, window);
                 return is_only.then_some(Resolution::OnlyVersion(origin));
             }
-            QueryOutcome::Unknown => return None,
+            QueryOutcome::Unknown => {
+                log::info!(
+                    request = call.id, resumes = call.first_attempt(), asked = holders.len(),
+                    unanswered = query.n_unanswered(), own_version:? = own; "stream origin unknown"
+                );
+                return None;
+            }
         }
         if repeat_at <= now {
             repeat_at = now + REPEAT_INTERVAL;
@@ -169,6 +175,10 @@
         let query = streams.queries.get(&self.id)?;
         Some((query.outcome(now), query.next_check(now)))
     }
+
+    fn n_unanswered(&self) -> usize {
+        self.host.streams().queries.get(&self.id).map_or(0, OriginQuery::n_unanswered)
+    }
 }
 
 impl Drop for PendingQuery<'_> {
--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -193,20 +193,23 @@
     }
 }
 
-/// Guards against streams that began while a single version served, and of which no other host was told before
-/// the next version came.
+/// Guards against streams that began while a single version served, and of which no other host is told.
 #[test]
 fn stream_that_began_before_a_release_is_resumed_at_its_version() {
     let (fleet, mut hosts) = start(&["v1", "v1", "v1"], 3);
     thread::sleep(WINDOW + Duration::from_millis(500));
     let mut stream = begin_long_stream(&fleet, &hosts[0], "s");
     let told = |it: &Host| it.metric("portfield_stream_origins_told ");
-    assert_eq!(told(&hosts[0]), 0.0, "a single version serves");
+    assert_eq!(told(&hosts[0]), 1.0, "before its caller got an event");
     let is_idle = |it: &&FakeUpstream| it.requests().is_empty();
     let released = fleet.engines.iter().find(is_idle).unwrap();
     released.set_software_version("v2");
     fleet.store.put("servers", &released.id, &released.entry("model", "ready"));
-    wait_until("the others are told of the stream", || told(&hosts[0]) == 1.0);
+    wait_until("the hosts know of the release", || {
+        hosts
+            .iter()
+            .all(|it| 1.0 <= it.metric("portfield_upstreams{service=\"model\",software=\"v2\"} "))
+    });
     hosts.remove(0).signal("-KILL");
     let first = read_response(&mut stream).unwrap();
     let n_received = first.event_ids().len() as u32;
@@ -302,6 +305,46 @@
     assert!(asked_at.elapsed() < Duration::from_secs(1), "{:?}", asked_at.elapsed());
 }
 
+/// Starts this many hosts in a data centre, and waits until all hosts know each other.
+fn start_hosts_in(fleet: &mut Fleet, data_centre: &str, n: usize, others: &[Host]) -> Vec<Host> {
+    let start = |_| fleet.spawn_host_in(data_centre, "retry_extra = 1000");
+    let res: Vec<Host> = (0..n).map(start).collect();
+    let all = || res.iter().chain(others);
+    let n_hosts = all().count() as f64;
+    wait_until("the hosts are ready", || all().all(Host::is_ready));
+    wait_until("the hosts know each other", || {
+        all().all(|it| n_hosts <= it.metric("portfield_hosts"))
+    });
+    res
+}
+
+/// Kills the hosts of a data centre, and has the caller of each of their streams resume it at another host.
+fn assert_streams_go_on(lost: Vec<Host>, streams: Vec<TcpStream>, others: &[Host]) {
+    lost.iter().for_each(|it| it.signal("-KILL"));
+    for (n, mut stream) in streams.into_iter().enumerate() {
+        let first = read_response(&mut stream).unwrap();
+        let n_received = first.event_ids().len() as u32;
+        assert!(!first.is_complete && 0 < n_received, "{}", first.text());
+        let text = long(&resume(&format!("t{n}"), &format!("s{n}"), n_received));
+        let second = others[n % others.len()].send_admitted(&text);
+        assert_eq!((second.status, second.is_complete), (200, true), "{n}: {}", second.text());
+        assert_eq!(second.event_ids()[0], n_received + 1);
+    }
+}
+
+/// Guards against streams that are known in one data centre only, while no host has run long enough to prove that
+/// a single version served: they are lost with the data centre.
+#[test]
+fn streams_of_a_data_centre_lost_right_after_the_start_go_on() {
+    let mut fleet = Fleet::new(0, 3);
+    fleet.set_engine_versions(&["v1", "v1", "v1"]);
+    let south = start_hosts_in(&mut fleet, "south", 2, &[]);
+    let north = start_hosts_in(&mut fleet, "north", 2, &south);
+    let begin = |n: usize| begin_long_stream(&fleet, &north[n % 2], &format!("s{n}"));
+    let streams = (0..4).map(begin).collect();
+    assert_streams_go_on(north, streams, &south);
+}
+
 /// Guards against a guess: a stream that no host knows may have begun at any of the versions.
 #[test]
 fn unknown_stream_is_refused_while_several_versions_serve() {
--- a/crates/portfield/src/gossip/mod.rs
+++ b/crates/portfield/src/gossip/mod.rs
@@ -25,5 +25,5 @@
 pub use peer_table::{Delivery, Introduction, PeerTable, host_hash};
 pub use store_availability::StoreAvailability;
 pub use store_watchers::{STORE_CALL_TIMEOUT, StoreTimeouts, StoreWatchers, WatcherStatus};
-pub use stream_holders::{Reach, StreamHolder};
+pub use stream_holders::StreamHolder;
 pub use topology::{GossipConfig, GossipTopology, Peer};
--- a/crates/portfield/src/gossip/stream_holders.rs
+++ b/crates/portfield/src/gossip/stream_holders.rs
@@ -24,15 +24,6 @@
 /// Other data centres that are asked, at most.
 const MAX_CENTRES: usize = 8;
 
-/// How far it is told where a stream began.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reach {
-    /// In this data centre.
-    DataCentre,
-    /// In another data centre too.
-    Fleet,
-}
-
 /// A host that is told or asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamHolder {
@@ -44,11 +35,10 @@
 
 impl PeerTable {
     /// Returns the hosts to be told where a stream began.
-    pub fn told_holders(&self, now: Duration, key: StreamKey, reach: Reach) -> Vec<StreamHolder> {
-        let n_centres = usize::from(reach == Reach::Fleet);
+    pub fn told_holders(&self, now: Duration, key: StreamKey) -> Vec<StreamHolder> {
         let mut res = self.holders_in(now, key, self.own_data_centre(), N_TOLD);
-        for it in self.remote_centres(key).into_iter().take(n_centres) {
-            res.extend(self.holders_in(now, key, it, N_TOLD_REMOTE));
+        if let Some(it) = self.remote_centres(now, key).first() {
+            res.extend(self.holders_in(now, key, *it, N_TOLD_REMOTE));
         }
         res
     }
@@ -56,7 +46,7 @@
     /// Returns the hosts to be asked where a stream began.
     pub fn asked_holders(&self, now: Duration, key: StreamKey) -> Vec<StreamHolder> {
         let mut res = self.holders_in(now, key, self.own_data_centre(), N_ASKED);
-        for it in self.remote_centres(key).into_iter().take(MAX_CENTRES) {
+        for it in self.remote_centres(now, key).into_iter().take(MAX_CENTRES) {
             res.extend(self.holders_in(now, key, it, N_ASKED_REMOTE));
         }
         res
@@ -83,11 +73,12 @@
         first.map(|it| StreamHolder { address: it.address, relays }).collect()
     }
 
-    /// Returns the other data centres by their rank for a stream.
-    fn remote_centres(&self, key: StreamKey) -> Vec<u32> {
+    /// Returns the other data centres by their rank for a stream, those heard lately before the others.
+    fn remote_centres(&self, now: Duration, key: StreamKey) -> Vec<u32> {
+        let is_silent = |it: u32| self.contacts_in(now, it).iter().all(|it| !it.is_recent);
         let mut res = self.data_centres();
         res.retain(|it| *it != self.own_data_centre());
-        res.sort_by_key(|it| key.rank(u64::from(*it)));
+        res.sort_by_cached_key(|it| (is_silent(*it), key.rank(u64::from(*it))));
         res
     }
 }
--- a/crates/portfield/src/streams/query.rs
+++ b/crates/portfield/src/streams/query.rs
@@ -56,6 +56,7 @@
 /// query.record(21, OriginAnswer::Unknown);
 /// assert_eq!(query.outcome(millis(1)), QueryOutcome::Pending);
 /// let origin = StreamOrigin { service: 1, version: 10 };
+/// assert_eq!(query.n_unanswered(), 1);
 /// query.record(22, OriginAnswer::Origin(origin));
 /// assert_eq!(query.outcome(millis(2)), QueryOutcome::Origin(origin));
 /// ```
@@ -121,6 +122,11 @@
         }
     }
 
+    /// Returns how many hosts that were asked have not answered.
+    pub fn n_unanswered(&self) -> usize {
+        self.unanswered.len()
+    }
+
     /// Returns the time after which the outcome is to be read again, if no answer arrives before.
     pub fn next_check(&self, now: Duration) -> Duration {
         (self.asked_at + self.wait_time()).saturating_sub(now).clamp(MIN_CHECK, MAX_CHECK)
--- a/crates/portfield/tests/streams.rs
+++ b/crates/portfield/tests/streams.rs
@@ -7,7 +7,7 @@
 };
 
 use portfield::{
-    gossip::{GossipConfig, PeerTable, Reach, StreamHolder, host_hash},
+    gossip::{GossipConfig, PeerTable, StreamHolder, host_hash},
     streams::{
         OriginAnswer, OriginQuery, OriginSource, QueryOutcome, StreamKey, StreamKnowledge,
         StreamOrigin, StreamOrigins, VersionHistory, VersionSpread,
@@ -209,7 +209,7 @@
 
     fn begin(&mut self, host: SocketAddr, key: StreamKey) {
         self.known.get_mut(&host).unwrap().insert(key);
-        let holders = self.peers[&host].told_holders(NOW, key, Reach::Fleet);
+        let holders = self.peers[&host].told_holders(NOW, key);
         for it in self.deliver(key, holders) {
             self.known.get_mut(&it).unwrap().insert(key);
         }
@@ -278,3 +278,26 @@
         }
     }
 }
+
+/// Guards against news of a stream that go to a data centre which was lost before: the stream would be unknown once its
+/// own data centre is lost too.
+#[test]
+fn streams_are_told_to_a_data_centre_that_is_heard() {
+    let mut fleet = Fleet::new(9);
+    let later = NOW + SECOND * 5;
+    let own = fleet.hosts[0];
+    let centre =
+        |it: &SocketAddr| fleet.hosts.iter().position(|host| host == it).unwrap() % N_CENTRES;
+    let heard: Vec<SocketAddr> = fleet.hosts.iter().filter(|it| centre(it) != 2).copied().collect();
+    let told = |peers: &PeerTable, n: u64| -> BTreeSet<usize> {
+        let key = StreamKey { workspace: 1, attempt: n };
+        peers.told_holders(later, key).iter().map(|it| centre(&it.address)).collect()
+    };
+    let peers = fleet.peers.get_mut(&own).unwrap();
+    for it in heard.iter().filter(|it| **it != own) {
+        let data_centre = centre(it) as u32;
+        let digest = Digest { host: host_hash(*it), data_centre, ..Digest::default() };
+        peers.record_digest(later, *it, &digest);
+    }
+    assert!((0..50).all(|n| told(peers, n) == BTreeSet::from([0, 1])));
+}
