fix(streams): tell hosts that start, or replace others, of streams that began before

What callers saw: a record of where a stream began is kept by the host that relays it and by four others. Each of these forgets it when it restarts, so after all hosts but one were restarted in turn the streams of that one were lost with it.

Cause: a stream was told once, when it began; nothing told it to the hosts that took the place of those.

Evidence: streams_go_on_after_the_hosts_that_were_told_restarted_in_turn, with the re-telling taken out: timed out waiting until the hosts left know the stream.

Change: a host keeps its streams with the hosts that were told, by incarnation (BegunStreams), and compares that with who is to know them whenever a host starts, falls silent or is heard again.

Why it works: while its host runs, a stream is known at the first hosts by rank that run; a digest names the incarnation of its sender.

--- a/crates/portfield-host/src/peers/send.rs
+++ b/crates/portfield-host/src/peers/send.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 
 use super::PeerSocket;
-use crate::{quarantine, state::Host, upstream_signals};
+use crate::{quarantine, state::Host, streams, upstream_signals};
 
 /// Maximum bytes of relayed digests in a datagram: half of the largest datagram, which leaves room
 /// for this host's own digest.
@@ -37,6 +37,7 @@
         sequence += 1;
         topology = host.refresh_topology();
         host.observe_list();
+        streams::tell_untold(&host);
         let header = header(&host, sequence);
         let digest = own_digest(&host, &topology, header.clone());
         let (targets, relayed) = {
--- a/crates/portfield-host/src/streams/mod.rs
+++ b/crates/portfield-host/src/streams/mod.rs
@@ -8,17 +8,23 @@
 
 use portfield::{
     catalog::RouteKind,
-    streams::{OriginQuery, StreamKey, StreamKnowledge, StreamOrigin, StreamOrigins},
+    streams::{BegunStreams, OriginQuery, StreamKey, StreamKnowledge, StreamOrigins},
 };
 use portfield_net::clock;
 
-pub(crate) use self::{news::handle_news, resolve::resolve_origin, tell::record_begun};
+pub(crate) use self::{
+    news::handle_news,
+    resolve::resolve_origin,
+    tell::{record_begun, tell_untold},
+};
 
 use crate::{call::Call, state::Host};
 
 /// Streams of which a host remembers where they began, some 2 MB: at 100 new ones a second and told to
 /// four other hosts each, those of half a minute.
 const MAX_STREAMS: usize = 16_384;
+/// Streams of this host that it tells hosts which start later, at most.
+const MAX_BEGUN: usize = 4_096;
 /// Multiple of a route's timeout for which its streams may be resumed: a caller's attempts share one
 /// deadline, and the last one may take as long as the first.
 const VALIDITY_FACTOR: u32 = 2;
@@ -30,23 +36,24 @@
 #[derive(Debug)]
 pub(crate) struct Streams {
     origins: StreamOrigins,
+    /// Streams that began at this host.
+    begun: BegunStreams,
+    /// Hash of the hosts that ran when it was last checked whether they were told of all streams.
+    checked_hosts: u64,
     /// Questions to other hosts that wait for answers.
     queries: BTreeMap<QueryId, OriginQuery>,
     last_query: u64,
 }
 
-/// A stream that began at this host.
-#[derive(Debug, Clone, Copy)]
-struct BegunStream {
-    key: StreamKey,
-    origin: StreamOrigin,
-    /// Time for which it may be resumed.
-    window: Duration,
-}
-
 impl Default for Streams {
     fn default() -> Self {
-        Self { origins: StreamOrigins::new(MAX_STREAMS), queries: BTreeMap::new(), last_query: 0 }
+        Self {
+            origins: StreamOrigins::new(MAX_STREAMS),
+            begun: BegunStreams::new(MAX_BEGUN),
+            checked_hosts: 0,
+            queries: BTreeMap::new(),
+            last_query: 0,
+        }
     }
 }
 
--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -49,9 +49,14 @@
 
 /// Sends a stream that lasts for a second to a host, and waits until its caller has some events.
 fn begin_long_stream(fleet: &Fleet, host: &Host, id: &str) -> TcpStream {
+    begin(fleet, host, &long(&request("digest", id)))
+}
+
+/// Sends a stream to a host, and waits until its caller has some events.
+fn begin(fleet: &Fleet, host: &Host, text: &str) -> TcpStream {
     let n_before = fleet.n_executed();
     let mut res = connect(host.listen).unwrap();
-    res.write_all(long(&request("digest", id)).as_bytes()).unwrap();
+    res.write_all(text.as_bytes()).unwrap();
     wait_until("an engine executes the stream", || fleet.n_executed() == n_before + 1);
     // A few events: each engine sends one every 10 ms.
     thread::sleep(Duration::from_millis(100));
@@ -63,6 +68,11 @@
     text.replace("30,24", "30,300")
 }
 
+/// Returns a request for a stream of 1,000 events, which last for 10 s.
+fn very_long(text: &str) -> String {
+    text.replace("30,24", "30,3000").replace("deadline-ms: 1200", "deadline-ms: 20000")
+}
+
 /// Sends a stream to a host, and breaks it off at every engine after some events.
 fn begin_stream(fleet: &Fleet, host: &Host, id: &str) -> Response {
     fleet.engines.iter().for_each(|it| it.set_fault(UpstreamFault::TruncateBody));
@@ -319,13 +329,19 @@
 }
 
 /// Kills the hosts of a data centre, and has the caller of each of their streams resume it at another host.
-fn assert_streams_go_on(lost: Vec<Host>, streams: Vec<TcpStream>, others: &[Host]) {
+/// `lengthen` gives a request the length of the streams.
+fn assert_streams_go_on(
+    lost: Vec<Host>,
+    streams: Vec<TcpStream>,
+    others: &[Host],
+    lengthen: fn(&str) -> String,
+) {
     lost.iter().for_each(|it| it.signal("-KILL"));
     for (n, mut stream) in streams.into_iter().enumerate() {
         let first = read_response(&mut stream).unwrap();
         let n_received = first.event_ids().len() as u32;
         assert!(!first.is_complete && 0 < n_received, "{}", first.text());
-        let text = long(&resume(&format!("t{n}"), &format!("s{n}"), n_received));
+        let text = lengthen(&resume(&format!("t{n}"), &format!("s{n}"), n_received));
         let second = others[n % others.len()].send_admitted(&text);
         assert_eq!((second.status, second.is_complete), (200, true), "{n}: {}", second.text());
         assert_eq!(second.event_ids()[0], n_received + 1);
@@ -342,7 +358,29 @@
     let north = start_hosts_in(&mut fleet, "north", 2, &south);
     let begin = |n: usize| begin_long_stream(&fleet, &north[n % 2], &format!("s{n}"));
     let streams = (0..4).map(begin).collect();
-    assert_streams_go_on(north, streams, &south);
+    assert_streams_go_on(north, streams, &south, long);
+}
+
+/// Guards against records that are lost with the hosts that were told, one restart after the other, while the
+/// stream and its host live on.
+#[test]
+fn streams_go_on_after_the_hosts_that_were_told_restarted_in_turn() {
+    let mut fleet = Fleet::new(0, 3);
+    fleet.set_engine_versions(&["v1", "v1", "v2"]);
+    let mut slow = config(2);
+    slow["routes"][3]["timeout_ms"] = json!(20_000);
+    fleet.store.put("op", "config", &slow);
+    let mut south = start_hosts_in(&mut fleet, "south", 2, &[]);
+    let north = start_hosts_in(&mut fleet, "north", 1, &south);
+    let stream = begin(&fleet, &north[0], &very_long(&request("digest", "s0")));
+    for _ in 0..2 {
+        south.remove(0).signal("-KILL");
+        south.extend(start_hosts_in(&mut fleet, "south", 1, &north));
+    }
+    wait_until("the hosts left know the stream", || {
+        south.iter().all(|it| it.metric("portfield_streams_known ") == 1.0)
+    });
+    assert_streams_go_on(north, vec![stream], &south, very_long);
 }
 
 /// Guards against a guess: a stream that no host knows may have begun at any of the versions.
--- a/crates/portfield/src/gossip/peer_table.rs
+++ b/crates/portfield/src/gossip/peer_table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{
     first_read::ReaderRank,
@@ -55,8 +55,9 @@
     pub address: SocketAddr,
     /// Hash of the address.
     pub host: u64,
-    /// Whether it was heard so lately that it counts as running.
-    pub is_recent: bool,
+    /// Incarnation of its process if it was heard so lately that it counts as running; zero for a leader of
+    /// another data centre, whose summaries name none.
+    pub heard: Option<u64>,
 }
 
 /// The leader of another data centre.
@@ -271,18 +272,54 @@
     pub(super) fn contacts_in(&self, now: Duration, data_centre: u32) -> Vec<Contact> {
         let period = self.topology.period();
         let hosts = self.hosts.iter().filter(|it| it.1.data_centre == Some(data_centre));
-        let hosts = hosts.map(|(address, it)| (*address, it.host, it.last_heard, period));
+        let hosts = hosts.map(|(address, it)| Contact {
+            address: *address,
+            host: it.host,
+            heard: is_recent(now, it.last_heard, period).then_some(it.incarnation),
+        });
         let leader =
             self.leaders.get(&data_centre).filter(|it| !self.hosts.contains_key(&it.address));
-        let leader = leader.map(|it| {
-            (it.address, host_hash(it.address), it.last_heard, digest_period(it.n_hosts))
+        let leader = leader.map(|it| Contact {
+            address: it.address,
+            host: host_hash(it.address),
+            heard: is_recent(now, it.last_heard, digest_period(it.n_hosts)).then_some(0),
         });
-        let contact = |(address, host, last_heard, period): (_, _, Duration, _)| Contact {
-            address,
-            host,
-            is_recent: !last_heard.is_zero() && now < last_heard + peer_timeout(period),
-        };
-        hosts.chain(leader).map(contact).collect()
+        hosts.chain(leader).collect()
+    }
+
+    /// Returns a hash of the hosts that count as running and of their incarnations: it changes when a host starts,
+    /// restarts, falls silent or is heard again.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::{
+    ///     gossip::{GossipConfig, PeerTable},
+    ///     wire::Digest,
+    /// };
+    /// use std::{net::SocketAddr, time::Duration};
+    ///
+    /// let config = GossipConfig { host: 1, data_centre: 1, direct_limit: 12 };
+    /// let mut peers = PeerTable::new(config, std::iter::empty());
+    /// let (now, address): (_, SocketAddr) = (Duration::from_secs(1), "10.1.0.1:7400".parse()?);
+    /// let mut hash_after = |incarnation: u64| {
+    ///     let digest = Digest { host: 2, data_centre: 1, incarnation, ..Digest::default() };
+    ///     peers.record_digest(now, address, &digest);
+    ///     peers.running_hash(now)
+    /// };
+    /// let first = hash_after(7);
+    /// assert_eq!(hash_after(7), first);
+    /// assert_ne!(hash_after(8), first, "restarted");
+    /// assert_eq!(peers.running_hash(now * 60), 0, "no host is heard");
+    /// # Ok::<_, std::net::AddrParseError>(())
+    /// ```
+    pub fn running_hash(&self, now: Duration) -> u64 {
+        let mut centres = self.data_centres();
+        centres.retain(|it| *it != self.config.data_centre);
+        centres.push(self.config.data_centre);
+        let contacts = centres.into_iter().flat_map(|it| self.contacts_in(now, it));
+        let hash = |it: Contact| Some(xxh3_64_with_seed(&it.host.to_le_bytes(), it.heard?));
+        contacts.filter_map(hash).fold(0, |all, it| all ^ it)
     }
 
     /// Adds a host, and its data centre if given; an address already in the table keeps its data
@@ -312,7 +349,12 @@
             self.leaders.insert(digest.data_centre, leader);
             return;
         }
-        let it = Peer { host: digest.host, data_centre: Some(digest.data_centre), last_heard: now };
+        let it = Peer {
+            host: digest.host,
+            data_centre: Some(digest.data_centre),
+            incarnation: digest.incarnation,
+            last_heard: now,
+        };
         let before = self.hosts.insert(address, it);
         if before.is_none_or(|it| it.is_silent(now)) {
             self.n_appeared += 1;
@@ -417,9 +459,15 @@
     }
 }
 
+/// Returns whether a host or leader was heard so lately that it counts as running; it sends a digest in each
+/// period.
+fn is_recent(now: Duration, last_heard: Duration, period: Duration) -> bool {
+    !last_heard.is_zero() && now < last_heard + peer_timeout(period)
+}
+
 /// Returns the entry of a host that has not been heard.
 fn unheard_host(address: SocketAddr) -> Peer {
-    Peer { host: host_hash(address), data_centre: None, last_heard: Duration::ZERO }
+    Peer { host: host_hash(address), data_centre: None, incarnation: 0, last_heard: Duration::ZERO }
 }
 
 /// Returns the hash of a host's address, which identifies it in digests.
--- a/crates/portfield/src/gossip/stream_holders.rs
+++ b/crates/portfield/src/gossip/stream_holders.rs
@@ -29,6 +29,8 @@
 pub struct StreamHolder {
     /// Its address.
     pub address: SocketAddr,
+    /// Incarnation of its process if it was heard lately.
+    pub heard: Option<u64>,
     /// Whether it is to pass the message on within its data centre.
     pub relays: bool,
 }
@@ -68,14 +70,14 @@
         let is_remote = data_centre != self.own_data_centre();
         let relays = is_remote && self.topology().is_hierarchical();
         let mut hosts = self.contacts_in(now, data_centre);
-        hosts.sort_by_key(|it| (!it.is_recent, key.rank(it.host)));
+        hosts.sort_by_key(|it| (it.heard.is_none(), key.rank(it.host)));
         let first = hosts.into_iter().take(n);
-        first.map(|it| StreamHolder { address: it.address, relays }).collect()
+        first.map(|it| StreamHolder { address: it.address, heard: it.heard, relays }).collect()
     }
 
     /// Returns the other data centres by their rank for a stream, those heard lately before the others.
     fn remote_centres(&self, now: Duration, key: StreamKey) -> Vec<u32> {
-        let is_silent = |it: u32| self.contacts_in(now, it).iter().all(|it| !it.is_recent);
+        let is_silent = |it: u32| self.contacts_in(now, it).iter().all(|it| it.heard.is_none());
         let mut res = self.data_centres();
         res.retain(|it| *it != self.own_data_centre());
         res.sort_by_cached_key(|it| (is_silent(*it), key.rank(u64::from(*it))));
--- a/crates/portfield/src/gossip/topology.rs
+++ b/crates/portfield/src/gossip/topology.rs
@@ -68,6 +68,8 @@
     pub host: u64,
     /// Hash of the name of its data centre, `None` while unknown.
     pub data_centre: Option<u32>,
+    /// Incarnation of its process, zero until it is heard.
+    pub incarnation: u64,
     /// Time of its last digest, direct or relayed by the leader; zero if there was none.
     pub last_heard: Duration,
 }
@@ -85,6 +87,7 @@
 /// let peer = |host: u64| Peer {
 ///     host,
 ///     data_centre: Some((host % 3) as u32),
+///     incarnation: 1,
 ///     last_heard: now,
 /// };
 /// let few: Vec<_> = (1..9).map(peer).collect();
--- a/crates/portfield/src/streams/mod.rs
+++ b/crates/portfield/src/streams/mod.rs
@@ -6,17 +6,20 @@
 //! hosts tell each other where streams began, and ask.
 //!
 //! - [`StreamOrigin`]: service and software version of the upstream that began a stream
+//! - [`BegunStreams`]: the streams that began at this host, and the hosts that were told
 //! - [`StreamOrigins`]: the streams of which a host knows where they began
 //! - [`VersionHistory`]: which software versions a service had lately, and whether a host would know
 //! - [`RouteMoves`]: routes that led to other services lately
 //! - [`OriginQuery`]: what a host learns from the others that it asks
 
+mod begun;
 mod origin;
 mod origins;
 mod query;
 mod route_moves;
 mod version_history;
 
+pub use begun::{BegunStream, BegunStreams};
 pub use origin::{StreamKey, StreamOrigin};
 pub use origins::{KnownOrigin, OriginSource, StreamKnowledge, StreamOrigins};
 pub use query::{OriginAnswer, OriginQuery, QueryOutcome};
--- a/crates/portfield/tests/digest.rs
+++ b/crates/portfield/tests/digest.rs
@@ -136,7 +136,8 @@
 fn a_small_fleet_is_a_full_mesh_and_a_large_one_has_leaders() {
     let peers = |n: u64| -> Vec<Peer> {
         let centre = |host| if host % 2 == 0 { LOCAL_CENTRE } else { REMOTE_CENTRE };
-        let peer = |host| Peer { host, data_centre: Some(centre(host)), last_heard: NOW };
+        let peer =
+            |host| Peer { host, data_centre: Some(centre(host)), incarnation: 1, last_heard: NOW };
         (1..=n).map(peer).collect()
     };
     let recipients = |own: u64, n: u64, sequence: u64| -> Vec<u64> {
@@ -164,6 +165,7 @@
         let peer = |host: u64| Peer {
             host,
             data_centre: Some(LOCAL_CENTRE),
+            incarnation: 1,
             last_heard: if host <= n_silent { NOW - Duration::from_secs(3) } else { NOW },
         };
         (1..=30).map(peer).collect()
@@ -295,7 +297,8 @@
 /// Hosts of two data centres in a large fleet, all heard just now.
 fn large_fleet() -> Vec<Peer> {
     let centre = |host| if host % 2 == 0 { LOCAL_CENTRE } else { REMOTE_CENTRE };
-    let peer = |host| Peer { host, data_centre: Some(centre(host)), last_heard: NOW };
+    let peer =
+        |host| Peer { host, data_centre: Some(centre(host)), incarnation: 1, last_heard: NOW };
     (1..=60).map(peer).collect()
 }
 
