fix(cold-start): spread a host's quota for a cold upstream over time

What callers saw: a cold upstream crashes above its rate, with all that runs there.

Cause: each of the three chosen hosts may send 3 requests within 1.25 s and sent them at once; what it had sent stood in its process, and a process that started again had all 3 again. Ruled out: that a new process knew too few hosts; each had read all rows.

Change: a host sends its part at intervals of 1.05 s divided by its part, and a process lets one interval pass before its first request. Between two requests of a host there is always an interval, however often it was killed in between. State of a cold upstream that is not listed for a moment is kept.

--- a/crates/portfield-host/src/cold_start.rs
+++ b/crates/portfield-host/src/cold_start.rs
@@ -4,7 +4,7 @@
 
 use portfield::{
     catalog::{ColdStart, Upstream},
-    upstream::cold_quota,
+    upstream::{ColdQuota, cold_quota},
 };
 use portfield_net::clock;
 
@@ -71,7 +71,7 @@
             (WarmupPolicy::Cold(it), reported) => {
                 (reported.unwrap_or(it.duration), self.cold_quota_for(upstream, it))
             }
-            (WarmupPolicy::Unknown, Some(reported)) => (reported, 0),
+            (WarmupPolicy::Unknown, Some(reported)) => (reported, ColdQuota::default()),
             (WarmupPolicy::Unknown, None) => return false,
             (WarmupPolicy::Warm, _) => {
                 self.balancer().mark_warm(upstream.wire_id());
@@ -80,7 +80,8 @@
         };
         if n_together <= MAX_LOG_LINES {
             let id = &upstream.entry.id;
-            log::info!(upstream = id, cold_ms = time.as_millis() as u64, quota; "upstream cold");
+            let cold_ms = time.as_millis() as u64;
+            log::info!(upstream = id, cold_ms, quota = quota.rate; "upstream cold");
         }
         self.balancer().mark_cold(upstream.wire_id(), clock::now() + time, quota);
         true
@@ -92,14 +93,14 @@
         cold_start.map_or(WarmupPolicy::Warm, WarmupPolicy::Cold)
     }
 
-    /// Returns how many requests per second this host may send to a cold upstream.
-    fn cold_quota_for(&self, upstream: &Upstream, cold_start: ColdStart) -> u32 {
+    /// Returns what this host may send to a cold upstream.
+    fn cold_quota_for(&self, upstream: &Upstream, cold_start: ColdStart) -> ColdQuota {
         if !self.has_loaded_hosts() && clock::now() < DISCOVERY_TIME {
-            return 0;
+            return ColdQuota::default();
         }
         let settings = self.settings();
         let rate_limit = cold_start.max_rate * settings.cold_overrun + settings.cold_slack;
         let hosts = self.peers().hosts_in(hash_name(&upstream.entry.data_centre));
-        cold_quota(rate_limit, &hosts, self.own_hash(), upstream.wire_id())
+        ColdQuota::new(cold_quota(rate_limit, &hosts, self.own_hash(), upstream.wire_id()))
     }
 }
--- a/crates/portfield-host/src/placement.rs
+++ b/crates/portfield-host/src/placement.rs
@@ -85,7 +85,7 @@
         self.unlisted_forgotten.set_now();
         let ids: HashSet<u32> =
             self.with_list(|list| list.directory.all().map(|it| it.wire_id()).collect());
-        self.balancer().retain_upstreams(|id| ids.contains(&id));
+        self.balancer().retain_upstreams(clock::now(), |id| ids.contains(&id));
     }
 
     /// Applies a backoff that was recorded for the earlier incarnation before this host knew of the
--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -202,10 +202,24 @@
 
     /// Starts a host in a data centre without waiting until it is ready.
     pub fn spawn_host_in(&mut self, data_centre: &str, extra_settings: &str) -> Host {
-        self.n_hosts += 1;
         self.data_centre = data_centre.to_owned();
+        self.spawn(&self.settings(extra_settings))
+    }
+
+    /// Kills a host and starts it again, at the address by which the others know it and in the data centre of the
+    /// host started last.
+    pub fn restart_host(&mut self, mut host: Host, extra_settings: &str) -> Host {
+        host.signal("-KILL");
+        host.wait_for_exit();
+        let peers = format!("peers = '{}'", host.peers);
+        self.spawn(&self.settings(extra_settings).replace("peers = '127.0.0.1:0'", &peers))
+    }
+
+    /// Starts a host with the given settings.
+    fn spawn(&mut self, settings: &str) -> Host {
+        self.n_hosts += 1;
         let path = self.dir.join(format!("host-{}.toml", self.n_hosts));
-        fs::write(&path, self.settings(extra_settings)).unwrap();
+        fs::write(&path, settings).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_portfield-host"))
             .arg("--settings")
             .arg(&path)
--- a/crates/portfield/src/balance/balancer.rs
+++ b/crates/portfield/src/balance/balancer.rs
@@ -167,8 +167,8 @@
     }
 
     /// Removes upstreams that are no longer known.
-    pub fn retain_upstreams(&mut self, is_known: impl Fn(u32) -> bool) {
-        self.upstreams.retain(&is_known);
+    pub fn retain_upstreams(&mut self, now: Duration, is_known: impl Fn(u32) -> bool) {
+        self.upstreams.retain(now, &is_known);
         self.engine_memory.retain(|id, _| is_known(*id));
         self.speeds.retain(&is_known);
     }
--- a/crates/portfield/src/balance/upstream_signals.rs
+++ b/crates/portfield/src/balance/upstream_signals.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Balancer;
+use crate::upstream::ColdQuota;
 
 impl Balancer {
     /// Records that a connection to an upstream could be opened.
@@ -111,12 +112,15 @@
         self.upstreams.iter().filter(|it| it.backoff.until(now).is_some()).count()
     }
 
-    /// Marks an upstream as cold until a time; this host may send it `quota` requests per second.
+    /// Marks an upstream as cold until a time; this host sends it what `quota` allows.
     ///
     /// # Examples
     ///
     /// ```
-    /// use portfield::balance::{Balancer, Candidate, Placement, PlacementRequest, Stage};
+    /// use portfield::{
+    ///     balance::{Balancer, Candidate, Placement, PlacementRequest, Stage},
+    ///     upstream::ColdQuota,
+    /// };
     /// use std::time::Duration;
     ///
     /// let second = Duration::from_secs(1);
@@ -132,14 +136,14 @@
     ///     ..PlacementRequest::default()
     /// };
     /// let candidate = Candidate { upstream: 7, slots: 4, is_local: true };
-    /// balancer.mark_cold(7, second * 3, 0);
+    /// balancer.mark_cold(7, second * 3, ColdQuota::default());
     /// let is_placed = |it: &mut Balancer, now| {
     ///     matches!(it.place(now, &request, &[candidate]), Placement::Send(_))
     /// };
     /// assert!(!is_placed(&mut balancer, second));
     /// assert!(is_placed(&mut balancer, second * 3));
     /// ```
-    pub fn mark_cold(&mut self, upstream: u32, until: Duration, quota: u32) {
+    pub fn mark_cold(&mut self, upstream: u32, until: Duration, quota: ColdQuota) {
         self.upstreams.entry(upstream).warmup.begin(until, quota);
     }
 
--- a/crates/portfield/src/upstream/table.rs
+++ b/crates/portfield/src/upstream/table.rs
@@ -213,10 +213,13 @@
         self.upstreams.get(&upstream)
     }
 
-    /// Removes upstreams that are no longer known, unless they run requests of this host or have a
-    /// recorded backoff: an entry that lapsed in the store may come back.
-    pub(crate) fn retain(&mut self, f: impl Fn(u32) -> bool) {
-        self.upstreams.retain(|id, it| f(*id) || 0.0 < it.own.running || it.backoff.is_recorded());
+    /// Removes upstreams that are no longer known, unless they run requests of this host, have a
+    /// recorded backoff or are cold: an entry that lapsed in the store may come back.
+    pub(crate) fn retain(&mut self, now: Duration, f: impl Fn(u32) -> bool) {
+        self.upstreams.retain(|id, it| {
+            let is_in_use = 0.0 < it.own.running || it.backoff.is_recorded();
+            f(*id) || is_in_use || it.warmup.is_cold(now)
+        });
     }
 
     /// Queues prompt prefixes that were sent to an upstream for announcement to other hosts.
--- a/crates/portfield/src/upstream/warmup.rs
+++ b/crates/portfield/src/upstream/warmup.rs
@@ -10,17 +10,54 @@
 //! partition between data centres does not change that, and a chosen host that dies takes only its
 //! own part with it. The limit is divided by one more than the number of chosen hosts, because
 //! hosts that know of different members may together choose one host more.
+//!
+//! What counts is what arrives within a second, whichever processes sent it. A process that is killed and started
+//! again forgets what it has sent, and may do so several times in a second. So a chosen host does not send its part
+//! at once, but at regular intervals, and a process lets one interval pass before it sends anything: between two
+//! requests of a host there is always an interval, whatever became of its processes.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Number of hosts that may send to a cold upstream: with one or two, little is left when they die;
 /// with more, each part is below one request per second.
 const MAX_SENDERS: usize = 3;
-/// Time over which a host counts its requests: one second, plus the variation of their delay on the
-/// way.
-const WINDOW: Duration = Duration::from_millis(1250);
+/// Time over which a host spreads the requests that it may send in a second: longer than that, so that the first
+/// of the next ones is not within the same second.
+const SPREAD_TIME: Duration = Duration::from_millis(1050);
+
+/// Requests that a host may send to a cold upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ColdQuota {
+    /// Requests per second.
+    pub rate: u32,
+    /// Time since the start of this process before which none is sent.
+    pub from: Duration,
+}
+
+impl ColdQuota {
+    /// Allows this many requests per second, at regular intervals; an earlier process of the host may have sent one
+    /// just before this one started.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::upstream::ColdQuota;
+    ///
+    /// assert_eq!(ColdQuota::new(3).from, std::time::Duration::from_millis(350));
+    /// ```
+    pub fn new(rate: u32) -> Self {
+        let mut res = Self { rate, from: Duration::ZERO };
+        res.from = res.interval();
+        res
+    }
+
+    /// Returns the time between two requests.
+    fn interval(self) -> Duration {
+        SPREAD_TIME / self.rate.max(1)
+    }
+}
 
 /// Returns how many requests per second a host may send to a cold upstream that takes `max_rate`
 /// from all hosts together. `hosts` are the address hashes of the known hosts of the upstream's
@@ -47,20 +84,19 @@
     (max_rate / (MAX_SENDERS.min(hosts.len()) + 1) as f64) as u32
 }
 
-/// Quota for one cold upstream.
+/// What this host may send to one upstream while it is cold.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Warmup {
     /// When the upstream is no longer cold.
     until: Duration,
-    /// Requests that this host may send in [`WINDOW`].
-    quota: u32,
-    /// Times of the requests sent within [`WINDOW`].
-    sent: VecDeque<Duration>,
+    quota: ColdQuota,
+    /// When the last request was sent.
+    last_sent: Option<Duration>,
 }
 
 impl Warmup {
     /// Marks the upstream as cold until a time.
-    pub(crate) fn begin(&mut self, until: Duration, quota: u32) {
+    pub(crate) fn begin(&mut self, until: Duration, quota: ColdQuota) {
         self.until = until;
         self.quota = quota;
     }
@@ -85,23 +121,15 @@
         if self.until <= now {
             return Duration::ZERO;
         }
-        let n = self.quota as usize;
-        if n == 0 {
+        if self.quota.rate == 0 {
             return self.until;
         }
-        let oldest = self.sent.len().checked_sub(n).and_then(|it| self.sent.get(it));
-        oldest.map_or(Duration::ZERO, |it| (*it + WINDOW).min(self.until))
+        let next = self.last_sent.map_or(Duration::ZERO, |it| it + self.quota.interval());
+        next.max(self.quota.from).min(self.until)
     }
 
     /// Records that a request is sent.
     pub(crate) fn record_sent(&mut self, now: Duration) {
-        if self.until <= now {
-            self.sent.clear();
-            return;
-        }
-        self.sent.push_back(now);
-        while self.sent.front().is_some_and(|it| *it + WINDOW <= now) {
-            self.sent.pop_front();
-        }
+        self.last_sent = Some(now);
     }
 }
--- a/crates/portfield/tests/backoff.rs
+++ b/crates/portfield/tests/backoff.rs
@@ -104,7 +104,7 @@
     it.record_end(at(200), late, Completion::Done);
     it.record_reachable(1);
     it.mark_warm(1);
-    it.retain_upstreams(|_| false);
+    it.retain_upstreams(at(200), |_| false);
     assert_eq!(it.backoff_until(at(300), 1), Some(at(3_000)));
     it.start_backoff(at(2_000), 1, SECOND * 3);
     assert_eq!(it.backoff_until(at(3_500), 1), Some(at(5_000)), "the later one ends later");
--- a/crates/portfield/tests/balance.rs
+++ b/crates/portfield/tests/balance.rs
@@ -10,7 +10,7 @@
         Assignment, Balancer, Candidate, Completion, Placement, PlacementRequest, Refusal, Stage,
     },
     catalog::EngineSpec,
-    upstream::{Prompt, PromptPart},
+    upstream::{ColdQuota, Prompt, PromptPart},
     wire::Digest,
 };
 
@@ -551,8 +551,8 @@
 fn hosts_agree_on_the_engine_for_a_prefix_while_the_preferred_is_cold() {
     let chosen = |cold: Option<(u32, u32)>| {
         let mut host = Balancer::new(WINDOW);
-        if let Some((upstream, quota)) = cold {
-            host.mark_cold(upstream, at(3_000), quota);
+        if let Some((upstream, rate)) = cold {
+            host.mark_cold(upstream, at(3_000), ColdQuota { rate, from: at(0) });
         }
         assigned(host.place(at(0), &request(1, 7, 500), &engines(12))).upstream
     };
--- a/crates/portfield/tests/cache_transfer.rs
+++ b/crates/portfield/tests/cache_transfer.rs
@@ -8,7 +8,7 @@
         FetchReport, Placement, PlacementRequest, SourceKnowledge, Switch,
     },
     catalog::{EngineSpec, TransferSpec},
-    upstream::{Prompt, PromptPart},
+    upstream::{ColdQuota, Prompt, PromptPart},
     wire::{self, Digest},
 };
 use prost::Message;
@@ -224,7 +224,7 @@
 #[test]
 fn an_upstream_that_is_cold_or_backs_off_is_not_named() {
     let mut it = host_with_busy_holder();
-    it.mark_cold(1, at(800), 5);
+    it.mark_cold(1, at(800), ColdQuota { rate: 5, from: at(0) });
     assert_ne!(named(&mut it, at(500)).map(|it| it.0), Some(1));
     assert_eq!(named(&mut it, at(900)), Some((1, SourceKnowledge::Cached)));
     it.start_backoff(at(900), 1, Duration::from_millis(500));
--- a/crates/portfield/tests/warmup.rs
+++ b/crates/portfield/tests/warmup.rs
@@ -11,7 +11,7 @@
     balance::{Balancer, Candidate, Placement, PlacementRequest, Stage},
     gossip::host_hash,
     ids::RunId,
-    upstream::cold_quota,
+    upstream::{ColdQuota, cold_quota},
 };
 
 const MAX_RATE: f64 = 14.15;
@@ -75,20 +75,22 @@
     let hashes: Vec<u64> = (0..fleet.n_hosts).map(|it| host_hash(address(it))).collect();
     let local_hosts: Vec<usize> = (0..fleet.n_hosts).step_by(fleet.n_centres).collect();
     let start = Duration::from_secs(9);
-    let new_host = |idx: usize| {
+    let quota_of = |idx: usize, upstream: u32| {
         let is_new = |it: usize| {
             view == View::Outdated && it.is_multiple_of(10) && it != idx && !idx.is_multiple_of(2)
         };
         let known = local_hosts.iter().filter(|it| !is_new(**it)).map(|it| hashes[*it]);
         let known: Vec<u64> = known.collect();
+        match quota_kind {
+            Quota::FewHosts => cold_quota(MAX_RATE, &known, hashes[idx], upstream),
+            Quota::AllHosts => (MAX_RATE / fleet.n_hosts as f64) as u32,
+            Quota::Gossip(_) => u32::MAX,
+        }
+    };
+    let new_host = |idx: usize| {
         let mut res = Balancer::new(Duration::from_secs(4));
         for upstream in 0..N_UPSTREAMS {
-            let quota = match quota_kind {
-                Quota::FewHosts => cold_quota(MAX_RATE, &known, hashes[idx], upstream),
-                Quota::AllHosts => (MAX_RATE / fleet.n_hosts as f64) as u32,
-                Quota::Gossip(_) => u32::MAX,
-            };
-            res.mark_cold(upstream, start + COLD, quota);
+            res.mark_cold(upstream, start + COLD, ColdQuota::new(quota_of(idx, upstream)));
         }
         res
     };
@@ -100,9 +102,13 @@
         let now = start + COLD.mul_f64(f64::from(n) / f64::from(n_requests));
         let idx = rng.usize(..fleet.n_hosts);
         if view == View::Restarts && n.is_multiple_of(100) && idx.is_multiple_of(10) {
-            // A host sends cold upstreams nothing in its first seconds.
-            hosts[idx] = Balancer::new(Duration::from_secs(4));
-            (0..N_UPSTREAMS).for_each(|it| hosts[idx].mark_cold(it, start + COLD, 0));
+            hosts[idx] = new_host(idx);
+            for it in 0..N_UPSTREAMS {
+                let quota = ColdQuota::new(quota_of(idx, it));
+                // The times of a process count from its start.
+                let quota = ColdQuota { from: now + quota.from, ..quota };
+                hosts[idx].mark_cold(it, start + COLD, quota);
+            }
             runs.retain(|it| it.0 != idx);
         }
         let has_quota_left = |upstream: &u32| {
