fix(cold-start): choose the hosts that send to cold upstreams anew as hosts are added

Cause: the three hosts that may send were chosen once, when an upstream turned cold. An added host chose from those that it knew and sent at once; those that it displaced went on until the upstream was warm.

Change: a host computes its quotas anew whenever it learns of a host of its data centre, or has read the table of hosts. An added host waits until the others have heard of it and one interval more; one that finds its row in the table waits one interval only. A host that could not read the table waits 3 s, as before, and then gets its part, where it got nothing until the upstream was warm.

Why it works: each of the three parts is sent by one host at a time, an interval lies between two hosts' requests, and the limit leaves room for a fourth host.

--- a/crates/portfield-host/src/cold_start.rs
+++ b/crates/portfield-host/src/cold_start.rs
@@ -1,23 +1,30 @@
 //! Detection of upstreams that are cold after a start, and limits on what this host sends to them.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
 
 use portfield::{
     catalog::{ColdStart, Upstream},
-    upstream::{ColdQuota, cold_quota},
+    upstream::{ColdQuota, Standing, cold_quota},
 };
 use portfield_net::clock;
 
 use crate::state::{Host, hash_name};
 
-/// Time after start during which a host that could not read the table of hosts sends nothing to
-/// cold upstreams. By then it knows the other hosts from their digests; before, it would send as
-/// much as if it were the only one.
-const DISCOVERY_TIME: Duration = Duration::from_secs(3);
 /// Number of upstreams turning cold together up to which each gets its own log line: a whole data
 /// centre may return at once.
 const MAX_LOG_LINES: usize = 16;
 
+/// What the quotas of cold upstreams depend on, besides the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct QuotaBasis {
+    standing: Standing,
+    /// Changes of which hosts are known.
+    n_changes: u64,
+}
+
 /// Whether upstreams of a service need to warm up after a start.
 enum WarmupPolicy {
     Cold(ColdStart),
@@ -93,14 +100,43 @@
         cold_start.map_or(WarmupPolicy::Warm, WarmupPolicy::Cold)
     }
 
+    /// Computes the quotas of cold upstreams anew if other hosts are known than before: those that come before this
+    /// one send in its place.
+    pub(crate) fn refresh_cold_quotas(&self) {
+        let basis = QuotaBasis { standing: self.standing(), n_changes: self.peers().n_changes() };
+        let before = {
+            let mut last = self.quota_basis.lock().unwrap_or_else(PoisonError::into_inner);
+            last.replace(basis)
+        };
+        if before == Some(basis) {
+            return;
+        }
+        let cold = self.balancer().cold_upstreams(clock::now());
+        if cold.is_empty() {
+            return;
+        }
+        let is_cold = |it: &&Arc<Upstream>| cold.contains(&it.wire_id());
+        let upstreams: Vec<_> =
+            self.with_list(|it| it.directory.all().filter(is_cold).cloned().collect());
+        let mut n_open = 0;
+        for it in upstreams {
+            let WarmupPolicy::Cold(cold_start) = self.warmup_policy(&it.entry.service) else {
+                continue;
+            };
+            let quota = self.cold_quota_for(&it, cold_start);
+            n_open += usize::from(0 < quota.rate);
+            self.balancer().set_cold_quota(it.wire_id(), quota);
+        }
+        let hosts = self.peers().hosts_in(self.own_data_centre()).len();
+        log::info!(n = cold.len(), n_open, hosts, standing:? = basis.standing; "cold quotas changed");
+    }
+
     /// Returns what this host may send to a cold upstream.
     fn cold_quota_for(&self, upstream: &Upstream, cold_start: ColdStart) -> ColdQuota {
-        if !self.has_loaded_hosts() && clock::now() < DISCOVERY_TIME {
-            return ColdQuota::default();
-        }
         let settings = self.settings();
         let rate_limit = cold_start.max_rate * settings.cold_overrun + settings.cold_slack;
         let hosts = self.peers().hosts_in(hash_name(&upstream.entry.data_centre));
-        ColdQuota::new(cold_quota(rate_limit, &hosts, self.own_hash(), upstream.wire_id()))
+        let rate = cold_quota(rate_limit, &hosts, self.own_hash(), upstream.wire_id());
+        ColdQuota::new(rate, self.standing(), self.topology().period())
     }
 }
--- a/crates/portfield-host/src/host_discovery.rs
+++ b/crates/portfield-host/src/host_discovery.rs
@@ -56,7 +56,10 @@
     let (host, store) = (&host, &store);
     let own = host.own_data_centre();
     let found = read_first_hosts(host, store, own).await;
-    let has_more = if matches!(found, Ok(true)) {
+    if found.as_ref().is_ok_and(|it| it.has_own) {
+        host.mark_registered_before();
+    }
+    let has_more = if found.as_ref().is_ok_and(|it| it.has_more) {
         // In a large data centre others relay this host's digests before its row is read.
         host.rt.spawn(keep_registered(host.clone(), store.clone(), Registration::Pending));
         retry(host, || read_other_centres(host, store)).await;
@@ -111,7 +114,7 @@
 async fn read_hosts(host: &Host, store: &Store, extent: Extent) -> Result<bool, Error> {
     let own = host.own_data_centre();
     let has_more = match extent {
-        Extent::First => read_first_hosts(host, store, own).await?,
+        Extent::First => read_first_hosts(host, store, own).await?.has_more,
         Extent::All => {
             let rows = store.read(store::HOSTS_TABLE, &part_name(own)).await?.rows;
             rows.iter().for_each(|it| add_host(host, it, own));
@@ -151,12 +154,26 @@
     store.remove(store::HOSTS_TABLE, &part_name(host.own_data_centre()), &keys).await
 }
 
-/// Reads the first rows of a data centre; returns whether it has more.
-async fn read_first_hosts(host: &Host, store: &Store, data_centre: u32) -> Result<bool, Error> {
+/// What the first rows of a data centre show.
+#[derive(Debug, Clone, Copy)]
+struct FirstHosts {
+    /// Whether the data centre has more rows.
+    has_more: bool,
+    /// Whether this host's row is among them.
+    has_own: bool,
+}
+
+/// Reads the first rows of a data centre.
+async fn read_first_hosts(
+    host: &Host,
+    store: &Store,
+    data_centre: u32,
+) -> Result<FirstHosts, Error> {
     let part = part_name(data_centre);
     let res = store.read_first(store::HOSTS_TABLE, &part, N_FIRST_ROWS).await?;
     res.rows.iter().for_each(|it| add_host(host, it, data_centre));
-    Ok(res.has_more)
+    let own = row_key(host.own_hash());
+    Ok(FirstHosts { has_more: res.has_more, has_own: res.rows.iter().any(|it| it.key == own) })
 }
 
 /// Writes this host's row once.
--- a/crates/portfield-host/src/peers/send.rs
+++ b/crates/portfield-host/src/peers/send.rs
@@ -37,6 +37,7 @@
         sequence += 1;
         topology = host.refresh_topology();
         host.observe_list();
+        host.refresh_cold_quotas();
         streams::tell_untold(&host);
         let header = header(&host, sequence);
         let digest = own_digest(&host, &topology, header.clone());
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -26,6 +26,7 @@
     shutdown::ShutdownPlan,
     streams::{RouteMoves, moved_routes},
     suspend::SuspendDetector,
+    upstream::Standing,
 };
 use portfield_net::{clock, coarse_timer::CoarseTimer, panics, rt::Runtime};
 use xxhash_rust::xxh3::xxh3_64;
@@ -33,6 +34,7 @@
 use crate::{
     active_probes::ActiveProbes,
     atomic_instant::AtomicInstant,
+    cold_start::QuotaBasis,
     gathering::Gathering,
     held_memory::{self, HeldMemory},
     ingress::IngressStats,
@@ -114,6 +116,10 @@
     hosts_read: AtomicInstant,
     /// When this host last read all rows of its data centre's hosts.
     hosts_loaded: AtomicInstant,
+    /// Whether the table of hosts had this host's row when it started.
+    was_registered: AtomicBool,
+    /// What the quotas of cold upstreams were last computed from.
+    pub quota_basis: Mutex<Option<QuotaBasis>>,
     /// Number of restores of the store from a backup, as far as this host knows.
     store_era: AtomicU64,
     /// Times of the shutdown, once it has begun.
@@ -182,6 +188,8 @@
             quarantine_loaded: AtomicInstant::default(),
             hosts_read: AtomicInstant::default(),
             hosts_loaded: AtomicInstant::default(),
+            was_registered: AtomicBool::new(false),
+            quota_basis: Mutex::default(),
             store_era: AtomicU64::new(0),
             shutdown: OnceLock::new(),
             is_closing: AtomicBool::new(false),
@@ -342,9 +350,19 @@
         self.hosts_loaded.set_now();
     }
 
-    /// Returns whether all hosts of this data centre were ever read from the table of hosts.
-    pub(crate) fn has_loaded_hosts(&self) -> bool {
-        self.hosts_loaded.elapsed().is_some()
+    /// Records that the table of hosts had this host's row when it started.
+    pub(crate) fn mark_registered_before(&self) {
+        self.was_registered.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns how this host and the others of its data centre know each other.
+    pub(crate) fn standing(&self) -> Standing {
+        let has_loaded_hosts = self.hosts_loaded.elapsed().is_some();
+        match (has_loaded_hosts, self.was_registered.load(Ordering::Relaxed)) {
+            (false, _) => Standing::Unknown,
+            (true, true) => Standing::Returned,
+            (true, false) => Standing::New,
+        }
     }
 
     /// Returns how often the store was restored from a backup, as far as this host knows.
--- a/crates/portfield-host/tests/cold_upstreams.rs
+++ b/crates/portfield-host/tests/cold_upstreams.rs
@@ -126,3 +126,23 @@
     let most = most_in_a_second(&arrivals(&cold));
     assert!(most as f64 <= MAX_RATE, "{most} requests in a second");
 }
+
+/// Guards against chosen hosts that go on sending to cold upstreams although added hosts have taken their place.
+#[test]
+fn hosts_that_are_added_keep_to_the_rate_of_cold_upstreams() {
+    let (mut fleet, hosts) = start(12, 3);
+    let mut callers = turn_cold(&fleet, &hosts);
+    thread::sleep(Duration::from_millis(300));
+    let added: Vec<Host> = (0..4).map(|_| fleet.spawn_host(SETTINGS)).collect();
+    added.iter().for_each(|it| callers.add(it));
+    thread::sleep(COLD_TIME);
+    callers.stop();
+    let most: Vec<usize> =
+        fleet.plain_upstreams.iter().map(|it| most_in_a_second(&arrivals(it))).collect();
+    assert!(most.iter().all(|it| *it as f64 <= MAX_RATE), "requests in a second: {most:?}");
+    let n_sent = |it: &Host| {
+        let placed = it.log_entries("placed");
+        placed.iter().filter(|it| it["upstream"].as_str().is_some()).count()
+    };
+    assert!(added.iter().map(n_sent).sum::<usize>() > 0, "the added hosts serve");
+}
--- a/crates/portfield/src/balance/upstream_signals.rs
+++ b/crates/portfield/src/balance/upstream_signals.rs
@@ -147,6 +147,30 @@
         self.upstreams.entry(upstream).warmup.begin(until, quota);
     }
 
+    /// Changes what this host sends to an upstream while it is cold.
+    pub fn set_cold_quota(&mut self, upstream: u32, quota: ColdQuota) {
+        self.upstreams.entry(upstream).warmup.set_quota(quota);
+    }
+
+    /// Returns the upstreams that are cold.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use portfield::{balance::Balancer, upstream::ColdQuota};
+    /// use std::time::Duration;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let mut balancer = Balancer::new(second * 4);
+    /// balancer.mark_cold(7, second * 3, ColdQuota::default());
+    /// assert_eq!(balancer.cold_upstreams(second), [7]);
+    /// assert!(balancer.cold_upstreams(second * 3).is_empty());
+    /// ```
+    pub fn cold_upstreams(&self, now: Duration) -> Vec<u32> {
+        let all = self.upstreams.iter_with_ids();
+        all.filter(|it| it.1.warmup.is_cold(now)).map(|it| it.0).collect()
+    }
+
     /// Marks an upstream as no longer cold.
     pub fn mark_warm(&mut self, upstream: u32) {
         self.upstreams.entry(upstream).warmup.end();
--- a/crates/portfield/src/gossip/peer_table.rs
+++ b/crates/portfield/src/gossip/peer_table.rs
@@ -123,6 +123,8 @@
     unheard_since: BTreeMap<SocketAddr, Duration>,
     /// Hosts heard for the first time, or again after a silence.
     n_appeared: u64,
+    /// How often [`hosts_in`](Self::hosts_in) changed.
+    n_changes: u64,
 }
 
 impl PeerTable {
@@ -138,6 +140,7 @@
             leaders: FastMap::default(),
             unheard_since: BTreeMap::new(),
             n_appeared: 0,
+            n_changes: 0,
         }
     }
 
@@ -231,7 +234,9 @@
             let since = unheard_since.get(address).copied().unwrap_or(it.last_heard);
             it.data_centre == data_centre && since + after <= now
         };
-        self.hosts.extract_if(.., is_dead).map(|it| it.1.host).collect()
+        let res: Vec<u64> = self.hosts.extract_if(.., is_dead).map(|it| it.1.host).collect();
+        self.n_changes += res.len() as u64;
+        res
     }
 
     /// Returns whether this host is among the first `n` of its data centre by hash, counting all
@@ -254,6 +259,11 @@
         self.hosts.values().filter(is_in).map(|it| it.host).chain(own).collect()
     }
 
+    /// Returns a number that grows whenever a host of a data centre becomes known or is forgotten.
+    pub fn n_changes(&self) -> u64 {
+        self.n_changes
+    }
+
     /// Returns the data centre of this host.
     pub(super) fn own_data_centre(&self) -> u32 {
         self.config.data_centre
@@ -330,7 +340,10 @@
             self.hosts.remove(&address);
             return;
         }
-        it.data_centre = it.data_centre.or(data_centre);
+        if it.data_centre.is_none() && data_centre.is_some() {
+            it.data_centre = data_centre;
+            self.n_changes += 1;
+        }
     }
 
     /// Records the sender of a digest: a host, or the leader of another data centre. `from` is the
@@ -359,6 +372,9 @@
         if before.is_none_or(|it| it.is_silent(now)) {
             self.n_appeared += 1;
         }
+        if before.and_then(|it| it.data_centre) != Some(digest.data_centre) {
+            self.n_changes += 1;
+        }
     }
 
     /// Returns how many hosts appeared, or reappeared after a silence, since the last call.
--- a/crates/portfield/src/upstream/table.rs
+++ b/crates/portfield/src/upstream/table.rs
@@ -204,6 +204,11 @@
     }
 
     /// Iterates over all upstreams and their wire ids, mutably.
+    pub(crate) fn iter_with_ids(&self) -> impl Iterator<Item = (u32, &UpstreamState)> {
+        self.upstreams.iter().map(|(id, it)| (*id, it))
+    }
+
+    /// Returns the state of all upstreams with their ids, to change it.
     pub(crate) fn iter_with_ids_mut(&mut self) -> impl Iterator<Item = (u32, &mut UpstreamState)> {
         self.upstreams.iter_mut().map(|(id, it)| (*id, it))
     }
--- a/crates/portfield/src/upstream/warmup.rs
+++ b/crates/portfield/src/upstream/warmup.rs
@@ -15,6 +15,9 @@
 //! again forgets what it has sent, and may do so several times in a second. So a chosen host does not send its part
 //! at once, but at regular intervals, and a process lets one interval pass before it sends anything: between two
 //! requests of a host there is always an interval, whatever became of its processes.
+//!
+//! Hosts that are added may come before the chosen ones. Those stop as soon as they hear of them, and the added ones wait
+//! until all others have heard of them and one interval more, so that each part is sent by one host at a time.
 
 use std::time::Duration;
 
@@ -27,6 +30,38 @@
 /// of the next ones is not within the same second.
 const SPREAD_TIME: Duration = Duration::from_millis(1050);
 
+/// Time from a host's start until the others of its data centre have heard of it, at least; the same in periods
+/// between two digests, of which a host's takes two by way of a leader.
+const NOTICE_TIME: Duration = Duration::from_millis(600);
+const NOTICE_PERIODS: u32 = 4;
+/// Time after which a host that could not read the table of hosts knows the others from their digests.
+/// Before, it would send as much as if it were the only one.
+const DISCOVERY_TIME: Duration = Duration::from_secs(3);
+
+/// How a host and the others of its data centre know each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It was among them before it was restarted, and has read which others there are.
+    Returned,
+    /// It has read which others there are, and they hear of it now.
+    New,
+    /// It could not read which others there are.
+    Unknown,
+}
+
+impl Standing {
+    /// Returns the time after a host's start from which the hosts of its data centre choose the same ones;
+    /// `digest_period` is the time between two digests of each.
+    fn settle_time(self, digest_period: Duration) -> Duration {
+        let notice = NOTICE_TIME.max(digest_period * NOTICE_PERIODS);
+        match self {
+            Self::Returned => Duration::ZERO,
+            Self::New => notice,
+            Self::Unknown => notice.max(DISCOVERY_TIME),
+        }
+    }
+}
+
 /// Requests that a host may send to a cold upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ColdQuota {
@@ -37,19 +72,21 @@
 }
 
 impl ColdQuota {
-    /// Allows this many requests per second, at regular intervals; an earlier process of the host may have sent one
-    /// just before this one started.
+    /// Allows this many requests per second, at regular intervals, once the hosts know each other; an earlier process
+    /// of the host may have sent one just before this one started.
     ///
     /// # Examples
     ///
     /// ```
-    /// use portfield::upstream::ColdQuota;
+    /// use portfield::upstream::{ColdQuota, Standing};
+    /// use std::time::Duration;
     ///
-    /// assert_eq!(ColdQuota::new(3).from, std::time::Duration::from_millis(350));
+    /// let from = |it: Standing| ColdQuota::new(3, it, Duration::from_millis(50)).from.as_millis();
+    /// assert_eq!([Standing::Returned, Standing::New].map(from), [350, 950]);
     /// ```
-    pub fn new(rate: u32) -> Self {
+    pub fn new(rate: u32, standing: Standing, digest_period: Duration) -> Self {
         let mut res = Self { rate, from: Duration::ZERO };
-        res.from = res.interval();
+        res.from = standing.settle_time(digest_period) + res.interval();
         res
     }
 
@@ -101,6 +138,11 @@
         self.quota = quota;
     }
 
+    /// Changes what may be sent while it is cold.
+    pub(crate) fn set_quota(&mut self, quota: ColdQuota) {
+        self.quota = quota;
+    }
+
     /// Marks the upstream as no longer cold.
     pub(crate) fn end(&mut self) {
         self.until = Duration::ZERO;
--- a/crates/portfield/tests/warmup.rs
+++ b/crates/portfield/tests/warmup.rs
@@ -11,7 +11,7 @@
     balance::{Balancer, Candidate, Placement, PlacementRequest, Stage},
     gossip::host_hash,
     ids::RunId,
-    upstream::{ColdQuota, cold_quota},
+    upstream::{ColdQuota, Standing, cold_quota},
 };
 
 const MAX_RATE: f64 = 14.15;
@@ -75,22 +75,23 @@
     let hashes: Vec<u64> = (0..fleet.n_hosts).map(|it| host_hash(address(it))).collect();
     let local_hosts: Vec<usize> = (0..fleet.n_hosts).step_by(fleet.n_centres).collect();
     let start = Duration::from_secs(9);
-    let quota_of = |idx: usize, upstream: u32| {
+    let quota = |idx: usize, upstream: u32| {
         let is_new = |it: usize| {
             view == View::Outdated && it.is_multiple_of(10) && it != idx && !idx.is_multiple_of(2)
         };
         let known = local_hosts.iter().filter(|it| !is_new(**it)).map(|it| hashes[*it]);
         let known: Vec<u64> = known.collect();
-        match quota_kind {
+        let rate = match quota_kind {
             Quota::FewHosts => cold_quota(MAX_RATE, &known, hashes[idx], upstream),
             Quota::AllHosts => (MAX_RATE / fleet.n_hosts as f64) as u32,
             Quota::Gossip(_) => u32::MAX,
-        }
+        };
+        ColdQuota::new(rate, Standing::Returned, Duration::from_millis(50))
     };
     let new_host = |idx: usize| {
         let mut res = Balancer::new(Duration::from_secs(4));
         for upstream in 0..N_UPSTREAMS {
-            res.mark_cold(upstream, start + COLD, ColdQuota::new(quota_of(idx, upstream)));
+            res.mark_cold(upstream, start + COLD, quota(idx, upstream));
         }
         res
     };
@@ -104,8 +105,8 @@
         if view == View::Restarts && n.is_multiple_of(100) && idx.is_multiple_of(10) {
             hosts[idx] = new_host(idx);
             for it in 0..N_UPSTREAMS {
-                let quota = ColdQuota::new(quota_of(idx, it));
                 // The times of a process count from its start.
+                let quota = quota(idx, it);
                 let quota = ColdQuota { from: now + quota.from, ..quota };
                 hosts[idx].mark_cold(it, start + COLD, quota);
             }
