fix(http1): limit the bytes read of a response

The client of the store read 7.4 GB of one header in 20 s in a test, and an announced length of 99,999,999,999 aborted the process, since the library allocates it at once. A host that calls such a store is killed for its memory, with all that runs on it.

Cause: async-h1 limits neither the head nor the body of a response.

Change: 16 MB are read of a response, and a longer announced length is refused.

--- a/crates/portfield-net/src/http1.rs
+++ b/crates/portfield-net/src/http1.rs
@@ -12,17 +12,20 @@
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::{Domain, Socket, Type};
 
-use crate::{clock, connector::Connector, rt::Runtime};
+use crate::{clock, connector::Connector, limited::Limited, rt::Runtime};
 
 /// Connections that may wait to be accepted, enough for many clients that connect at once.
 const BACKLOG: i32 = 4096;
 
+/// Bytes of a response at most, head and body: a page of rows has up to 1 MB, the changes of a large table more.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Failure of an exchange.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
     /// The request could not be built or no connection opened, so it did not run.
     NotSent(String),
-    /// The connection broke or the exchange timed out, so the request may have run.
+    /// The connection broke, the exchange timed out or the response was too long, so the request may have run.
     OutcomeUnknown(String),
     /// The response has a status other than 200; with its body.
     Status(u16, String),
@@ -169,6 +172,7 @@
     header: &str,
 ) -> Result<(String, Option<String>), Error> {
     let unknown = |err: http_types::Error| Error::OutcomeUnknown(err.to_string());
+    let stream = Limited::new(stream, MAX_RESPONSE_BYTES);
     let mut response = async_h1::connect(stream, request).await.map_err(unknown)?;
     let value_of = |name: &str| response.header(name).map(|it| it.as_str().to_owned());
     let (length, value) = (value_of("content-length"), value_of(header));
@@ -176,6 +180,10 @@
     if status == StatusCode::NotModified {
         return Err(Error::Status(status.into(), String::new()));
     }
+    // The library allocates the announced length at once.
+    if response.len().is_some_and(|it| MAX_RESPONSE_BYTES < it) {
+        return Err(Error::OutcomeUnknown("the response is too long".to_owned()));
+    }
     let text = response.body_string().await.map_err(unknown)?;
     // The library returns a truncated body as if it were complete.
     if length.is_some_and(|it| it.parse() != Ok(text.len())) {
--- a/crates/portfield-net/src/lib.rs
+++ b/crates/portfield-net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod fleet_store;
 pub mod http1;
+mod limited;
 pub mod logs;
 pub mod metrics;
 pub mod panics;
