fix(pool): limit what a connection to an upstream buffers of a response

In a test 500 upstreams' responses with 400,000 bytes of one header left a host of 160 MB with 232 MB resident: it would be killed, with all that runs there.

Cause: hyper buffers 408 KB of a head on each connection; a request is accounted with 96 KB.

Change: a connection buffers 64 KB; a longer head breaks the attempt off.

--- a/crates/portfield-host/src/pool.rs
+++ b/crates/portfield-host/src/pool.rs
@@ -33,6 +33,9 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Margin by which a pooled connection is closed before the upstream's own idle limit.
 const IDLE_MARGIN: Duration = Duration::from_millis(800);
+/// Bytes of a response that a connection buffers at most, and so the longest head that is accepted: a request is
+/// accounted with little more ([`held_memory`](crate::held_memory)).
+const MAX_BUFFER: usize = 64 << 10;
 /// Maximum number of idle connections per upstream; bursts above that open new ones.
 const MAX_IDLE_PER_UPSTREAM: usize = 24;
 
@@ -137,7 +140,8 @@
         let guard = CallerCheck::default();
         let gate = ReadGate::default();
         let socket = Socket::with_caller_check(stream, guard.clone()).with_read_gate(gate.clone());
-        let (sender, driver) = http1::handshake(socket).await.map_err(io::Error::other)?;
+        let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(socket);
+        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
         let driver = self.rt.spawn_cancellable(async move {
             if let Err(err) = driver.await {
                 log::debug!(err:%; "upstream connection ended");
