fix(relay): move a stream on from an event that never ends

What callers saw, in a test: an upstream sends one event, then a byte of the next one every 20 ms. Their stream, which might go on elsewhere, brings nothing more and breaks at its deadline.

Cause: the pause after which a stream moves to another upstream was counted from the last bytes, of whatever they were.

Change: it is counted from the last whole event.

Evidence: stream_moves_on_from_an_event_without_end failed before (broken off after the first event), and is whole now: 8 events in order. requests, response_ends, stream_versions, gathering and hedge pass.

--- a/crates/portfield-host/src/relay.rs
+++ b/crates/portfield-host/src/relay.rs
@@ -169,8 +169,12 @@
 
     /// Reads the next complete events, `None` at the end of the stream.
     async fn read_events(&mut self) -> io::Result<Option<Bytes>> {
+        // Only whole events count: bytes of one that never ends must not hold the stream up.
+        self.restart_timeout();
         loop {
-            self.restart_timeout();
+            if self.timeout.is_none() {
+                self.restart_timeout();
+            }
             let (Some(response), Some(timeout)) = (&mut self.response, &mut self.timeout) else {
                 return Ok(None);
             };
--- a/crates/portfield-host/tests/broken_heads.rs
+++ b/crates/portfield-host/tests/broken_heads.rs
@@ -29,8 +29,14 @@
     Endless(&'static str, &'static str),
     /// With this many bytes of a header, and nothing more.
     HoldHeader(usize),
+    /// With one event, and then a few bytes of the next one at a time, without its end.
+    DripEvent,
 }
 
+/// Time between the bytes of an event that does not end, shorter than the pause after which a stream moves to another
+/// upstream.
+const DRIP_PERIOD: Duration = Duration::from_millis(20);
+
 /// What delimits the body that a head announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Head {
@@ -141,6 +147,15 @@
                     // Until the host closes the connection.
                     stream.read_exact(&mut [0])?;
                 }
+                Answer::DripEvent => {
+                    let head = Head::Close.text(&attempt);
+                    let text = format!("{head}id: 1\ndata: piece 1 of v1\n\nid: 2\ndata: ");
+                    stream.write_all(text.as_bytes())?;
+                    loop {
+                        thread::sleep(DRIP_PERIOD);
+                        stream.write_all(b"a")?;
+                    }
+                }
             }
         }
     }
@@ -327,3 +342,14 @@
     assert!(peak < MEMORY_MB, "{peak} MB");
     drop(callers);
 }
+
+/// Guards against a stream that stays at an upstream which sends bytes, but no event any more.
+#[test]
+fn stream_moves_on_from_an_event_without_end() {
+    let mut fleet = Fleet::new(0, 1);
+    let endless = Upstream::start(&fleet, "model", Answer::DripEvent);
+    let host = start_host(&mut fleet, "retry_extra = 1000");
+    let response = send_there(&host, &endless, "digest", "d");
+    assert!(response.status == 200 && response.is_complete, "{}", response.text());
+    assert_eq!(response.event_ids(), (1..=8).collect::<Vec<_>>());
+}
