test(streams): streams are not joined from two versions after all hosts were killed

Reported from a system like ours: all hosts are killed while two versions serve, or the older one has just left; callers who resume streams get a text joined from both.

It can't happen here as reported: a list that shows one version proves it only once it was current for as long as a stream may be resumed, and until then a host refuses what no host knows.

--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -395,3 +395,40 @@
     }
     assert_eq!(fleet.n_executed(), 0, "a refusal states that nothing ran");
 }
+
+/// Guards against a text that is joined from two versions: all hosts were killed and know nothing of the streams, and the
+/// upstreams of the version that began them have just left, so that the list shows a single other one.
+#[test]
+fn streams_are_not_joined_after_all_hosts_were_killed_and_their_version_has_left() {
+    let (mut fleet, hosts) = start(&["v1", "v1", "v2", "v2"], 3);
+    let mut begun = Vec::new();
+    for n in 0..N_STREAMS {
+        let first = begin_stream(&fleet, &hosts[n % 3], &format!("s{n}"));
+        let n_received = first.event_ids().len() as u32;
+        assert!(!first.is_complete && 0 < n_received);
+        begun.push((versions(&first), n_received));
+    }
+    for it in &fleet.engines[..2] {
+        fleet.store.remove("servers", &it.id);
+    }
+    let killed = Instant::now();
+    let hosts: Vec<Host> =
+        hosts.into_iter().map(|it| fleet.restart_host(it, "retry_extra = 1000")).collect();
+    wait_until("the hosts are ready", || hosts.iter().all(Host::is_ready));
+    let (mut n_joined, mut n_asked) = (0, 0);
+    // As long as a stream that began before the kill may be resumed.
+    while killed.elapsed() < WINDOW / 2 {
+        for (n, (version, n_received)) in begun.iter().enumerate() {
+            let first_attempts = [format!("s{n}"), String::new(), "unknown".to_owned()];
+            let text = resume(&format!("t{n}"), &first_attempts[n_asked % 3], *n_received);
+            let second = hosts[n_asked % 2].send(&text);
+            n_asked += 1;
+            let is_begun = second.status == 200 && !second.event_ids().is_empty();
+            n_joined += usize::from(is_begun && versions(&second) != *version);
+        }
+    }
+    assert!(0 < n_asked);
+    assert_eq!(n_joined, 0, "of {n_asked} streams");
+    // New streams begin meanwhile.
+    assert!(hosts[0].send_admitted(&request("digest", "new")).is_complete);
+}
