fix(streams): streams may be resumed for 30 s at least, whatever their route's timeout

What callers saw, in a test: a stream begins at one version under a timeout of 20 s. Its version leaves, a configuration shortens the timeout to 1.5 s, all hosts are killed. The caller resumes it 3.5 s later and gets 200 with the rest of the other version's text.

Cause: a host proves a single version over twice the route's present timeout; a stream that began under an earlier configuration may last longer, and a host that has just started knows no earlier one.

Change: twice the route's timeout, and resume_window_s (30 s) at least.

Evidence: stream_that_began_under_a_longer_timeout_is_not_joined_after_a_restart failed before (200, events of the other version), 503 now.

--- a/crates/portfield-host/src/settings.rs
+++ b/crates/portfield-host/src/settings.rs
@@ -35,6 +35,8 @@
     pub retry_extra: f64,
     /// Length of the retry budget's window.
     pub retry_window: Duration,
+    /// Time for which a stream may be resumed, at least: the timeout of its route may have been longer before.
+    pub resume_window: Duration,
     /// Time over which the usage of workspaces is averaged.
     pub share_window: Duration,
     /// Maximum number of concurrent requests; each takes some 100 KB.
@@ -89,6 +91,7 @@
             retry_ratio: it.float("retry_ratio", 0.2, (0.0, 10.0)),
             retry_extra: it.float("retry_extra", 10.0, (0.0, 1e6)),
             retry_window: it.seconds("retry_window_s", 10.0, (0.1, 600.0)),
+            resume_window: it.seconds("resume_window_s", 30.0, (0.0, 600.0)),
             share_window: it.seconds("share_window_s", 4.0, (0.1, 60.0)),
             active_limit: it.integer("active_limit", 700, (1, 1_000_000)) as usize,
             stalled_caller: it.seconds("stalled_caller_s", 30.0, (0.1, 3600.0)),
--- a/crates/portfield-host/src/streams/mod.rs
+++ b/crates/portfield-host/src/streams/mod.rs
@@ -70,8 +70,11 @@
 }
 
 /// Returns the time for which streams of a call's route may be resumed.
-fn window(call: &Call) -> Duration {
-    call.route.timeout * VALIDITY_FACTOR
+///
+/// Those that began under an earlier configuration may have had more time, and a host that has just started
+/// knows the present one only.
+fn window(host: &Host, call: &Call) -> Duration {
+    (call.route.timeout * VALIDITY_FACTOR).max(host.settings().resume_window)
 }
 
 /// Returns the key of the stream that a call begins or resumes; `None` if it cannot be resumed, or
--- a/crates/portfield-host/src/streams/resolve.rs
+++ b/crates/portfield-host/src/streams/resolve.rs
@@ -95,7 +95,7 @@
     // A caller that does not name the stream can still be told that there was a single version.
     let key = stream_key(call).unwrap_or(StreamKey::new(call.placement.workspace, ""));
     let service = RoutedService { route: call.placement.route, service: call.placement.service };
-    let window = window(call);
+    let window = window(host, call);
     // A route with several services may have begun the stream at another one.
     let has_one_service = call.route.services.len() == 1;
     let own = host.only_version(service, window).filter(|_| has_one_service);
--- a/crates/portfield-host/src/streams/tell.rs
+++ b/crates/portfield-host/src/streams/tell.rs
@@ -24,7 +24,7 @@
 pub(crate) fn record_begun(host: &Host, call: &Call, upstream: &Upstream) {
     let Some(key) = stream_key(call) else { return };
     let origin = StreamOrigin { service: call.placement.service, version: upstream.version_hash() };
-    let (now, window) = (clock::now(), window(call));
+    let (now, window) = (clock::now(), window(host, call));
     let stream = BegunStream { key, origin, expires_at: now + window };
     let holders = host.peers().told_holders(now, key);
     {
--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -34,9 +34,12 @@
     (fleet, hosts)
 }
 
-/// Starts a host that may retry as often as a test needs, and waits until it is ready.
+/// Settings of a host that may retry as often as a test needs, and whose streams may be resumed for [`WINDOW`].
+const SETTINGS: &str = "retry_extra = 1000\nresume_window_s = 0";
+
+/// Starts a host, and waits until it is ready.
 fn start_host(fleet: &mut Fleet) -> Host {
-    let res = fleet.spawn_host("retry_extra = 1000");
+    let res = fleet.spawn_host(SETTINGS);
     wait_until("the host is ready", || res.is_ready());
     res
 }
@@ -317,7 +320,7 @@
 
 /// Starts this many hosts in a data centre, and waits until all hosts know each other.
 fn start_hosts_in(fleet: &mut Fleet, data_centre: &str, n: usize, others: &[Host]) -> Vec<Host> {
-    let start = |_| fleet.spawn_host_in(data_centre, "retry_extra = 1000");
+    let start = |_| fleet.spawn_host_in(data_centre, SETTINGS);
     let res: Vec<Host> = (0..n).map(start).collect();
     let all = || res.iter().chain(others);
     let n_hosts = all().count() as f64;
@@ -412,8 +415,7 @@
         fleet.store.remove("servers", &it.id);
     }
     let killed = Instant::now();
-    let hosts: Vec<Host> =
-        hosts.into_iter().map(|it| fleet.restart_host(it, "retry_extra = 1000")).collect();
+    let hosts: Vec<Host> = hosts.into_iter().map(|it| fleet.restart_host(it, SETTINGS)).collect();
     wait_until("the hosts are ready", || hosts.iter().all(Host::is_ready));
     let (mut n_joined, mut n_asked) = (0, 0);
     // As long as a stream that began before the kill may be resumed.
@@ -432,3 +434,32 @@
     // New streams begin meanwhile.
     assert!(hosts[0].send_admitted(&request("digest", "new")).is_complete);
 }
+
+/// Guards against a stream that is joined from two versions since a configuration has shortened its route's timeout: a host
+/// that was started after that takes the time for which streams may last to be shorter than it is.
+#[test]
+fn stream_that_began_under_a_longer_timeout_is_not_joined_after_a_restart() {
+    let mut fleet = Fleet::new(0, 2);
+    fleet.set_engine_versions(&["v1", "v2"]);
+    let mut slow = config(2);
+    slow["routes"][3]["timeout_ms"] = json!(20_000);
+    fleet.store.put("op", "config", &slow);
+    let hosts: Vec<Host> = (0..2).map(|_| fleet.spawn_host("retry_extra = 1000")).collect();
+    wait_until("the hosts are ready", || hosts.iter().all(Host::is_ready));
+    let first = begin_stream(&fleet, &hosts[0], "s");
+    let n_received = first.event_ids().len() as u32;
+    assert!(!first.is_complete && 0 < n_received);
+    let engine = first.header("replica-signature").unwrap();
+    fleet.store.remove("servers", engine);
+    fleet.store.put("op", "config", &config(3));
+    let hosts: Vec<Host> =
+        hosts.into_iter().map(|it| fleet.restart_host(it, "retry_extra = 1000")).collect();
+    wait_until("the hosts know each other", || {
+        hosts.iter().all(|it| it.is_ready() && it.metric("portfield_hosts") == 2.0)
+    });
+    // The caller has some 15 s left.
+    thread::sleep(WINDOW + Duration::from_millis(500));
+    let second = hosts[1].send_admitted(&resume("t", "s", n_received));
+    assert_eq!(second.status, 503, "{}", second.text());
+    assert!(host_serves_new_streams(&hosts[1]));
+}
