--- a/crates/portfield-host/src/cold_start.rs
+++ b/crates/portfield-host/src/cold_start.rs
@@ -1,13 +1,14 @@
 //! Detection of upstreams that are cold after a start, and limits on what this host sends to them.
 
 use std::{
+    collections::HashSet,
     sync::{Arc, PoisonError},
     time::Duration,
 };
 
 use portfield::{
     catalog::{ColdStart, Upstream},
-    upstream::{ColdQuota, Standing, cold_quota},
+    upstream::{ColdQuota, Membership, cold_quota},
 };
 use portfield_net::clock;
 
@@ -20,7 +21,7 @@
 /// What the quotas of cold upstreams depend on, besides the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct QuotaBasis {
-    standing: Standing,
+    membership: Membership,
     /// Changes of which hosts are known.
     n_changes: u64,
 }
@@ -103,15 +104,8 @@
     /// Computes the quotas of cold upstreams anew if other hosts are known than before: those that come before this
     /// one send in its place.
     pub(crate) fn refresh_cold_quotas(&self) {
-        let basis = QuotaBasis { standing: self.standing(), n_changes: self.peers().n_changes() };
-        let before = {
-            let mut last = self.quota_basis.lock().unwrap_or_else(PoisonError::into_inner);
-            last.replace(basis)
-        };
-        if before == Some(basis) {
-            return;
-        }
-        let cold = self.balancer().cold_upstreams(clock::now());
+        let Some(basis) = self.take_new_basis() else { return };
+        let cold: HashSet<u32> = self.balancer().cold_upstreams(clock::now()).into_iter().collect();
         if cold.is_empty() {
             return;
         }
@@ -128,7 +122,16 @@
             self.balancer().set_cold_quota(it.wire_id(), quota);
         }
         let hosts = self.peers().hosts_in(self.own_data_centre()).len();
-        log::info!(n = cold.len(), n_open, hosts, standing:? = basis.standing; "cold quotas changed");
+        let membership = basis.membership;
+        log::info!(n = cold.len(), n_open, hosts, membership:?; "cold quotas changed");
+    }
+
+    /// Returns what quotas are to be computed from, if that has changed since the last call.
+    fn take_new_basis(&self) -> Option<QuotaBasis> {
+        let n_changes = self.peers().n_changes();
+        let basis = QuotaBasis { membership: self.membership(), n_changes };
+        let mut last = self.quota_basis.lock().unwrap_or_else(PoisonError::into_inner);
+        (last.replace(basis) != Some(basis)).then_some(basis)
     }
 
     /// Returns what this host may send to a cold upstream.
@@ -137,6 +140,6 @@
         let rate_limit = cold_start.max_rate * settings.cold_overrun + settings.cold_slack;
         let hosts = self.peers().hosts_in(hash_name(&upstream.entry.data_centre));
         let rate = cold_quota(rate_limit, &hosts, self.own_hash(), upstream.wire_id());
-        ColdQuota::new(rate, self.standing(), self.topology().period())
+        ColdQuota::new(rate, self.membership(), self.topology().period())
     }
 }
--- a/crates/portfield-host/src/state.rs
+++ b/crates/portfield-host/src/state.rs
@@ -26,7 +26,7 @@
     shutdown::ShutdownPlan,
     streams::{RouteMoves, moved_routes},
     suspend::SuspendDetector,
-    upstream::Standing,
+    upstream::Membership,
 };
 use portfield_net::{clock, coarse_timer::CoarseTimer, panics, rt::Runtime};
 use xxhash_rust::xxh3::xxh3_64;
@@ -356,12 +356,12 @@
     }
 
     /// Returns how this host and the others of its data centre know each other.
-    pub(crate) fn standing(&self) -> Standing {
+    pub(crate) fn membership(&self) -> Membership {
         let has_loaded_hosts = self.hosts_loaded.elapsed().is_some();
         match (has_loaded_hosts, self.was_registered.load(Ordering::Relaxed)) {
-            (false, _) => Standing::Unknown,
-            (true, true) => Standing::Returned,
-            (true, false) => Standing::New,
+            (false, _) => Membership::Unknown,
+            (true, true) => Membership::Returned,
+            (true, false) => Membership::New,
         }
     }
 
--- a/crates/portfield-host/tests/stream_versions.rs
+++ b/crates/portfield-host/tests/stream_versions.rs
@@ -319,8 +319,14 @@
 }
 
 /// Starts this many hosts in a data centre, and waits until all hosts know each other.
-fn start_hosts_in(fleet: &mut Fleet, data_centre: &str, n: usize, others: &[Host]) -> Vec<Host> {
-    let start = |_| fleet.spawn_host_in(data_centre, SETTINGS);
+fn start_hosts_in(
+    fleet: &mut Fleet,
+    data_centre: &str,
+    settings: &str,
+    n: usize,
+    others: &[Host],
+) -> Vec<Host> {
+    let start = |_| fleet.spawn_host_in(data_centre, settings);
     let res: Vec<Host> = (0..n).map(start).collect();
     let all = || res.iter().chain(others);
     let n_hosts = all().count() as f64;
@@ -355,13 +361,16 @@
 /// a single version served: they are lost with the data centre.
 #[test]
 fn streams_of_a_data_centre_lost_right_after_the_start_go_on() {
-    let mut fleet = Fleet::new(0, 3);
-    fleet.set_engine_versions(&["v1", "v1", "v1"]);
-    let south = start_hosts_in(&mut fleet, "south", 2, &[]);
-    let north = start_hosts_in(&mut fleet, "north", 2, &south);
-    let begin = |n: usize| begin_long_stream(&fleet, &north[n % 2], &format!("s{n}"));
-    let streams = (0..4).map(begin).collect();
-    assert_streams_go_on(north, streams, &south, long);
+    // In a large fleet hosts of the other data centre pass the news on.
+    for settings in [SETTINGS.to_owned(), format!("{SETTINGS}\ndirect_hosts = 1")] {
+        let mut fleet = Fleet::new(0, 3);
+        fleet.set_engine_versions(&["v1", "v1", "v1"]);
+        let south = start_hosts_in(&mut fleet, "south", &settings, 3, &[]);
+        let north = start_hosts_in(&mut fleet, "north", &settings, 2, &south);
+        let begin = |n: usize| begin_long_stream(&fleet, &north[n % 2], &format!("s{n}"));
+        let streams = (0..4).map(begin).collect();
+        assert_streams_go_on(north, streams, &south, long);
+    }
 }
 
 /// Guards against records that are lost with the hosts that were told, one restart after the other, while the
@@ -373,12 +382,12 @@
     let mut slow = config(2);
     slow["routes"][3]["timeout_ms"] = json!(20_000);
     fleet.store.put("op", "config", &slow);
-    let mut south = start_hosts_in(&mut fleet, "south", 2, &[]);
-    let north = start_hosts_in(&mut fleet, "north", 1, &south);
+    let mut south = start_hosts_in(&mut fleet, "south", SETTINGS, 2, &[]);
+    let north = start_hosts_in(&mut fleet, "north", SETTINGS, 1, &south);
     let stream = begin(&fleet, &north[0], &very_long(&request("digest", "s0")));
     for _ in 0..2 {
         south.remove(0).signal("-KILL");
-        south.extend(start_hosts_in(&mut fleet, "south", 1, &north));
+        south.extend(start_hosts_in(&mut fleet, "south", SETTINGS, 1, &north));
     }
     wait_until("the hosts left know the stream", || {
         south.iter().all(|it| it.metric("portfield_streams_known ") == 1.0)
--- a/crates/portfield/src/upstream/mod.rs
+++ b/crates/portfield/src/upstream/mod.rs
@@ -45,4 +45,4 @@
 pub(crate) use recent_uses::RecentUses;
 pub(crate) use service_time::ServiceTime;
 pub(crate) use table::{Load, UpstreamState, UpstreamTable};
-pub use warmup::{ColdQuota, Standing, cold_quota};
+pub use warmup::{ColdQuota, Membership, cold_quota};
--- a/crates/portfield/src/upstream/warmup.rs
+++ b/crates/portfield/src/upstream/warmup.rs
@@ -40,7 +40,7 @@
 
 /// How a host and the others of its data centre know each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
+pub enum Membership {
     /// It was among them before it was restarted, and has read which others there are.
     Returned,
     /// It has read which others there are, and they hear of it now.
@@ -49,7 +49,7 @@
     Unknown,
 }
 
-impl Standing {
+impl Membership {
     /// Returns the time after a host's start from which the hosts of its data centre choose the same ones;
     /// `digest_period` is the time between two digests of each.
     fn settle_time(self, digest_period: Duration) -> Duration {
@@ -78,15 +78,15 @@
     /// # Examples
     ///
     /// ```
-    /// use portfield::upstream::{ColdQuota, Standing};
+    /// use portfield::upstream::{ColdQuota, Membership};
     /// use std::time::Duration;
     ///
-    /// let from = |it: Standing| ColdQuota::new(3, it, Duration::from_millis(50)).from.as_millis();
-    /// assert_eq!([Standing::Returned, Standing::New].map(from), [350, 950]);
+    /// let from = |it: Membership| ColdQuota::new(3, it, Duration::from_millis(50)).from.as_millis();
+    /// assert_eq!([Membership::Returned, Membership::New].map(from), [350, 950]);
     /// ```
-    pub fn new(rate: u32, standing: Standing, digest_period: Duration) -> Self {
+    pub fn new(rate: u32, membership: Membership, digest_period: Duration) -> Self {
         let mut res = Self { rate, from: Duration::ZERO };
-        res.from = standing.settle_time(digest_period) + res.interval();
+        res.from = membership.settle_time(digest_period) + res.interval();
         res
     }
 
--- a/crates/portfield/tests/cold_changes.rs
+++ b/crates/portfield/tests/cold_changes.rs
@@ -7,7 +7,7 @@
 
 use portfield::{
     balance::{Balancer, Candidate, Placement, PlacementRequest, Stage},
-    upstream::{ColdQuota, Standing, cold_quota},
+    upstream::{ColdQuota, Membership, cold_quota},
 };
 
 /// Requests that a cold upstream may get in any second, as in docs/incidents/cold-rate-after-restart.md.
@@ -45,7 +45,7 @@
 struct Process {
     balancer: Balancer,
     started: Duration,
-    standing: Standing,
+    membership: Membership,
     /// Numbers of the hosts that it knows.
     known: BTreeSet<usize>,
 }
@@ -80,15 +80,15 @@
         let sent = vec![Vec::new(); N_UPSTREAMS as usize];
         let mut res = Self { processes: Vec::new(), joined: Vec::new(), sent };
         res.processes.resize_with(n_hosts, || None);
-        (0..n_hosts).for_each(|it| res.start(it, Duration::ZERO, Standing::New));
+        (0..n_hosts).for_each(|it| res.start(it, Duration::ZERO, Membership::New));
         res
     }
 
     /// Starts a process of a host, which reads the table of all hosts.
-    fn start(&mut self, host: usize, started: Duration, standing: Standing) {
+    fn start(&mut self, host: usize, started: Duration, membership: Membership) {
         let known = (0..self.processes.len()).collect();
         let balancer = Balancer::new(COLD);
-        self.processes[host] = Some(Process { balancer, started, standing, known });
+        self.processes[host] = Some(Process { balancer, started, membership, known });
         self.mark_cold(host);
     }
 
@@ -99,20 +99,20 @@
         let until = START + COLD - process.started;
         for upstream in 0..N_UPSTREAMS {
             let rate = cold_quota(MAX_RATE, &known, host_hash(host), upstream);
-            let quota = ColdQuota::new(rate, process.standing, DIGEST_PERIOD);
+            let quota = ColdQuota::new(rate, process.membership, DIGEST_PERIOD);
             process.balancer.mark_cold(upstream, until, quota);
         }
     }
 
     fn change(&mut self, now: Duration, host: usize, change: Change) {
         match change {
-            Change::Restart => self.start(host, now + RESTART_DELAY, Standing::Returned),
+            Change::Restart => self.start(host, now + RESTART_DELAY, Membership::Returned),
             Change::Loss => self.processes[host] = None,
             Change::Join => {
                 assert_eq!(host, self.processes.len(), "hosts are added in their order");
                 self.processes.push(None);
                 self.joined.push((now, host));
-                self.start(host, now, Standing::New);
+                self.start(host, now, Membership::New);
             }
         }
     }
--- a/crates/portfield/tests/warmup.rs
+++ b/crates/portfield/tests/warmup.rs
@@ -11,7 +11,7 @@
     balance::{Balancer, Candidate, Placement, PlacementRequest, Stage},
     gossip::host_hash,
     ids::RunId,
-    upstream::{ColdQuota, Standing, cold_quota},
+    upstream::{ColdQuota, Membership, cold_quota},
 };
 
 const MAX_RATE: f64 = 14.15;
@@ -86,7 +86,7 @@
             Quota::AllHosts => (MAX_RATE / fleet.n_hosts as f64) as u32,
             Quota::Gossip(_) => u32::MAX,
         };
-        ColdQuota::new(rate, Standing::Returned, Duration::from_millis(50))
+        ColdQuota::new(rate, Membership::Returned, Duration::from_millis(50))
     };
     let new_host = |idx: usize| {
         let mut res = Balancer::new(Duration::from_secs(4));
