refactor(tests): one reading of a process's peak memory; unused methods removed

Found on a second reading of the change. broken_heads.rs had copied peak_memory_mb from slow_readers.rs; both now call Host::peak_memory_mb of the fixture. BegunStreams::len and is_empty, new in this change, had no caller. No assertion or bound is changed.

--- a/crates/portfield-host/tests/broken_heads.rs
+++ b/crates/portfield-host/tests/broken_heads.rs
@@ -3,7 +3,6 @@
 mod fleet;
 
 use std::{
-    fs,
     io::{self, Read, Write},
     net::{TcpListener, TcpStream},
     sync::{
@@ -81,7 +80,7 @@
     n_requests: Arc<AtomicUsize>,
     /// Heads that were sent as far as asked.
     n_sent: Arc<AtomicUsize>,
-    /// Connections that were closed before.
+    /// Connections that the host closed while bytes were sent.
     n_closed: Arc<AtomicUsize>,
 }
 
@@ -297,19 +296,12 @@
             wait_until("the host has closed the connections", || {
                 n <= endless.n_closed.load(Ordering::Relaxed)
             });
-            let peak = peak_memory_mb(&host);
+            let peak = host.peak_memory_mb();
             assert!(peak < MEMORY_MB, "{start:?}: {peak} MB");
         }
     }
 }
 
-/// Returns the most memory that a process ever had resident, in megabytes.
-fn peak_memory_mb(host: &Host) -> u64 {
-    let text = fs::read_to_string(format!("/proc/{}/status", host.pid())).unwrap();
-    let line = text.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() / 1024
-}
-
 /// Memory of the host, as in the smallest hosts of the deployments.
 const MEMORY_MB: u64 = 160;
 /// Requests whose response heads are too long; such a host takes some 600 by its account of what each holds.
@@ -336,7 +328,7 @@
         N_HELD
             <= upstream.n_sent.load(Ordering::Relaxed) + upstream.n_closed.load(Ordering::Relaxed)
     });
-    let peak = peak_memory_mb(&host);
+    let peak = host.peak_memory_mb();
     let n_requests = upstream.n_requests.load(Ordering::Relaxed);
     writeln!(io::stdout(), "{peak} MB with {n_requests} heads").unwrap();
     assert!(peak < MEMORY_MB, "{peak} MB");
--- a/crates/portfield-host/tests/fleet/mod.rs
+++ b/crates/portfield-host/tests/fleet/mod.rs
@@ -64,6 +64,13 @@
         self.child.id()
     }
 
+    /// Returns the most memory that the process ever had resident, in megabytes.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
+        let line = text.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() / 1024
+    }
+
     /// Returns all log lines written so far.
     pub fn log_lines(&self) -> Vec<Value> {
         self.lines.lock().unwrap().clone()
--- a/crates/portfield-host/tests/slow_readers.rs
+++ b/crates/portfield-host/tests/slow_readers.rs
@@ -3,7 +3,6 @@
 mod fleet;
 
 use std::{
-    fs,
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
     sync::Arc,
@@ -132,13 +131,6 @@
     res
 }
 
-/// Returns the most memory that a process ever had resident, in megabytes.
-fn peak_memory_mb(host: &Host) -> u64 {
-    let text = fs::read_to_string(format!("/proc/{}/status", host.pid())).unwrap();
-    let line = text.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() / 1024
-}
-
 /// Guards against a host that keeps whole responses for callers who do not read them until it runs out of
 /// memory, and against one that then serves nobody else.
 #[test]
@@ -162,7 +154,7 @@
     let response = read_response(&mut reader).unwrap();
     assert_eq!(response.status, 200, "{}", response.text());
     assert!(response.is_complete && response.body == pattern(LARGE));
-    let (peak, held) = (peak_memory_mb(&host), host.metric("portfield_held_peak_bytes "));
+    let (peak, held) = (host.peak_memory_mb(), host.metric("portfield_held_peak_bytes "));
     writeln!(std::io::stdout(), "peak: {peak} MB resident, {:.1} MB held", held / 1e6).unwrap();
     assert!(peak < MEMORY_MB, "{peak} MB");
     // Otherwise too few callers were stalled for this to be a test of memory.
--- a/crates/portfield/src/streams/begun.rs
+++ b/crates/portfield/src/streams/begun.rs
@@ -104,14 +104,4 @@
         }
         res
     }
-
-    /// Returns the number of streams in the table.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Returns whether the table is empty.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
 }
